--- /dev/null
+++ b/src/daemon.h
@@ -0,0 +1,44 @@
+/* What the tasks of one process share.
+
+   The event base and the logger are used by all; every other member is owned
+   by one task and used by others only through that task's functions.  */
+
+#ifndef AB_DAEMON_H
+#define AB_DAEMON_H
+
+#include <stdint.h>
+
+#include "counter.h"
+#include "explain.h"
+#include "settings.h"
+
+struct event_base;
+struct ab_peer_task;
+struct ab_member_task;
+struct ab_bundle_task;
+struct ab_control_task;
+struct ab_control_client;
+struct ab_dispatch_task;
+struct ab_limit_task;
+struct ab_proxy_task;
+struct ab_admin_task;
+
+struct ab_daemon
+{
+  const struct ab_settings *settings;
+  struct event_base *base;
+  struct ab_counters *counters;
+  struct ab_explain *explain;
+  uint64_t incarnation; /* Wall milliseconds of this start.  */
+  struct ab_peer_task *peer;
+  struct ab_member_task *member;
+  struct ab_bundle_task *bundle;
+  struct ab_control_client *control_client;
+  struct ab_control_task *control;   /* Control hosts only.  */
+  struct ab_dispatch_task *dispatch; /* Entry hosts only, with the rest.  */
+  struct ab_limit_task *limit;
+  struct ab_proxy_task *proxy;
+  struct ab_admin_task *admin;
+};
+
+#endif
--- a/src/empty_task.c
+++ /dev/null
@@ -1,1 +0,0 @@
-/* Placeholder so that the task library is never empty.  */
--- /dev/null
+++ b/src/explain.c
@@ -0,0 +1,193 @@
+#include "explain.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+#include "buf.h"
+
+struct explain_event
+{
+  uint64_t wall_ms;
+  const char *name;
+  char *text; /* "key=value" pairs, space between.  */
+};
+
+struct subject
+{
+  char *name;
+  size_t name_len;
+  uint64_t touched_ms;
+  size_t bytes;
+  size_t next; /* Total events added; the slot is this modulo the size.  */
+  struct explain_event events[AB_EXPLAIN_EVENTS];
+  UT_hash_handle hh;
+};
+
+struct ab_explain
+{
+  struct subject *subjects; /* In order of the last touch, oldest first.  */
+  size_t bytes;
+  uint64_t horizon_ms;
+};
+
+struct ab_explain *
+ab_explain_new (void)
+{
+  return calloc (1, sizeof (struct ab_explain));
+}
+
+static void
+drop_subject (struct ab_explain *explain, struct subject *subject)
+{
+  HASH_DEL (explain->subjects, subject);
+  explain->bytes -= subject->bytes;
+  for (size_t i = 0; i < AB_EXPLAIN_EVENTS; i++)
+    free (subject->events[i].text);
+  free (subject->name);
+  free (subject);
+}
+
+void
+ab_explain_free (struct ab_explain *explain)
+{
+  if (!explain)
+    return;
+  while (explain->subjects)
+    drop_subject (explain, explain->subjects);
+  free (explain);
+}
+
+static struct subject *
+find_subject (const struct ab_explain *explain, struct ab_chunk name)
+{
+  struct subject *subject = NULL;
+
+  HASH_FIND (hh, explain->subjects, name.data, name.len, subject);
+  return subject;
+}
+
+static struct subject *
+add_subject (struct ab_explain *explain, struct ab_chunk name)
+{
+  struct subject *subject = calloc (1, sizeof *subject);
+
+  if (!subject)
+    return NULL;
+  subject->name = malloc (name.len + 1);
+  if (!subject->name)
+    {
+      free (subject);
+      return NULL;
+    }
+  memcpy (subject->name, name.data, name.len);
+  subject->name_len = name.len;
+  subject->bytes = sizeof *subject + name.len;
+  explain->bytes += subject->bytes;
+  HASH_ADD_KEYPTR (hh, explain->subjects, subject->name, name.len, subject);
+  return subject;
+}
+
+static void
+append_fields (struct ab_buf *text, const struct ab_log_field *fields,
+               size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct ab_log_field *f = &fields[i];
+      ab_buf_printf (text, "%s%s=", i ? " " : "", f->key);
+      if (f->kind == AB_LOG_STRING)
+        ab_buf_append_chunk (text, f->text);
+      else if (f->kind == AB_LOG_NUMBER)
+        ab_buf_printf (text, "%lld", (long long)f->number);
+      else
+        ab_buf_printf (text, "%.6g", f->real);
+    }
+}
+
+static void
+set_event (struct ab_explain *explain, struct subject *subject,
+           const struct explain_event *event, size_t len)
+{
+  struct explain_event *slot
+      = &subject->events[subject->next++ % AB_EXPLAIN_EVENTS];
+
+  if (slot->text)
+    {
+      size_t old = strlen (slot->text);
+      subject->bytes -= old;
+      explain->bytes -= old;
+      free (slot->text);
+    }
+  *slot = *event;
+  subject->bytes += len;
+  explain->bytes += len;
+}
+
+static void
+drop_oldest (struct ab_explain *explain)
+{
+  while (HASH_COUNT (explain->subjects) > AB_EXPLAIN_SUBJECTS
+         || explain->bytes > AB_EXPLAIN_BYTES_MAX)
+    {
+      explain->horizon_ms = explain->subjects->touched_ms;
+      drop_subject (explain, explain->subjects);
+    }
+}
+
+void
+ab_explain_add (struct ab_explain *explain, struct ab_chunk name,
+                uint64_t wall_ms, const char *event,
+                const struct ab_log_field *fields, size_t count)
+{
+  struct subject *subject = find_subject (explain, name);
+  struct ab_buf text = AB_BUF_INIT;
+  struct explain_event added = { .wall_ms = wall_ms, .name = event };
+
+  if (!subject)
+    subject = add_subject (explain, name);
+  if (!subject)
+    return;
+  ab_buf_append_str (&text, "");
+  append_fields (&text, fields, count);
+  if (text.error)
+    {
+      ab_buf_free (&text);
+      return;
+    }
+  added.text = text.data;
+  set_event (explain, subject, &added, text.len);
+  subject->touched_ms = wall_ms;
+  /* Moves the subject to the end of the hash's insertion order.  */
+  HASH_DEL (explain->subjects, subject);
+  HASH_ADD_KEYPTR (hh, explain->subjects, subject->name, subject->name_len,
+                   subject);
+  drop_oldest (explain);
+}
+
+json_t *
+ab_explain_get (const struct ab_explain *explain, struct ab_chunk name)
+{
+  const struct subject *subject = find_subject (explain, name);
+  json_t *list;
+  size_t first;
+
+  if (!subject)
+    return NULL;
+  list = json_array ();
+  first = subject->next > AB_EXPLAIN_EVENTS ? subject->next - AB_EXPLAIN_EVENTS
+                                            : 0;
+  for (size_t i = first; i < subject->next; i++)
+    {
+      const struct explain_event *e = &subject->events[i % AB_EXPLAIN_EVENTS];
+      json_array_append_new (list, json_pack ("{s:I, s:s, s:s}", "time_ms",
+                                              (json_int_t)e->wall_ms, "event",
+                                              e->name, "detail", e->text));
+    }
+  return list;
+}
+
+uint64_t
+ab_explain_horizon_ms (const struct ab_explain *explain)
+{
+  return explain->horizon_ms;
+}
--- /dev/null
+++ b/src/member_task.h
@@ -0,0 +1,129 @@
+/* The membership view of this host: hosts, targets, and quarantined requests.
+
+   Runs the probe and gossip protocol of membership.h, is the registrar of the
+   targets that announce themselves here, and answers callers' questions for
+   addresses.  */
+
+#ifndef AB_MEMBER_TASK_H
+#define AB_MEMBER_TASK_H
+
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "daemon.h"
+#include "digest.h"
+
+struct evhttp;
+
+enum ab_host_state
+{
+  AB_HOST_ALIVE,
+  AB_HOST_SUSPECT,
+  AB_HOST_LEAVING,
+  AB_HOST_GONE
+};
+
+struct ab_host_view
+{
+  char name[AB_NAME_BYTES];
+  enum ab_role role;
+  char region[AB_NAME_BYTES];
+  char failure_domain[AB_NAME_BYTES];
+  char callers[AB_ADDRESS_BYTES]; /* Empty for control hosts.  */
+  char peers[AB_ADDRESS_BYTES];
+  char admin[AB_ADDRESS_BYTES];
+  uint64_t incarnation;
+  enum ab_host_state state;
+  bool ready; /* Has an accepted bundle and a view of targets.  */
+};
+
+enum ab_target_state
+{
+  AB_TARGET_ACTIVE,
+  AB_TARGET_DRAINING,
+  AB_TARGET_GONE
+};
+
+struct ab_target_view
+{
+  char service[AB_NAME_BYTES];
+  char address[AB_ADDRESS_BYTES]; /* Identifies the target in the service.  */
+  uint64_t slots;
+  char region[AB_NAME_BYTES];
+  char failure_domain[AB_NAME_BYTES];
+  uint64_t incarnation;
+  enum ab_target_state state;
+  char registrar[AB_NAME_BYTES];
+  uint64_t since_ms; /* Monotonic time when this host learned of it.  */
+};
+
+/* A request that crashed targets; requests with this content are refused.  */
+struct ab_quarantine_view
+{
+  struct ab_digest content;
+  uint64_t until_wall_ms;
+  char reason[AB_NAME_BYTES]; /* The targets' service.  */
+};
+
+/* Called for each item; returns false to stop.  */
+typedef bool (*ab_host_visitor) (void *ctx, const struct ab_host_view *host);
+typedef bool (*ab_target_visitor) (void *ctx,
+                                   const struct ab_target_view *target);
+
+/* Called from the event loop after a change.  */
+typedef void (*ab_host_listener) (void *ctx, const struct ab_host_view *host);
+typedef void (*ab_target_listener) (void *ctx,
+                                    const struct ab_target_view *target);
+
+int ab_member_task_new (struct ab_daemon *daemon,
+                        struct ab_member_task **task);
+void ab_member_task_free (struct ab_member_task *task);
+
+/* Adds the HTTP interface for targets (/v1/targets...) and callers
+   (/v1/addresses) to the callers' listener.  */
+int ab_member_task_bind_http (struct ab_member_task *task,
+                              struct evhttp *http);
+
+/* Commands.  */
+
+/* Marks this host as leaving: other hosts stop naming it in answers.  */
+void ab_member_task_leave (struct ab_member_task *task);
+/* Undoes it, for an operator's undrain.  */
+void ab_member_task_rejoin (struct ab_member_task *task);
+/* Says whether this host may be named to callers.  */
+void ab_member_task_set_ready (struct ab_member_task *task, bool ready);
+/* Spreads a quarantined content digest, or its release, to all hosts.  */
+void ab_member_task_quarantine (struct ab_member_task *task,
+                                const struct ab_quarantine_view *item);
+void ab_member_task_release (struct ab_member_task *task,
+                             const struct ab_digest *content);
+
+/* Queries.  */
+void ab_member_task_hosts (const struct ab_member_task *task,
+                           ab_host_visitor visit, void *ctx);
+void ab_member_task_targets (const struct ab_member_task *task,
+                             ab_target_visitor visit, void *ctx);
+bool ab_member_task_quarantined (const struct ab_member_task *task,
+                                 const struct ab_digest *content);
+const struct ab_host_view *
+ab_member_task_find_host (const struct ab_member_task *task,
+                          struct ab_chunk name);
+
+/* The live entry hosts of FAILURE_DOMAIN in the order of preference to
+   dispatch for SERVICE (rendezvous hash); returns how many of at most MAX
+   were written.  Suspected and leaving hosts come last.  */
+size_t ab_member_task_dispatchers (const struct ab_member_task *task,
+                                   struct ab_chunk service,
+                                   struct ab_chunk failure_domain,
+                                   const struct ab_host_view **hosts,
+                                   size_t max);
+
+void ab_member_task_listen_hosts (struct ab_member_task *task,
+                                  ab_host_listener listener, void *ctx);
+void ab_member_task_listen_targets (struct ab_member_task *task,
+                                    ab_target_listener listener, void *ctx);
+
+/* State dump: view with ages, digests, gossip byte counts, leases.  */
+json_t *ab_member_task_state (const struct ab_member_task *task);
+
+#endif
