--- a/src/ctl_http.c
+++ b/src/ctl_http.c
@@ -1,5 +1,3 @@
-#include <event2/buffer.h>
-#include <event2/event.h>
 #include <event2/http.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -8,131 +6,44 @@
 #include "clock.h"
 #include "ctl.h"
 #include "error.h"
+#include "http_exchange.h"
 #include "keys.h"
 #include "operator_auth.h"
 
 #define REQUEST_TIMEOUT_S 15
-#define REPLY_BYTES_MAX (64 * 1024 * 1024)
+#define SIGNATURE_HEADERS 4
 
-/* One HTTP exchange, run to its end on an event base of its own.  */
-struct exchange
+/* The headers that carry a signature, with room for their texts.  */
+struct signature_headers
 {
-  struct event_base *base;
-  int status; /* 0 until a whole reply has arrived.  */
-  struct ab_buf reply;
+  char time[32];
+  char key[2 * AB_PUBLIC_KEY_BYTES + 1];
+  char nonce[2 * AB_NONCE_BYTES + 1];
+  char signature[2 * AB_SIGNATURE_BYTES + 1];
+  struct ab_http_header headers[SIGNATURE_HEADERS];
 };
 
-static void
-on_reply (struct evhttp_request *http, void *ctx)
-{
-  struct exchange *exchange = ctx;
-
-  if (http && evhttp_request_get_response_code (http) != 0)
-    {
-      struct evbuffer *input = evhttp_request_get_input_buffer (http);
-      size_t len = evbuffer_get_length (input);
-      exchange->status = evhttp_request_get_response_code (http);
-      ab_buf_append (&exchange->reply, evbuffer_pullup (input, -1), len);
-    }
-  event_base_loopbreak (exchange->base);
-}
-
-static struct evhttp_connection *
-connect_to (struct event_base *base, const char *address)
-{
-  char ip[AB_ADDRESS_BYTES];
-  uint16_t port;
-  struct evhttp_connection *connection;
-
-  if (ab_address_split (address, ip, sizeof ip, &port) < 0)
-    return NULL;
-  connection = evhttp_connection_base_new (base, NULL, ip, port);
-  if (connection)
-    {
-      evhttp_connection_set_timeout (connection, REQUEST_TIMEOUT_S);
-      evhttp_connection_set_max_body_size (connection, REPLY_BYTES_MAX);
-    }
-  return connection;
-}
-
-/* A header whose value is hexadecimal digits.  */
-static void
-add_hex_header (struct evkeyvalq *headers, const char *name, const void *bytes,
-                size_t size)
-{
-  char text[2 * AB_SIGNATURE_BYTES + 1];
-
-  ab_hex_encode (bytes, size, text);
-  evhttp_add_header (headers, name, text);
-}
-
-static void
-add_signature (struct evkeyvalq *headers,
-               const struct ab_operator_request *request,
-               const struct ab_secret_key *key)
+static int
+make_signature (const struct ab_operator_request *request,
+                const struct ab_secret_key *key, struct signature_headers *out)
 {
   struct ab_public_key public_key = ab_secret_key_public (key);
   struct ab_signature signature;
-  char time_text[32];
+  int rc = ab_operator_sign (request, key, &signature);
 
-  if (ab_operator_sign (request, key, &signature) < 0)
-    return;
-  snprintf (time_text, sizeof time_text, "%llu",
+  if (rc < 0)
+    return rc;
+  snprintf (out->time, sizeof out->time, "%llu",
             (unsigned long long)request->time_ms);
-  evhttp_add_header (headers, "Almond-Time", time_text);
-  add_hex_header (headers, "Almond-Operator", public_key.bytes,
-                  sizeof public_key.bytes);
-  add_hex_header (headers, "Almond-Nonce", request->nonce,
-                  sizeof request->nonce);
-  add_hex_header (headers, "Almond-Signature", signature.bytes,
-                  sizeof signature.bytes);
-}
-
-/* Sends one request; signed when SIGNED_REQUEST is given.  Returns the HTTP
-   status or AB_ERR_UNAVAILABLE.  */
-static int
-exchange_http (const char *address, const char *method, const char *path,
-               struct ab_chunk body,
-               const struct ab_operator_request *signed_request,
-               const struct ab_secret_key *key, struct ab_buf *reply)
-{
-  struct exchange exchange = { .reply = AB_BUF_INIT };
-  struct evhttp_connection *connection = NULL;
-  struct evhttp_request *http;
-  int rc = AB_ERR_UNAVAILABLE;
-
-  exchange.base = event_base_new ();
-  if (!exchange.base)
-    return AB_ERR_MEMORY;
-  connection = connect_to (exchange.base, address);
-  http = evhttp_request_new (on_reply, &exchange);
-  if (!connection || !http)
-    goto out;
-  evhttp_add_header (evhttp_request_get_output_headers (http), "Host",
-                     address);
-  if (signed_request)
-    add_signature (evhttp_request_get_output_headers (http), signed_request,
-                   key);
-  evbuffer_add (evhttp_request_get_output_buffer (http), body.data, body.len);
-  if (evhttp_make_request (connection, http,
-                           strcmp (method, "POST") == 0 ? EVHTTP_REQ_POST
-                                                        : EVHTTP_REQ_GET,
-                           path)
-      < 0)
-    goto out;
-  event_base_dispatch (exchange.base);
-  if (exchange.status)
-    {
-      rc = exchange.status;
-      *reply = exchange.reply;
-      exchange.reply = (struct ab_buf)AB_BUF_INIT;
-    }
-out:
-  ab_buf_free (&exchange.reply);
-  if (connection)
-    evhttp_connection_free (connection);
-  event_base_free (exchange.base);
-  return rc;
+  ab_hex_encode (public_key.bytes, sizeof public_key.bytes, out->key);
+  ab_hex_encode (request->nonce, sizeof request->nonce, out->nonce);
+  ab_hex_encode (signature.bytes, sizeof signature.bytes, out->signature);
+  out->headers[0] = (struct ab_http_header){ "Almond-Time", out->time };
+  out->headers[1] = (struct ab_http_header){ "Almond-Operator", out->key };
+  out->headers[2] = (struct ab_http_header){ "Almond-Nonce", out->nonce };
+  out->headers[3]
+      = (struct ab_http_header){ "Almond-Signature", out->signature };
+  return 0;
 }
 
 /* Asks ADDRESS which process it is, for the signature.  The answer owns the
@@ -141,8 +52,11 @@
 fetch_identity (const char *address, json_t **identity)
 {
   struct ab_buf reply = AB_BUF_INIT;
-  int status = exchange_http (address, "GET", "/v1/host", ab_chunk (NULL, 0),
-                              NULL, NULL, &reply);
+  const struct ab_http_exchange exchange = { .address = address,
+                                             .method = "GET",
+                                             .path = "/v1/host",
+                                             .timeout_s = REQUEST_TIMEOUT_S };
+  int status = ab_http_exchange (&exchange, &reply);
 
   *identity = NULL;
   if (status == HTTP_OK)
@@ -183,6 +97,14 @@
   struct ab_operator_request request = { .method = ab_chunk_str (method),
                                          .path = ab_chunk_str (path),
                                          .body = body };
+  struct signature_headers signature;
+  struct ab_http_exchange exchange = { .address = address,
+                                       .method = method,
+                                       .path = path,
+                                       .headers = signature.headers,
+                                       .header_count = SIGNATURE_HEADERS,
+                                       .body = body,
+                                       .timeout_s = REQUEST_TIMEOUT_S };
   struct ab_buf text = AB_BUF_INIT;
   struct ab_secret_key key;
   json_t *identity = NULL;
@@ -204,7 +126,10 @@
       json_object_get (identity, "incarnation"));
   request.time_ms = ab_clock_wall_ms (ab_clock_system ());
   randombytes_buf (request.nonce, sizeof request.nonce);
-  rc = exchange_http (address, method, path, body, &request, &key, &text);
+  rc = make_signature (&request, &key, &signature);
+  if (rc < 0)
+    goto out;
+  rc = ab_http_exchange (&exchange, &text);
   if (rc < 0)
     ctl_error ("no answer from %s; the outcome is not known", address);
   else
