--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 
 demo: deps
 	$(MAKE) all
-	standins/demo $(BUILD)
+	$(BUILD)/standins/demo --build $(BUILD)
 
 format:
 	clang-format -i $(SOURCES)
--- a/standins/fleet_lib.c
+++ b/standins/fleet_lib.c
@@ -27,6 +27,7 @@
 #define TARGET_OFFSET 50 /* Last byte of target 1 is TARGET_OFFSET + 1.  */
 #define CONTROL_HOST_BYTE 250 /* The fault proxy's control listener.  */
 #define ARGUMENTS_MAX 48
+#define HEADERS_MAX 8
 
 struct fleet_host
 {
@@ -733,30 +734,42 @@
   return value;
 }
 
+/* Splits TEXT, lines of "Name: value", in place; at most MAX headers.  */
+static size_t
+split_headers (char *text, struct ab_http_header *headers, size_t max)
+{
+  size_t count = 0;
+  char *saved = NULL;
+  char *line = strtok_r (text, "\n", &saved);
+
+  for (; line && count < max; line = strtok_r (NULL, "\n", &saved))
+    {
+      char *colon = strstr (line, ": ");
+      if (!colon)
+        continue;
+      *colon = '\0';
+      headers[count++] = (struct ab_http_header){ line, colon + 2 };
+    }
+  return count;
+}
+
 int
 fleet_http (const char *address, const char *method, const char *path,
             const char *headers, const char *body, char **reply)
 {
-  struct ab_http_header header;
+  struct ab_http_header split[HEADERS_MAX];
   struct ab_http_exchange exchange = { .address = address,
                                        .method = method,
                                        .path = path,
-                                       .headers = &header,
+                                       .headers = split,
                                        .body = ab_chunk_str (body),
                                        .timeout_s = 10 };
   struct ab_buf text = AB_BUF_INIT;
-  char copy[256];
-  char *colon;
+  char copy[512];
   int status;
 
   snprintf (copy, sizeof copy, "%s", headers ? headers : "");
-  colon = strstr (copy, ": ");
-  if (colon)
-    {
-      *colon = '\0';
-      header = (struct ab_http_header){ copy, colon + 2 };
-      exchange.header_count = 1;
-    }
+  exchange.header_count = split_headers (copy, split, HEADERS_MAX);
   status = ab_http_exchange (&exchange, &text);
   if (reply)
     *reply = text.data;
@@ -765,6 +778,18 @@
   return status;
 }
 
+int
+fleet_http_as (const struct fleet *fleet, const char *address,
+               const char *method, const char *path, const char *header,
+               const char *body, char **reply)
+{
+  char headers[512];
+
+  snprintf (headers, sizeof headers, "Authorization: Bearer %s\n%s",
+            fleet_team_token (fleet), header ? header : "");
+  return fleet_http (address, method, path, headers, body, reply);
+}
+
 bool
 fleet_fault (struct fleet *fleet, int host, const char *query)
 {
--- a/standins/fleet_lib.h
+++ b/standins/fleet_lib.h
@@ -113,10 +113,16 @@
 json_t *fleet_output (struct fleet *fleet, const char *name);
 
 /* An unsigned HTTP request; the status, or -1.  *BODY, unless null, is to be
-   freed.  HEADERS are "Name: value" lines or null.  */
+   freed.  HEADERS are "Name: value" lines, each
+   ended by a line feed, or null.  */
 int fleet_http (const char *address, const char *method, const char *path,
                 const char *headers, const char *body, char **reply);
 
+/* Like fleet_http, as the team of the bundle; HEADER is one line or null.  */
+int fleet_http_as (const struct fleet *fleet, const char *address,
+                   const char *method, const char *path, const char *header,
+                   const char *body, char **reply);
+
 /* Sets the fault of the proxy before host N's peers: "up=drop&down=pass" and
    so on, see faultproxy.  */
 bool fleet_fault (struct fleet *fleet, int host, const char *query);
