Share the tests' main function; keep explanations of more requests

Cause: every test program repeated the same main; a subject of explanations reserved room for 32 events, about 1 KB, while most have few. Change: tests/suite_lib; event lists grow from 4 to 32 entries.

--- a/src/explain.c
+++ b/src/explain.c
@@ -5,6 +5,8 @@
 
 #include "buf.h"
 
+#define EVENTS_FIRST 4 /* AB_EXPLAIN_EVENTS is this times a power of two.  */
+
 struct explain_event
 {
   uint64_t wall_ms;
@@ -18,8 +20,9 @@
   size_t name_len;
   uint64_t touched_ms;
   size_t bytes;
-  size_t next; /* Total events added; the slot is this modulo the size.  */
-  struct explain_event events[AB_EXPLAIN_EVENTS];
+  size_t next; /* Total events added; the slot is this modulo the most.  */
+  size_t cap;  /* Slots allocated; most subjects have few events.  */
+  struct explain_event *events;
   UT_hash_handle hh;
 };
 
@@ -41,8 +44,9 @@
 {
   HASH_DEL (explain->subjects, subject);
   explain->bytes -= subject->bytes;
-  for (size_t i = 0; i < AB_EXPLAIN_EVENTS; i++)
+  for (size_t i = 0; i < subject->cap; i++)
     free (subject->events[i].text);
+  free (subject->events);
   free (subject->name);
   free (subject);
 }
@@ -104,6 +108,26 @@
     }
 }
 
+/* Makes room for one more event; false without memory.  */
+static bool
+grow_events (struct ab_explain *explain, struct subject *subject)
+{
+  size_t cap = subject->cap ? 2 * subject->cap : EVENTS_FIRST;
+  struct explain_event *events;
+
+  if (subject->next < subject->cap || subject->cap == AB_EXPLAIN_EVENTS)
+    return true;
+  events = realloc (subject->events, cap * sizeof *events);
+  if (!events)
+    return false;
+  memset (events + subject->cap, 0, (cap - subject->cap) * sizeof *events);
+  subject->bytes += (cap - subject->cap) * sizeof *events;
+  explain->bytes += (cap - subject->cap) * sizeof *events;
+  subject->events = events;
+  subject->cap = cap;
+  return true;
+}
+
 static void
 set_event (struct ab_explain *explain, struct subject *subject,
            const struct explain_event *event, size_t len)
@@ -149,7 +173,7 @@
     return;
   ab_buf_append_str (&text, "");
   append_fields (&text, fields, count);
-  if (text.error)
+  if (text.error || !grow_events (explain, subject))
     {
       ab_buf_free (&text);
       return;
--- /dev/null
+++ b/tests/suite_lib.c
@@ -0,0 +1,22 @@
+#include "suite_lib.h"
+
+#include <stdlib.h>
+
+int
+suite_main (const char *name, const TTest *const *tests, size_t count,
+            double timeout_s)
+{
+  Suite *suite = suite_create (name);
+  TCase *tcase = tcase_create (name);
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, timeout_s);
+  for (size_t i = 0; i < count; i++)
+    tcase_add_test (tcase, tests[i]);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/suite_lib.h
@@ -0,0 +1,23 @@
+/* Runs the tests of one program.  */
+
+#ifndef SUITE_LIB_H
+#define SUITE_LIB_H
+
+#include <check.h>
+#include <stddef.h>
+
+/* Runs COUNT tests as suite NAME, each for at most TIMEOUT_S seconds; the
+   exit status for main.  */
+int suite_main (const char *name, const TTest *const *tests, size_t count,
+                double timeout_s);
+
+/* suite_main over the tests that are listed.  */
+#define SUITE_MAIN(name, timeout_s, ...)                                      \
+  int main (void)                                                             \
+  {                                                                           \
+    const TTest *const tests[] = { __VA_ARGS__ };                             \
+    return suite_main (name, tests, sizeof tests / sizeof tests[0],           \
+                       timeout_s);                                            \
+  }
+
+#endif
