--- a/src/explain.c
+++ b/src/explain.c
@@ -150,8 +150,9 @@
 static void
 drop_oldest (struct ab_explain *explain)
 {
-  while (HASH_COUNT (explain->subjects) > AB_EXPLAIN_SUBJECTS
-         || explain->bytes > AB_EXPLAIN_BYTES_MAX)
+  while (explain->subjects
+         && (HASH_COUNT (explain->subjects) > AB_EXPLAIN_SUBJECTS
+             || explain->bytes > AB_EXPLAIN_BYTES_MAX))
     {
       explain->horizon_ms = explain->subjects->touched_ms;
       drop_subject (explain, explain->subjects);
