--- a/src/buf.c
+++ b/src/buf.c
@@ -45,6 +45,12 @@
     buf->data[0] = '\0';
 }
 
+int
+ab_buf_reserve (struct ab_buf *buf, size_t len)
+{
+  return reserve (buf, len > buf->len ? len - buf->len : 0);
+}
+
 int
 ab_buf_append (struct ab_buf *buf, const void *data, size_t len)
 {
--- a/src/buf.h
+++ b/src/buf.h
@@ -31,6 +31,10 @@
 /* Makes BUF empty but keeps its memory; forgets an earlier failure.  */
 void ab_buf_clear (struct ab_buf *buf);
 
+/* Makes room for LEN bytes in all, for a caller that writes to DATA itself.
+   0 or AB_ERR_MEMORY.  */
+int ab_buf_reserve (struct ab_buf *buf, size_t len);
+
 /* Append; return 0 or AB_ERR_MEMORY.  */
 int ab_buf_append (struct ab_buf *buf, const void *data, size_t len);
 int ab_buf_append_chunk (struct ab_buf *buf, struct ab_chunk chunk);
--- a/src/raft.h
+++ b/src/raft.h
@@ -22,6 +22,7 @@
 
 #define AB_DISK_ID_BYTES 16
 #define AB_RAFT_ENTRY_BYTES_MAX (640 * 1024)
+#define AB_RAFT_MEMBERS_MAX 16
 
 struct ab_raft;
 struct ab_raft_io;
@@ -119,6 +120,16 @@
   size_t entry_count;
 };
 
+/* What a snapshot of the state machine as applied now must say.  The members
+   may differ from ab_raft_members, which may not be committed yet.  */
+struct ab_raft_point
+{
+  uint64_t index;
+  uint64_t term;
+  struct ab_raft_member members[AB_RAFT_MEMBERS_MAX];
+  size_t member_count;
+};
+
 struct ab_raft_status
 {
   uint64_t term;
@@ -175,6 +186,11 @@
 size_t ab_raft_members (const struct ab_raft *raft,
                         const struct ab_raft_member **members);
 
+/* Where the state machine stands, for a snapshot of it; call it outside of
+   apply.  AB_ERR_NOT_FOUND.  */
+int ab_raft_applied_point (const struct ab_raft *raft,
+                           struct ab_raft_point *point);
+
 /* When ab_raft_tick wants to be called next.  */
 uint64_t ab_raft_next_tick_ms (const struct ab_raft *raft);
 
--- /dev/null
+++ b/src/state_file.h
@@ -0,0 +1,50 @@
+/* The small files of a data folder (identity, vote) and the snapshot: each is
+   replaced as a whole and checked by a checksum.  */
+
+#ifndef AB_STATE_FILE_H
+#define AB_STATE_FILE_H
+
+#include "file_ops.h"
+#include "raft.h"
+
+#define AB_SNAPSHOT_FILE_BYTES_MAX ((size_t)1024 * 1024 * 1024)
+
+struct ab_identity
+{
+  uint8_t disk_id[AB_DISK_ID_BYTES];
+  struct ab_raft_member members[AB_RAFT_MEMBERS_MAX]; /* The first ones.  */
+  size_t member_count;
+};
+
+struct ab_snapshot
+{
+  uint64_t index;
+  uint64_t term;
+  struct ab_raft_member members[AB_RAFT_MEMBERS_MAX];
+  size_t member_count;
+};
+
+/* Readers give AB_ERR_NOT_FOUND when the file is missing, AB_ERR_CORRUPT with
+   ERROR set when it is damaged.  Writers are durable when they return;
+   AB_ERR_FULL leaves the old file.  */
+int ab_identity_read (struct ab_files *files, const char *folder,
+                      struct ab_identity *identity,
+                      char error[AB_CONF_ERROR_BYTES]);
+int ab_identity_write (struct ab_files *files, const char *folder,
+                       const struct ab_identity *identity);
+
+int ab_vote_read (struct ab_files *files, const char *folder,
+                  struct ab_raft_hard_state *state,
+                  char error[AB_CONF_ERROR_BYTES]);
+int ab_vote_write (struct ab_files *files, const char *folder,
+                   const struct ab_raft_hard_state *state);
+
+/* DATA gets the state machine's part.  */
+int ab_snapshot_read (struct ab_files *files, const char *folder,
+                      struct ab_snapshot *snapshot, struct ab_buf *data,
+                      char error[AB_CONF_ERROR_BYTES]);
+int ab_snapshot_write (struct ab_files *files, const char *folder,
+                       const struct ab_snapshot *snapshot,
+                       struct ab_chunk data);
+
+#endif
