--- a/src/control_client.h
+++ b/src/control_client.h
@@ -10,25 +10,10 @@
 #include <jansson.h>
 
 #include "daemon.h"
+#include "ledger_key.h"
 #include "signed_bundle.h"
 #include "verdict.h"
 
-#define AB_IDEMPOTENCY_KEY_BYTES 16
-#define AB_RECORDED_BYTES_MAX (64 * 1024)
-
-struct ab_ledger_key
-{
-  char team[AB_NAME_BYTES];
-  char service[AB_NAME_BYTES];
-  uint8_t key[AB_IDEMPOTENCY_KEY_BYTES]; /* UUIDv7.  */
-};
-
-/* The time that a UUIDv7 key carries, in Unix milliseconds.  */
-uint64_t ab_idempotency_key_time_ms (const uint8_t *key);
-
-/* Reads "xxxxxxxx-xxxx-7xxx-xxxx-xxxxxxxxxxxx"; AB_ERR_INVALID.  */
-int ab_idempotency_key_parse (struct ab_chunk text, uint8_t *key);
-
 enum ab_claim_result
 {
   AB_CLAIM_GRANTED,      /* The caller of this function may send it.  */
@@ -40,14 +25,6 @@
   AB_CLAIM_UNAVAILABLE   /* The group did not answer in time: not run.  */
 };
 
-/* A response as it is kept: HEADERS are "Name: value\r\n" lines.  */
-struct ab_recorded_response
-{
-  int status;
-  struct ab_chunk headers;
-  struct ab_chunk body;
-};
-
 struct ab_claim;
 
 /* TOKEN is the fencing token of a granted claim.  RESPONSE is null unless the
--- /dev/null
+++ b/src/permit.c
@@ -0,0 +1,518 @@
+#include "permit.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <uthash.h>
+
+#include "error.h"
+#include "pack.h"
+#include "part.h"
+
+/* Keeps 0.8 * 10 from being rounded up to 9 targets.  */
+#define FLOOR_SLACK 1e-9
+#define SERVICE_FIELDS 4
+#define HOLDER_FIELDS 5
+#define HOST_FIELDS 3
+#define FIELDS_MAX 16
+#define ITEMS_MAX (1 << 24)
+
+struct holding
+{
+  struct ab_permit_holder holder;
+  uint64_t sequence;
+  uint64_t held;
+  uint64_t revoked;
+  UT_hash_handle hh; /* By the holder's host.  */
+};
+
+struct service
+{
+  char name[AB_NAME_BYTES];
+  uint64_t capacity;
+  double floor;
+  uint64_t outstanding;
+  struct holding *holdings;
+  UT_hash_handle hh;
+};
+
+struct host
+{
+  char name[AB_NAME_BYTES];
+  uint64_t incarnation; /* The newest seen.  */
+  bool removed;         /* That incarnation gets no permits.  */
+  UT_hash_handle hh;
+};
+
+struct ab_permits
+{
+  struct service *services;
+  struct host *hosts;
+};
+
+struct ab_permits *
+ab_permits_new (void)
+{
+  return calloc (1, sizeof (struct ab_permits));
+}
+
+static void
+free_holding (struct service *service, struct holding *holding)
+{
+  service->outstanding -= holding->held;
+  HASH_DEL (service->holdings, holding);
+  free (holding);
+}
+
+void
+ab_permits_free (struct ab_permits *permits)
+{
+  struct service *service;
+  struct service *next_service;
+  struct host *host;
+  struct host *next_host;
+
+  if (!permits)
+    return;
+  HASH_ITER (hh, permits->services, service, next_service)
+  {
+    while (service->holdings)
+      free_holding (service, service->holdings);
+    HASH_DEL (permits->services, service);
+    free (service);
+  }
+  HASH_ITER (hh, permits->hosts, host, next_host)
+  {
+    HASH_DEL (permits->hosts, host);
+    free (host);
+  }
+  free (permits);
+}
+
+static struct service *
+find_service (const struct ab_permits *permits, struct ab_chunk name)
+{
+  struct service *service;
+
+  HASH_FIND (hh, permits->services, name.data, name.len, service);
+  return service;
+}
+
+static struct service *
+get_service (struct ab_permits *permits, struct ab_chunk name)
+{
+  struct service *service = find_service (permits, name);
+
+  if (service || name.len >= AB_NAME_BYTES)
+    return service;
+  service = calloc (1, sizeof *service);
+  if (!service)
+    return NULL;
+  ab_chunk_copy (name, service->name, sizeof service->name);
+  service->floor = 1;
+  HASH_ADD_STR (permits->services, name, service);
+  return service;
+}
+
+static uint64_t
+allowed (const struct service *service)
+{
+  double kept
+      = ceil (service->floor * (double)service->capacity - FLOOR_SLACK);
+
+  if (kept <= 0)
+    return service->capacity;
+  if (kept >= (double)service->capacity)
+    return 0;
+  return service->capacity - (uint64_t)kept;
+}
+
+/* The holder with the most permits that are not asked back; by name where
+   they are equal, so that all replicas choose the same.  */
+static struct holding *
+largest_holding (struct service *service)
+{
+  struct holding *best = NULL;
+
+  for (struct holding *h = service->holdings; h; h = h->hh.next)
+    {
+      uint64_t kept = h->held - h->revoked;
+      if (kept == 0)
+        continue;
+      if (!best || kept > best->held - best->revoked
+          || (kept == best->held - best->revoked
+              && strcmp (h->holder.host, best->holder.host) < 0))
+        best = h;
+    }
+  return best;
+}
+
+/* Makes the number of permits asked back equal to the excess.  What was asked
+   back before stays so while there is an excess: its holder may be readmitting
+   a target already.  */
+static void
+balance (struct service *service)
+{
+  uint64_t limit = allowed (service);
+  uint64_t excess
+      = service->outstanding > limit ? service->outstanding - limit : 0;
+  uint64_t revoked = 0;
+
+  for (struct holding *h = service->holdings; h; h = h->hh.next)
+    {
+      if (h->revoked > h->held)
+        h->revoked = h->held;
+      if (h->revoked > excess - revoked)
+        h->revoked = excess - revoked;
+      revoked += h->revoked;
+    }
+  for (; revoked < excess; revoked++)
+    largest_holding (service)->revoked++;
+}
+
+static struct host *
+get_host (struct ab_permits *permits, const char *name)
+{
+  struct host *host;
+
+  HASH_FIND_STR (permits->hosts, name, host);
+  if (host || HASH_COUNT (permits->hosts) >= AB_PERMIT_HOSTS_MAX)
+    return host;
+  host = calloc (1, sizeof *host);
+  if (!host)
+    return NULL;
+  ab_chunk_copy (ab_chunk_str (name), host->name, sizeof host->name);
+  HASH_ADD_STR (permits->hosts, name, host);
+  return host;
+}
+
+static void
+free_host_permits (struct ab_permits *permits, const char *host)
+{
+  for (struct service *s = permits->services; s; s = s->hh.next)
+    {
+      struct holding *holding;
+      HASH_FIND_STR (s->holdings, host, holding);
+      if (!holding)
+        continue;
+      free_holding (s, holding);
+      balance (s);
+    }
+}
+
+int
+ab_permits_host_seen (struct ab_permits *permits,
+                      const struct ab_permit_holder *holder)
+{
+  struct host *host;
+
+  HASH_FIND_STR (permits->hosts, holder->host, host);
+  if (!host || holder->incarnation <= host->incarnation)
+    return 0;
+  host->incarnation = holder->incarnation;
+  host->removed = false;
+  free_host_permits (permits, holder->host);
+  return 0;
+}
+
+int
+ab_permits_forget_host (struct ab_permits *permits, struct ab_chunk name)
+{
+  struct host *host;
+
+  HASH_FIND (hh, permits->hosts, name.data, name.len, host);
+  if (!host)
+    return AB_ERR_NOT_FOUND;
+  host->removed = true;
+  free_host_permits (permits, host->name);
+  return 0;
+}
+
+/* Registers HOLDER's incarnation; AB_ERR_STALE when it may hold nothing.  */
+static int
+admit_holder (struct ab_permits *permits,
+              const struct ab_permit_holder *holder)
+{
+  struct host *host = get_host (permits, holder->host);
+
+  if (!host)
+    return AB_ERR_FULL;
+  ab_permits_host_seen (permits, holder);
+  if (holder->incarnation < host->incarnation || host->removed)
+    return AB_ERR_STALE;
+  return 0;
+}
+
+static struct holding *
+get_holding (struct service *service, const struct ab_permit_holder *holder)
+{
+  struct holding *holding;
+
+  HASH_FIND_STR (service->holdings, holder->host, holding);
+  if (holding)
+    return holding;
+  holding = calloc (1, sizeof *holding);
+  if (!holding)
+    return NULL;
+  holding->holder = *holder;
+  HASH_ADD_STR (service->holdings, holder.host, holding);
+  return holding;
+}
+
+int
+ab_permits_set (struct ab_permits *permits, struct ab_chunk name,
+                const struct ab_permit_holder *holder, uint64_t sequence,
+                uint64_t count, uint64_t *held)
+{
+  struct service *service;
+  struct holding *holding;
+  uint64_t limit;
+  int rc = admit_holder (permits, holder);
+
+  *held = 0;
+  if (rc < 0)
+    return rc;
+  service = get_service (permits, name);
+  holding = service ? get_holding (service, holder) : NULL;
+  if (!holding)
+    return AB_ERR_MEMORY;
+  *held = holding->held;
+  if (sequence < holding->sequence)
+    return AB_ERR_STALE;
+  holding->sequence = sequence;
+  limit = allowed (service);
+  if (count > holding->held)
+    {
+      uint64_t left
+          = limit > service->outstanding ? limit - service->outstanding : 0;
+      if (count - holding->held > left)
+        count = holding->held + left;
+    }
+  service->outstanding = service->outstanding - holding->held + count;
+  holding->held = count;
+  balance (service);
+  *held = count;
+  return 0;
+}
+
+int
+ab_permits_set_capacity (struct ab_permits *permits, struct ab_chunk name,
+                         uint64_t capacity)
+{
+  struct service *service = get_service (permits, name);
+
+  if (!service)
+    return AB_ERR_MEMORY;
+  service->capacity = capacity;
+  balance (service);
+  return 0;
+}
+
+void
+ab_permits_clear_floors (struct ab_permits *permits)
+{
+  for (struct service *s = permits->services; s; s = s->hh.next)
+    {
+      s->floor = 1;
+      balance (s);
+    }
+}
+
+int
+ab_permits_set_floor (struct ab_permits *permits, struct ab_chunk name,
+                      double floor)
+{
+  struct service *service = get_service (permits, name);
+
+  if (!service)
+    return AB_ERR_MEMORY;
+  service->floor = floor;
+  balance (service);
+  return 0;
+}
+
+static struct ab_permit_counts
+counts_of (const struct service *service)
+{
+  return (struct ab_permit_counts){ .capacity = service->capacity,
+                                    .floor = service->floor,
+                                    .allowed = allowed (service),
+                                    .outstanding = service->outstanding };
+}
+
+int
+ab_permits_counts (const struct ab_permits *permits, struct ab_chunk name,
+                   struct ab_permit_counts *counts)
+{
+  const struct service *service = find_service (permits, name);
+
+  if (!service)
+    return AB_ERR_NOT_FOUND;
+  *counts = counts_of (service);
+  return 0;
+}
+
+void
+ab_permits_services (const struct ab_permits *permits,
+                     ab_permit_service_visitor visit, void *ctx)
+{
+  for (const struct service *s = permits->services; s; s = s->hh.next)
+    {
+      struct ab_permit_counts counts = counts_of (s);
+      visit (ctx, s->name, &counts);
+    }
+}
+
+void
+ab_permits_holders (const struct ab_permits *permits,
+                    ab_permit_holder_visitor visit, void *ctx)
+{
+  for (const struct service *s = permits->services; s; s = s->hh.next)
+    for (const struct holding *h = s->holdings; h; h = h->hh.next)
+      if (h->held > 0)
+        visit (ctx, s->name, &h->holder, h->held, h->revoked);
+}
+
+/* Snapshot.  */
+
+static void
+save_service (const struct service *service, struct ab_buf *part)
+{
+  ab_pack_array (part, SERVICE_FIELDS);
+  ab_pack_bytes (part, ab_chunk_str (service->name));
+  ab_pack_u64 (part, service->capacity);
+  ab_pack_real (part, service->floor);
+  ab_pack_array (part, HASH_COUNT (service->holdings));
+  for (const struct holding *h = service->holdings; h; h = h->hh.next)
+    {
+      ab_pack_array (part, HOLDER_FIELDS);
+      ab_pack_bytes (part, ab_chunk_str (h->holder.host));
+      ab_pack_u64 (part, h->holder.incarnation);
+      ab_pack_u64 (part, h->sequence);
+      ab_pack_u64 (part, h->held);
+      ab_pack_u64 (part, h->revoked);
+    }
+}
+
+int
+ab_permits_save (const struct ab_permits *permits, struct ab_buf *out)
+{
+  struct ab_buf part = AB_BUF_INIT;
+
+  ab_pack_array (&part, HASH_COUNT (permits->hosts));
+  for (const struct host *h = permits->hosts; h; h = h->hh.next)
+    {
+      ab_pack_array (&part, HOST_FIELDS);
+      ab_pack_bytes (&part, ab_chunk_str (h->name));
+      ab_pack_u64 (&part, h->incarnation);
+      ab_pack_bool (&part, h->removed);
+    }
+  ab_part_append (out, &part);
+  for (const struct service *s = permits->services; s; s = s->hh.next)
+    {
+      ab_buf_clear (&part);
+      save_service (s, &part);
+      ab_part_append (out, &part);
+    }
+  ab_buf_clear (&part);
+  ab_part_append (out, &part);
+  ab_buf_free (&part);
+  return out->error;
+}
+
+static int
+load_hosts (struct ab_permits *permits, struct ab_chunk part)
+{
+  struct ab_reader reader;
+  int rc = ab_reader_init (&reader, part);
+
+  if (rc == 0)
+    ab_reader_enter (&reader, AB_PERMIT_HOSTS_MAX);
+  while (rc == 0 && ab_reader_more (&reader))
+    {
+      char name[AB_NAME_BYTES];
+      struct host *host;
+      ab_reader_enter (&reader, FIELDS_MAX);
+      ab_reader_str (&reader, name, sizeof name);
+      host = get_host (permits, name);
+      if (!host)
+        {
+          rc = AB_ERR_MEMORY;
+          break;
+        }
+      host->incarnation = ab_reader_u64 (&reader);
+      host->removed = ab_reader_bool (&reader);
+      ab_reader_leave (&reader);
+    }
+  if (rc == 0)
+    rc = ab_reader_error (&reader);
+  ab_reader_free (&reader);
+  return rc;
+}
+
+static int
+load_holding (struct service *service, struct ab_reader *reader)
+{
+  struct ab_permit_holder holder;
+  struct holding *holding;
+
+  ab_reader_enter (reader, FIELDS_MAX);
+  ab_reader_str (reader, holder.host, sizeof holder.host);
+  holder.incarnation = ab_reader_u64 (reader);
+  holding = get_holding (service, &holder);
+  if (!holding)
+    return AB_ERR_MEMORY;
+  holding->sequence = ab_reader_u64 (reader);
+  holding->held = ab_reader_u64 (reader);
+  holding->revoked = ab_reader_u64 (reader);
+  ab_reader_leave (reader);
+  service->outstanding += holding->held;
+  return ab_reader_error (reader);
+}
+
+static int
+load_service (struct ab_permits *permits, struct ab_chunk part)
+{
+  struct ab_reader reader;
+  struct service *service = NULL;
+  char name[AB_NAME_BYTES];
+  int rc = ab_reader_init (&reader, part);
+
+  ab_reader_enter (&reader, FIELDS_MAX);
+  ab_reader_str (&reader, name, sizeof name);
+  if (rc == 0)
+    rc = ab_reader_error (&reader);
+  if (rc == 0)
+    service = get_service (permits, ab_chunk_str (name));
+  if (!service)
+    {
+      ab_reader_free (&reader);
+      return rc < 0 ? rc : AB_ERR_MEMORY;
+    }
+  service->capacity = ab_reader_u64 (&reader);
+  service->floor = ab_reader_real (&reader);
+  ab_reader_enter (&reader, ITEMS_MAX);
+  while (rc == 0 && ab_reader_more (&reader))
+    rc = load_holding (service, &reader);
+  if (rc == 0)
+    rc = ab_reader_error (&reader);
+  ab_reader_free (&reader);
+  return rc;
+}
+
+int
+ab_permits_load (struct ab_permits *permits, struct ab_chunk *input)
+{
+  struct ab_chunk part;
+  int rc = ab_part_next (input, &part);
+
+  if (rc == 0)
+    rc = load_hosts (permits, part);
+  while (rc == 0)
+    {
+      rc = ab_part_next (input, &part);
+      if (rc < 0 || part.len == 0)
+        break;
+      rc = load_service (permits, part);
+    }
+  return rc;
+}
