--- a/src/ledger.c
+++ b/src/ledger.c
@@ -136,6 +136,14 @@
   return (uint8_t)(team + service + sizeof key->key);
 }
 
+static struct ab_chunk
+holder_name (const struct record *record)
+{
+  const char *host = record->holder->host;
+
+  return ab_chunk (host, strlen (host));
+}
+
 static const uint8_t *
 record_uuid (const struct record *record)
 {
@@ -195,7 +203,8 @@
   if (at == ledger->heap_cap)
     {
       size_t cap = ledger->heap_cap ? 2 * ledger->heap_cap : HEAP_MIN;
-      struct record **heap = realloc (ledger->heap, cap * sizeof *heap);
+      struct record **heap
+          = realloc (ledger->heap, cap * sizeof (struct record *));
       if (!heap)
         return AB_ERR_MEMORY;
       ledger->heap = heap;
@@ -334,7 +343,7 @@
 answer_from (const struct record *record, const struct ab_digest *content,
              const struct ab_attempt *attempt, struct ab_ledger_answer *answer)
 {
-  answer->holder = ab_chunk_str (record->holder->host);
+  answer->holder = holder_name (record);
   if (!ab_digest_equal (&record->content, content)
       && !ab_digest_equal (&record->content, &no_content))
     {
@@ -423,7 +432,7 @@
   record->state = AB_LEDGER_CLAIMED;
   answer->status = AB_LEDGER_GRANTED;
   answer->token = token;
-  answer->holder = ab_chunk_str (record->holder->host);
+  answer->holder = holder_name (record);
   return 0;
 }
 
@@ -548,7 +557,7 @@
   ab_pack_array (part, RECORD_FIELDS);
   ab_ledger_key_pack (&key, part);
   ab_pack_u64 (part, record->state);
-  ab_pack_bytes (part, ab_chunk_str (record->holder->host));
+  ab_pack_bytes (part, holder_name (record));
   ab_pack_u64 (part, record->holder->newest);
   ab_pack_u64 (part, record->incarnation);
   ab_pack_u64 (part, record->attempt);
@@ -569,12 +578,12 @@
   ab_pack_u64 (&part, ledger->log_time_ms);
   ab_pack_u64 (&part, ledger->horizon_ms);
   ab_part_append (out, &part);
-  while (left > 0)
+  while (record)
     {
       size_t count = left < RECORDS_PER_PART ? left : RECORDS_PER_PART;
       ab_buf_clear (&part);
       ab_pack_array (&part, count);
-      for (size_t i = 0; i < count; i++, record = record->hh.next)
+      for (size_t i = 0; i < count && record; i++, record = record->hh.next)
         save_record (record, &part);
       ab_part_append (out, &part);
       left -= count;
@@ -649,7 +658,7 @@
 
   if (rc < 0)
     return rc;
-  rc = ab_reader_init (&reader, part);
+  ab_reader_init (&reader, part);
   ab_reader_enter (&reader, HEAD_FIELDS_MAX);
   ledger->log_time_ms = ab_reader_u64 (&reader);
   ledger->horizon_ms = ab_reader_u64 (&reader);
--- a/src/permit.c
+++ b/src/permit.c
@@ -63,28 +63,44 @@
   free (holding);
 }
 
+static void
+free_services (struct ab_permits *permits)
+{
+  struct service *service = permits->services;
+  struct service *next;
+
+  HASH_CLEAR (hh, permits->services);
+  for (; service; service = next)
+    {
+      struct holding *holding = service->holdings;
+      struct holding *next_holding;
+      HASH_CLEAR (hh, service->holdings);
+      for (; holding; holding = next_holding)
+        {
+          next_holding = holding->hh.next;
+          free (holding);
+        }
+      next = service->hh.next;
+      free (service);
+    }
+}
+
 void
 ab_permits_free (struct ab_permits *permits)
 {
-  struct service *service;
-  struct service *next_service;
   struct host *host;
-  struct host *next_host;
+  struct host *next;
 
   if (!permits)
     return;
-  HASH_ITER (hh, permits->services, service, next_service)
-  {
-    while (service->holdings)
-      free_holding (service, service->holdings);
-    HASH_DEL (permits->services, service);
-    free (service);
-  }
-  HASH_ITER (hh, permits->hosts, host, next_host)
-  {
-    HASH_DEL (permits->hosts, host);
-    free (host);
-  }
+  free_services (permits);
+  host = permits->hosts;
+  HASH_CLEAR (hh, permits->hosts);
+  for (; host; host = next)
+    {
+      next = host->hh.next;
+      free (host);
+    }
   free (permits);
 }
 
