--- a/src/command.c
+++ b/src/command.c
@@ -6,7 +6,7 @@
 
 #define FIELDS_MAX 32
 #define HEAD_FIELDS 6
-#define REPLY_FIELDS 11
+#define REPLY_FIELDS 12
 #define SIGNED_BUNDLE_BYTES_MAX (AB_BUNDLE_BYTES_MAX + 1024)
 
 static void
@@ -238,6 +238,7 @@
 {
   ab_pack_array (out, REPLY_FIELDS);
   ab_pack_u64 (out, reply->request);
+  ab_pack_u64 (out, reply->incarnation);
   ab_pack_i64 (out, reply->rc);
   pack_str (out, reply->leader);
   pack_str (out, reply->leader_address);
@@ -264,6 +265,7 @@
     goto out;
   ab_reader_enter (&reader, FIELDS_MAX);
   reply->request = ab_reader_u64 (&reader);
+  reply->incarnation = ab_reader_u64 (&reader);
   reply->rc = (int)ab_reader_i64 (&reader);
   ab_reader_str (&reader, reply->leader, sizeof reply->leader);
   ab_reader_str (&reader, reply->leader_address, sizeof reply->leader_address);
--- a/src/command.h
+++ b/src/command.h
@@ -82,6 +82,7 @@
 struct ab_control_reply
 {
   uint64_t request;
+  uint64_t incarnation; /* Of the process that asked.  */
   /* 0, or AB_ERR_NOT_LEADER with the leader's name where it is known,
      AB_ERR_FULL when the request had no effect and will have none, or the
      outcome of a permit, bundle or member request.  */
--- /dev/null
+++ b/src/control_ledger_task.c
@@ -0,0 +1,325 @@
+/* Claims, completions and releases of the control client.  */
+
+#include "control_client_parts.h"
+
+#include <stdlib.h>
+
+/* Another attempt is asked after at first this late, then half as often up to
+   the maximum.  */
+#define POLL_MIN_MS 20
+#define POLL_MAX_MS 200
+/* Attempts that were given up must be released.  When so many wait, claims
+   are refused before anything is sent, which leaves nothing to release.  */
+#define PENDING_MAX 20000
+
+struct ab_claim
+{
+  struct ab_request request;
+  struct ab_ledger_key key;
+  uint64_t poll_ms;
+  bool other; /* Another attempt was in progress at the last answer.  */
+  ab_claim_callback callback;
+  void *ctx;
+};
+
+/* A completion or release, repeated until it is confirmed.  */
+struct background
+{
+  struct ab_request request;
+  uint64_t token; /* 0: none was seen.  */
+};
+
+/* Tokens in use.  */
+
+static struct ab_held_token *
+find_token (struct ab_control_client *client, uint64_t token)
+{
+  struct ab_held_token *held;
+
+  HASH_FIND (hh, client->tokens, &token, sizeof token, held);
+  return held;
+}
+
+static bool
+add_token (struct ab_control_client *client, uint64_t token)
+{
+  struct ab_held_token *held = find_token (client, token);
+
+  if (held)
+    return true;
+  held = calloc (1, sizeof *held);
+  if (!held)
+    return false;
+  held->token = token;
+  HASH_ADD (hh, client->tokens, token, sizeof held->token, held);
+  return true;
+}
+
+static void
+drop_token (struct ab_control_client *client, uint64_t token)
+{
+  struct ab_held_token *held = find_token (client, token);
+
+  if (!held)
+    return;
+  HASH_DEL (client->tokens, held);
+  free (held);
+}
+
+/* Background requests.  */
+
+static void
+background_reply (struct ab_request *request,
+                  const struct ab_control_reply *reply)
+{
+  struct background *background = (struct background *)request;
+
+  /* Only these say that the group has decided about it.  */
+  if (reply->rc != 0 && reply->rc != AB_ERR_NOT_FOUND
+      && reply->rc != AB_ERR_CONFLICT)
+    return;
+  if (reply->rc == AB_ERR_CONFLICT)
+    AB_LOG (AB_LOG_WARN, "ledger_end_refused",
+            ab_log_int ("token", (int64_t)background->token),
+            ab_log_str ("frame", ab_frame_type_name (request->frame_type)));
+  if (background->token)
+    drop_token (request->client, background->token);
+  ab_request_free (request);
+}
+
+static void
+background_release (struct ab_request *request)
+{
+  request->client->pending--;
+}
+
+static const struct ab_request_ops background_ops
+    = { .reply = background_reply, .release = background_release };
+
+static void
+start_background (struct ab_control_client *client,
+                  enum ab_frame_type frame_type, struct ab_command *command)
+{
+  struct ab_request *request = ab_request_new (
+      client, sizeof (struct background), &background_ops, frame_type, 0);
+
+  if (!request)
+    goto failed;
+  client->pending++;
+  ((struct background *)request)->token = command->token;
+  if (ab_request_start (request, command) == 0)
+    return;
+  ab_request_free (request);
+failed:
+  /* The key stays claimed, which callers see as "may have run".  */
+  AB_LOG (AB_LOG_ERROR, "ledger_end_lost",
+          ab_log_int ("token", (int64_t)command->token));
+}
+
+void
+ab_control_client_complete (struct ab_control_client *client,
+                            const struct ab_ledger_key *key, uint64_t token,
+                            const struct ab_recorded_response *response)
+{
+  struct ab_command command
+      = { .type = AB_COMMAND_COMPLETE, .key = *key, .token = token };
+  struct ab_buf encoded = AB_BUF_INIT;
+
+  if (response && ab_recorded_response_encode (response, &encoded) == 0)
+    command.response = ab_buf_chunk (&encoded);
+  start_background (client, AB_FRAME_LEDGER_COMPLETE, &command);
+  ab_buf_free (&encoded);
+}
+
+void
+ab_control_client_release (struct ab_control_client *client,
+                           const struct ab_ledger_key *key, uint64_t token)
+{
+  struct ab_command command
+      = { .type = AB_COMMAND_RELEASE, .key = *key, .token = token };
+
+  start_background (client, AB_FRAME_LEDGER_RELEASE, &command);
+}
+
+void
+ab_client_stray_grant (struct ab_control_client *client,
+                       const struct ab_control_reply *reply)
+{
+  if (reply->rc != 0 || reply->status != AB_LEDGER_GRANTED || reply->token == 0
+      || find_token (client, reply->token))
+    return;
+  if (add_token (client, reply->token))
+    ab_control_client_release (client, &reply->key, reply->token);
+}
+
+/* Gives up CLAIM's attempt: the group may have granted it, or may still.  */
+static void
+give_up (struct ab_claim *claim)
+{
+  struct ab_command command = { .type = AB_COMMAND_RELEASE,
+                                .key = claim->key,
+                                .attempt = claim->request.id };
+
+  if (claim->request.sends > 0)
+    start_background (claim->request.client, AB_FRAME_LEDGER_RELEASE,
+                      &command);
+}
+
+/* Claims.  */
+
+static void
+finish_claim (struct ab_claim *claim, enum ab_claim_result result,
+              const struct ab_control_reply *reply,
+              const struct ab_recorded_response *response)
+{
+  ab_claim_callback callback = claim->callback;
+  void *ctx = claim->ctx;
+
+  ab_request_free (&claim->request);
+  callback (ctx, result, result == AB_CLAIM_GRANTED ? reply->token : 0,
+            response, reply ? reply->holder : ab_chunk (NULL, 0));
+}
+
+static void
+claim_deadline (struct ab_request *request)
+{
+  struct ab_claim *claim = (struct ab_claim *)request;
+
+  give_up (claim);
+  finish_claim (claim,
+                claim->other ? AB_CLAIM_MAY_HAVE_RUN : AB_CLAIM_UNAVAILABLE,
+                NULL, NULL);
+}
+
+static void
+claim_granted (struct ab_claim *claim, const struct ab_control_reply *reply)
+{
+  if (add_token (claim->request.client, reply->token))
+    {
+      finish_claim (claim, AB_CLAIM_GRANTED, reply, NULL);
+      return;
+    }
+  give_up (claim);
+  finish_claim (claim, AB_CLAIM_UNAVAILABLE, reply, NULL);
+}
+
+static void
+claim_recorded (struct ab_claim *claim, const struct ab_control_reply *reply)
+{
+  struct ab_recorded_response response;
+
+  if (ab_recorded_response_decode (reply->response, &response) == 0)
+    finish_claim (claim, AB_CLAIM_RECORDED, reply, &response);
+  else
+    finish_claim (claim, AB_CLAIM_MAY_HAVE_RUN, reply, NULL);
+}
+
+static void
+claim_in_progress (struct ab_claim *claim)
+{
+  claim->other = true;
+  claim->request.redirects = 0;
+  ab_request_again (&claim->request, claim->poll_ms);
+  if (claim->poll_ms < POLL_MAX_MS)
+    claim->poll_ms *= 2;
+}
+
+/* The group refused for now.  A copy of the claim that is still under way may
+   be granted later, so the attempt is given up unless it is the only one.  */
+static void
+claim_refused (struct ab_claim *claim, enum ab_claim_result result,
+               const struct ab_control_reply *reply)
+{
+  if (claim->request.sends > 1)
+    give_up (claim);
+  finish_claim (claim, result, reply, NULL);
+}
+
+static void
+claim_reply (struct ab_request *request, const struct ab_control_reply *reply)
+{
+  struct ab_claim *claim = (struct ab_claim *)request;
+
+  if (!ab_ledger_key_equal (&claim->key, &reply->key))
+    return;
+  if (reply->rc < 0)
+    {
+      claim_refused (claim, AB_CLAIM_UNAVAILABLE, reply);
+      return;
+    }
+  switch (reply->status)
+    {
+    case AB_LEDGER_GRANTED:
+      claim_granted (claim, reply);
+      break;
+    case AB_LEDGER_RECORDED:
+      claim_recorded (claim, reply);
+      break;
+    case AB_LEDGER_MAY_HAVE_RUN:
+      finish_claim (claim, AB_CLAIM_MAY_HAVE_RUN, reply, NULL);
+      break;
+    case AB_LEDGER_MISMATCH:
+      finish_claim (claim, AB_CLAIM_MISMATCH, reply, NULL);
+      break;
+    case AB_LEDGER_EXPIRED:
+      finish_claim (claim, AB_CLAIM_EXPIRED, reply, NULL);
+      break;
+    case AB_LEDGER_AHEAD:
+      claim_refused (claim, AB_CLAIM_FUTURE, reply);
+      break;
+    case AB_LEDGER_IN_PROGRESS:
+      claim_in_progress (claim);
+      break;
+    default:
+      claim_refused (claim, AB_CLAIM_UNAVAILABLE, reply);
+    }
+}
+
+static const struct ab_request_ops claim_ops
+    = { .reply = claim_reply, .deadline = claim_deadline };
+
+/* Puts a claim that cannot be sent into the table, so that its callback runs
+   from the event loop.  */
+static void
+refuse_claim (struct ab_claim *claim)
+{
+  struct ab_control_client *client = claim->request.client;
+
+  claim->request.deadline_ms = 1;
+  HASH_ADD (hh, client->requests, id, sizeof claim->request.id,
+            &claim->request);
+  event_active (client->timer, EV_TIMEOUT, 0);
+}
+
+struct ab_claim *
+ab_control_client_claim (struct ab_control_client *client,
+                         const struct ab_ledger_key *key,
+                         const struct ab_digest *content, uint64_t deadline_ms,
+                         ab_claim_callback callback, void *ctx)
+{
+  struct ab_claim *claim = (struct ab_claim *)ab_request_new (
+      client, sizeof *claim, &claim_ops, AB_FRAME_LEDGER_CLAIM,
+      deadline_ms ? deadline_ms : 1);
+  struct ab_command command
+      = { .type = AB_COMMAND_CLAIM, .content = *content };
+
+  if (!claim)
+    return NULL;
+  claim->key = *key;
+  claim->poll_ms = POLL_MIN_MS;
+  claim->callback = callback;
+  claim->ctx = ctx;
+  command.key = claim->key;
+  command.attempt = claim->request.id;
+  if (client->pending >= PENDING_MAX
+      || ab_request_start (&claim->request, &command) < 0)
+    refuse_claim (claim);
+  return claim;
+}
+
+void
+ab_control_client_cancel (struct ab_claim *claim)
+{
+  give_up (claim);
+  ab_request_free (&claim->request);
+}
--- a/src/ledger_key.c
+++ b/src/ledger_key.c
@@ -44,6 +44,14 @@
   return 0;
 }
 
+bool
+ab_ledger_key_equal (const struct ab_ledger_key *a,
+                     const struct ab_ledger_key *b)
+{
+  return strcmp (a->team, b->team) == 0 && strcmp (a->service, b->service) == 0
+         && memcmp (a->key, b->key, sizeof a->key) == 0;
+}
+
 void
 ab_ledger_key_pack (const struct ab_ledger_key *key, struct ab_buf *out)
 {
--- a/src/ledger_key.h
+++ b/src/ledger_key.h
@@ -35,6 +35,9 @@
   struct ab_chunk body;
 };
 
+bool ab_ledger_key_equal (const struct ab_ledger_key *a,
+                          const struct ab_ledger_key *b);
+
 /* Appends the msgpack form.  */
 void ab_ledger_key_pack (const struct ab_ledger_key *key, struct ab_buf *out);
 void ab_ledger_key_read (struct ab_reader *reader, struct ab_ledger_key *key);
--- a/src/permit.c
+++ b/src/permit.c
@@ -384,8 +384,15 @@
 {
   for (const struct service *s = permits->services; s; s = s->hh.next)
     for (const struct holding *h = s->holdings; h; h = h->hh.next)
-      if (h->held > 0)
-        visit (ctx, s->name, &h->holder, h->held, h->revoked);
+      {
+        struct ab_permit_holding holding = { .service = s->name,
+                                             .holder = h->holder,
+                                             .sequence = h->sequence,
+                                             .held = h->held,
+                                             .revoked = h->revoked };
+        if (h->held > 0)
+          visit (ctx, &holding);
+      }
 }
 
 /* Snapshot.  */
--- a/src/permit.h
+++ b/src/permit.h
@@ -83,11 +83,20 @@
 void ab_permits_services (const struct ab_permits *permits,
                           ab_permit_service_visitor visit, void *ctx);
 
-/* Called for each holder of permits; REVOKED of its HELD ones are asked
-   back.  */
+/* The permits of a holder; REVOKED of its HELD ones are asked back.  SEQUENCE
+   is that of its newest statement.  */
+struct ab_permit_holding
+{
+  const char *service;
+  struct ab_permit_holder holder;
+  uint64_t sequence;
+  uint64_t held;
+  uint64_t revoked;
+};
+
+/* Called for each holder that has permits.  */
 typedef void (*ab_permit_holder_visitor) (
-    void *ctx, const char *service, const struct ab_permit_holder *holder,
-    uint64_t held, uint64_t revoked);
+    void *ctx, const struct ab_permit_holding *holding);
 void ab_permits_holders (const struct ab_permits *permits,
                          ab_permit_holder_visitor visit, void *ctx);
 
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -32,14 +32,9 @@
 }
 
 static void
-add_revoked (void *ctx, const char *service,
-             const struct ab_permit_holder *holder, uint64_t held,
-             uint64_t revoked)
+add_revoked (void *ctx, const struct ab_permit_holding *holding)
 {
-  (void)service;
-  (void)holder;
-  (void)held;
-  *(uint64_t *)ctx += revoked;
+  *(uint64_t *)ctx += holding->revoked;
 }
 
 static uint64_t
