--- /dev/null
+++ b/src/control_serve_task.c
@@ -0,0 +1,417 @@
+/* Requests of clients at a member of the control group.  */
+
+#include "control_parts.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define PENDING_MAX 65536
+#define READS_MAX 4096
+
+static const struct
+{
+  enum ab_frame_type request;
+  enum ab_frame_type reply;
+  enum ab_command_type command;
+} kinds[] = {
+  { AB_FRAME_LEDGER_CLAIM, AB_FRAME_LEDGER_REPLY, AB_COMMAND_CLAIM },
+  { AB_FRAME_LEDGER_COMPLETE, AB_FRAME_LEDGER_REPLY, AB_COMMAND_COMPLETE },
+  { AB_FRAME_LEDGER_RELEASE, AB_FRAME_LEDGER_REPLY, AB_COMMAND_RELEASE },
+  { AB_FRAME_LEDGER_QUERY, AB_FRAME_LEDGER_REPLY, AB_COMMAND_QUERY },
+  { AB_FRAME_PERMIT_ACQUIRE, AB_FRAME_PERMIT_GRANT, AB_COMMAND_PERMIT_SET },
+  { AB_FRAME_PERMIT_RELEASE, AB_FRAME_PERMIT_GRANT, AB_COMMAND_PERMIT_SET },
+  { AB_FRAME_BUNDLE_APPLY, AB_FRAME_BUNDLE_REPLY, AB_COMMAND_BUNDLE },
+  { AB_FRAME_MEMBER_CHANGE, AB_FRAME_MEMBER_REPLY, AB_COMMAND_MEMBER },
+};
+
+#define KIND_COUNT (sizeof kinds / sizeof kinds[0])
+
+/* Replies.  */
+
+void
+ab_control_reply (struct ab_control_task *task,
+                  const struct ab_requester *requester,
+                  enum ab_frame_type type, struct ab_control_reply *reply)
+{
+  struct ab_buf body = AB_BUF_INIT;
+
+  reply->request = requester->request;
+  reply->incarnation = requester->incarnation;
+  if (ab_control_reply_encode (reply, &body) == 0)
+    ab_peer_task_send (task->daemon->peer, ab_chunk_str (requester->host),
+                       type, ab_buf_chunk (&body));
+  ab_buf_free (&body);
+}
+
+void
+ab_control_reply_message (struct ab_control_task *task,
+                          const struct ab_requester *requester,
+                          enum ab_frame_type type, int rc, const char *message)
+{
+  struct ab_control_reply reply
+      = { .rc = rc, .message = ab_chunk_str (message) };
+
+  ab_control_reply (task, requester, type, &reply);
+}
+
+/* Names the leader as far as this member knows it.  */
+static void
+reply_not_leader (struct ab_control_task *task,
+                  const struct ab_requester *requester,
+                  enum ab_frame_type type)
+{
+  struct ab_control_reply reply = { .rc = AB_ERR_NOT_LEADER };
+  const struct ab_raft_member *members;
+  size_t count = ab_raft_members (task->raft, &members);
+  struct ab_raft_status status;
+
+  ab_raft_status (task->raft, &status);
+  memcpy (reply.leader, status.leader_host, sizeof reply.leader);
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (members[i].host, reply.leader) == 0)
+      memcpy (reply.leader_address, members[i].address,
+              sizeof reply.leader_address);
+  ab_control_reply (task, requester, type, &reply);
+}
+
+/* Results.  */
+
+static void
+bundle_message (const struct ab_control_result *result, struct ab_buf *message)
+{
+  const struct ab_bundle_record *winner = result->winner;
+  char digest[2 * AB_DIGEST_BYTES + 1] = "";
+
+  if (!winner)
+    {
+      ab_buf_append_str (message, "the bundle cannot be read");
+      return;
+    }
+  ab_hex_encode (winner->digest.bytes, sizeof winner->digest.bytes, digest);
+  if (result->rc == 0 || result->rc == AB_ERR_EXISTS)
+    ab_buf_printf (message, "version %llu is accepted (log index %llu)",
+                   (unsigned long long)winner->version,
+                   (unsigned long long)winner->log_index);
+  else if (result->rc == AB_ERR_CONFLICT)
+    ab_buf_printf (message,
+                   "version %llu was accepted before with other content, by "
+                   "%s, digest %s",
+                   (unsigned long long)winner->version, winner->operator_name,
+                   digest);
+  else
+    ab_buf_printf (
+        message, "the accepted version %llu is newer, by %s, digest %s",
+        (unsigned long long)winner->version, winner->operator_name, digest);
+}
+
+static void
+reply_result (struct ab_control_task *task, const struct ab_pending *pending,
+              const struct ab_control_result *result)
+{
+  struct ab_buf message = AB_BUF_INIT;
+  struct ab_control_reply reply = { .rc = result->rc,
+                                    .key = pending->key,
+                                    .status = result->answer.status,
+                                    .token = result->answer.token,
+                                    .held = result->held,
+                                    .holder = result->answer.holder,
+                                    .response = result->answer.response };
+
+  if (result->command->type == AB_COMMAND_BUNDLE)
+    {
+      bundle_message (result, &message);
+      if (reply.rc == AB_ERR_EXISTS)
+        reply.rc = 0;
+    }
+  if (result->command->type == AB_COMMAND_HOST_FORGET)
+    ab_buf_printf (&message, "%s %s", result->command->host,
+                   result->rc == 0 ? "is forgotten: its permits are free"
+                                   : "is no member and never had permits");
+  reply.message = ab_buf_chunk (&message);
+  ab_control_reply (task, &pending->requester, pending->reply_type, &reply);
+  ab_buf_free (&message);
+}
+
+static void
+free_pending (struct ab_control_task *task, struct ab_pending *pending)
+{
+  HASH_DELETE (by_index, task->pending, pending);
+  HASH_DELETE (by_requester, task->pending_senders, pending);
+  free (pending);
+}
+
+static void
+log_bundle (const struct ab_control_result *result)
+{
+  if (result->rc == 0 && result->winner)
+    AB_LOG (AB_LOG_INFO, "bundle_accepted",
+            ab_log_int ("version", (int64_t)result->winner->version),
+            ab_log_str ("operator", result->winner->operator_name),
+            ab_log_int ("log_index", (int64_t)result->index));
+}
+
+static void
+on_result (void *ctx, const struct ab_control_result *result)
+{
+  struct ab_control_task *task = ctx;
+  struct ab_pending *pending;
+
+  if (result->command->type == AB_COMMAND_BUNDLE)
+    log_bundle (result);
+  HASH_FIND (by_index, task->pending, &result->index, sizeof result->index,
+             pending);
+  if (!pending)
+    return;
+  /* Another leader's entry took the place; the client asks again.  */
+  if (pending->term == result->term)
+    reply_result (task, pending, result);
+  free_pending (task, pending);
+}
+
+void
+ab_control_serve_drop_pending (struct ab_control_task *task)
+{
+  struct ab_pending *pending = task->pending;
+
+  HASH_CLEAR (by_index, task->pending);
+  HASH_CLEAR (by_requester, task->pending_senders);
+  while (pending)
+    {
+      struct ab_pending *next = pending->by_index.next;
+      free (pending);
+      pending = next;
+    }
+}
+
+/* Ledger queries.  */
+
+static void
+answer_query (struct ab_control_task *task, const struct ab_pending_read *read)
+{
+  static const enum ab_ledger_status statuses[]
+      = { [AB_LEDGER_CLAIMED] = AB_LEDGER_IN_PROGRESS,
+          [AB_LEDGER_DONE] = AB_LEDGER_RECORDED,
+          [AB_LEDGER_UNKNOWN] = AB_LEDGER_MAY_HAVE_RUN,
+          [AB_LEDGER_RELEASED] = AB_LEDGER_GIVEN_UP };
+  struct ab_control_reply reply = { .key = read->key };
+  struct ab_ledger_view view;
+
+  reply.rc = ab_ledger_find (ab_control_state_ledger (task->state), &read->key,
+                             &view);
+  if (reply.rc == 0)
+    {
+      reply.status = statuses[view.state];
+      reply.token = view.token;
+      reply.holder = ab_chunk_str (view.holder.host);
+      reply.response = view.response;
+    }
+  ab_control_reply (task, &read->requester, AB_FRAME_LEDGER_REPLY, &reply);
+}
+
+void
+ab_control_serve_read_ready (struct ab_control_task *task, uint64_t id, int rc)
+{
+  struct ab_pending_read *read;
+
+  HASH_FIND (hh, task->reads, &id, sizeof id, read);
+  if (!read)
+    return;
+  HASH_DEL (task->reads, read);
+  if (rc == 0)
+    answer_query (task, read);
+  else
+    reply_not_leader (task, &read->requester, AB_FRAME_LEDGER_REPLY);
+  free (read);
+}
+
+static void
+start_query (struct ab_control_task *task, const struct ab_command *command,
+             const struct ab_requester *requester)
+{
+  struct ab_pending_read *read;
+
+  if (HASH_COUNT (task->reads) >= READS_MAX)
+    return;
+  read = calloc (1, sizeof *read);
+  if (!read)
+    return;
+  read->id = ++task->next_read;
+  read->requester = *requester;
+  read->key = command->key;
+  HASH_ADD (hh, task->reads, id, sizeof read->id, read);
+  if (ab_raft_read (task->raft, ab_control_now_ms (), read->id) < 0)
+    ab_control_serve_read_ready (task, read->id, AB_ERR_NOT_LEADER);
+  ab_control_schedule_flush (task);
+}
+
+/* Requests.  */
+
+/* Answers a claim whose outcome is recorded.  These answers hold at whatever
+   member gives them: a record's end never changes, and a claim in progress
+   only makes the client wait.  */
+static bool
+answer_claim (struct ab_control_task *task, const struct ab_command *command,
+              const struct ab_requester *requester)
+{
+  struct ab_attempt attempt
+      = { .incarnation = command->incarnation, .attempt = command->request };
+  struct ab_ledger_answer answer;
+  struct ab_control_reply reply = { .key = command->key };
+
+  memcpy (attempt.host, command->host, sizeof attempt.host);
+  if (!ab_ledger_look (ab_control_state_ledger (task->state), &command->key,
+                       &command->content, &attempt, &answer))
+    return false;
+  reply.status = answer.status;
+  reply.token = answer.token;
+  reply.holder = answer.holder;
+  reply.response = answer.response;
+  ab_control_reply (task, requester, AB_FRAME_LEDGER_REPLY, &reply);
+  return true;
+}
+
+/* Checks the approval and reads from the text what the state machine needs.
+   Fills ERROR.  */
+static int
+prepare_bundle (struct ab_control_task *task, struct ab_command *command,
+                char error[AB_CONF_ERROR_BYTES])
+{
+  struct ab_signed_bundle bundle;
+  struct ab_bundle *parsed = NULL;
+  int rc = ab_signed_bundle_decode (command->bundle, &bundle);
+
+  if (rc < 0)
+    {
+      snprintf (error, AB_CONF_ERROR_BYTES, "the message is corrupt");
+      return rc == AB_ERR_MEMORY ? rc : AB_ERR_INVALID;
+    }
+  rc = ab_signed_bundle_check_approval (&bundle, task->daemon->settings);
+  if (rc < 0)
+    snprintf (error, AB_CONF_ERROR_BYTES,
+              "the approval is not by an approver in the settings");
+  if (rc == 0)
+    rc = ab_bundle_parse ("bundle", ab_buf_chunk (&bundle.text), &parsed,
+                          error);
+  if (rc == 0 && ab_bundle_version (parsed) != bundle.version)
+    {
+      snprintf (error, AB_CONF_ERROR_BYTES,
+                "the approval is for version %llu, the text says %llu",
+                (unsigned long long)bundle.version,
+                (unsigned long long)ab_bundle_version (parsed));
+      rc = AB_ERR_INVALID;
+    }
+  if (rc == 0)
+    rc = ab_command_set_bundle_facts (command, parsed);
+  ab_bundle_unref (parsed);
+  ab_signed_bundle_free (&bundle);
+  return rc;
+}
+
+static bool
+is_pending (struct ab_control_task *task, const struct ab_requester *requester)
+{
+  struct ab_pending *pending;
+
+  HASH_FIND (by_requester, task->pending_senders, requester, sizeof *requester,
+             pending);
+  return pending;
+}
+
+static void
+propose_request (struct ab_control_task *task, struct ab_command *command,
+                 enum ab_frame_type reply_type,
+                 const struct ab_requester *requester)
+{
+  char error[AB_CONF_ERROR_BYTES] = "";
+  int rc = 0;
+
+  if (command->type == AB_COMMAND_BUNDLE)
+    rc = prepare_bundle (task, command, error);
+  if (rc == 0 && HASH_CNT (by_index, task->pending) >= PENDING_MAX)
+    rc = AB_ERR_FULL;
+  if (rc == 0)
+    rc = ab_control_propose (task, command, reply_type, requester);
+  if (rc == AB_ERR_NOT_LEADER)
+    {
+      reply_not_leader (task, requester, reply_type);
+      return;
+    }
+  if (rc < 0)
+    {
+      struct ab_control_reply reply = { .rc = rc, .key = command->key };
+      error[AB_MESSAGE_BYTES - 1] = '\0';
+      reply.message = ab_chunk_str (error[0] ? error : ab_strerror (rc));
+      ab_control_reply (task, requester, reply_type, &reply);
+    }
+}
+
+static void
+serve (struct ab_control_task *task, struct ab_command *command,
+       enum ab_frame_type reply_type)
+{
+  struct ab_requester requester;
+
+  /* Bytes behind the name count as part of the hash key.  */
+  memset (&requester, 0, sizeof requester);
+  ab_chunk_copy (ab_chunk_str (command->host), requester.host,
+                 sizeof requester.host);
+  requester.incarnation = command->incarnation;
+  requester.request = command->request;
+  if (!task->leader_since_ms)
+    reply_not_leader (task, &requester, reply_type);
+  else if (command->type == AB_COMMAND_MEMBER)
+    ab_control_group_request (task, command, &requester);
+  else if (command->type == AB_COMMAND_QUERY)
+    start_query (task, command, &requester);
+  else if (command->type == AB_COMMAND_CLAIM
+           && answer_claim (task, command, &requester))
+    return;
+  else if (!is_pending (task, &requester))
+    propose_request (task, command, reply_type, &requester);
+}
+
+static void
+on_request (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_control_task *task = ctx;
+  struct ab_command command;
+  int rc = ab_command_decode (frame->body, &command);
+
+  if (rc == 0
+      && !ab_chunk_copy (frame->sender, command.host, sizeof command.host))
+    rc = AB_ERR_CORRUPT;
+  command.incarnation = frame->incarnation;
+  for (size_t i = 0; rc == 0 && i < KIND_COUNT; i++)
+    if (kinds[i].request == frame->type && kinds[i].command == command.type)
+      {
+        serve (task, &command, kinds[i].reply);
+        break;
+      }
+  ab_command_free (&command);
+}
+
+void
+ab_control_serve_start (struct ab_control_task *task)
+{
+  ab_control_state_on_result (task->state, on_result, task);
+  for (size_t i = 0; i < KIND_COUNT; i++)
+    ab_peer_task_handle (task->daemon->peer, kinds[i].request, on_request,
+                         task);
+}
+
+void
+ab_control_serve_stop (struct ab_control_task *task)
+{
+  struct ab_pending_read *read = task->reads;
+
+  for (size_t i = 0; i < KIND_COUNT; i++)
+    ab_peer_task_handle (task->daemon->peer, kinds[i].request, NULL, NULL);
+  ab_control_serve_drop_pending (task);
+  HASH_CLEAR (hh, task->reads);
+  while (read)
+    {
+      struct ab_pending_read *next = read->hh.next;
+      free (read);
+      read = next;
+    }
+}
