Add the peer sockets

Processes need authenticated frames with bounded queues. One ROUTER receives; one DEALER for each address sends, only while its connection is up, so a peer that is down collects nothing. ZAP accepts the fleet's keys only; with more than one key a failed handshake is tried again with the next, which keeps contact during a rotation.

--- /dev/null
+++ b/src/peer_link_task.c
@@ -0,0 +1,442 @@
+#include "peer_link_task.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <uthash.h>
+#include <utlist.h>
+#include <zmq.h>
+
+#include "buf.h"
+#include "clock.h"
+#include "error.h"
+#include "frame.h"
+#include "peer_socket_task.h"
+
+#define RECONNECT_MS 100
+#define RECONNECT_MAX_MS 2000
+/* A frozen peer keeps its TCP connection, whose buffers would hold stale
+   frames; missing heartbeats close it.  */
+#define HEARTBEAT_MS 1000
+#define HEARTBEAT_TIMEOUT_MS 3000
+#define HANDSHAKE_MS 2000
+#define LINGER_MS 200
+#define MONITOR_BYTES 48
+
+struct waiting
+{
+  struct ab_buf data;
+  uint64_t since_ms;
+  struct waiting *prev;
+  struct waiting *next;
+};
+
+struct link
+{
+  char address[AB_ADDRESS_BYTES];
+  struct ab_peer_links *owner;
+  struct ab_peer_socket socket;
+  void *monitor; /* While more than one key may be the peer's.  */
+  size_t key;    /* Index of the key that the peer is taken to have.  */
+  struct waiting *waiting;
+  size_t waiting_count;
+  size_t waiting_bytes;
+  uint64_t used_ms;
+  uint64_t sent;
+  uint64_t dropped;
+  UT_hash_handle hh;
+};
+
+struct ab_peer_links
+{
+  void *context;
+  struct event_base *base;
+  struct ab_curve_pair pair;
+  char keys[AB_PEER_KEYS_MAX][AB_CURVE_KEY_BYTES];
+  size_t key_count;
+  struct link *links;
+  uint64_t dropped;
+  uint64_t monitors; /* Made so far, for their names.  */
+};
+
+struct ab_peer_links *
+ab_peer_links_new (void *context, struct event_base *base,
+                   const struct ab_curve_pair *pair)
+{
+  struct ab_peer_links *links = calloc (1, sizeof *links);
+
+  if (!links)
+    return NULL;
+  links->context = context;
+  links->base = base;
+  links->pair = *pair;
+  memcpy (links->keys[0], pair->public_key, AB_CURVE_KEY_BYTES);
+  links->key_count = 1;
+  return links;
+}
+
+static void
+free_waiting (struct link *link, struct waiting *waiting)
+{
+  DL_DELETE (link->waiting, waiting);
+  link->waiting_count--;
+  link->waiting_bytes -= waiting->data.len;
+  ab_buf_free (&waiting->data);
+  free (waiting);
+}
+
+static void
+close_sockets (struct link *link)
+{
+  if (link->monitor)
+    {
+      zmq_socket_monitor (link->socket.zmq, NULL, 0);
+      zmq_close (link->monitor);
+      link->monitor = NULL;
+    }
+  ab_peer_socket_close (&link->socket);
+}
+
+static void
+drop_link (struct ab_peer_links *links, struct link *link)
+{
+  HASH_DEL (links->links, link);
+  close_sockets (link);
+  while (link->waiting)
+    free_waiting (link, link->waiting);
+  free (link);
+}
+
+void
+ab_peer_links_free (struct ab_peer_links *links)
+{
+  if (!links)
+    return;
+  while (links->links)
+    drop_link (links, links->links);
+  free (links);
+}
+
+int
+ab_peer_links_set_keys (struct ab_peer_links *links,
+                        const char (*keys)[AB_CURVE_KEY_BYTES], size_t count)
+{
+  if (count == 0 || count > AB_PEER_KEYS_MAX)
+    return AB_ERR_TOO_LARGE;
+  memcpy (links->keys, keys, count * sizeof keys[0]);
+  links->key_count = count;
+  /* Sockets keep the key that they were opened with.  */
+  while (links->links)
+    drop_link (links, links->links);
+  return 0;
+}
+
+/* Sends what waits while the socket takes it.  */
+static void
+send_waiting (struct link *link)
+{
+  while (link->waiting && ab_peer_socket_writable (&link->socket))
+    {
+      struct ab_buf *data = &link->waiting->data;
+      if (zmq_send (link->socket.zmq, data->data, data->len, ZMQ_DONTWAIT) < 0)
+        return;
+      link->sent++;
+      free_waiting (link, link->waiting);
+    }
+}
+
+/* The peer never sends on this connection; anything received is dropped.  */
+static void
+on_ready (void *ctx)
+{
+  struct link *link = ctx;
+  char data[1];
+
+  while (zmq_recv (link->socket.zmq, data, sizeof data, ZMQ_DONTWAIT) >= 0)
+    continue;
+  send_waiting (link);
+}
+
+static int
+set_options (struct link *link)
+{
+  static const struct
+  {
+    int option;
+    int value;
+  } options[] = { { ZMQ_SNDHWM, AB_PEER_SEND_FRAMES },
+                  { ZMQ_RCVHWM, 1 },
+                  { ZMQ_IMMEDIATE, 1 },
+                  { ZMQ_LINGER, LINGER_MS },
+                  { ZMQ_RECONNECT_IVL, RECONNECT_MS },
+                  { ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS },
+                  { ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS },
+                  { ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS },
+                  { ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS },
+                  { ZMQ_IPV6, 1 } };
+  const struct ab_peer_links *links = link->owner;
+  const char *server = links->keys[link->key % links->key_count];
+  void *zmq = link->socket.zmq;
+
+  for (size_t i = 0; i < sizeof options / sizeof options[0]; i++)
+    if (ab_peer_socket_set (&link->socket, options[i].option, options[i].value)
+        < 0)
+      return AB_ERR_UNAVAILABLE;
+  if (zmq_setsockopt (zmq, ZMQ_CURVE_SERVERKEY, server, AB_CURVE_KEY_BYTES) < 0
+      || zmq_setsockopt (zmq, ZMQ_CURVE_PUBLICKEY, links->pair.public_key,
+                         AB_CURVE_KEY_BYTES)
+             < 0
+      || zmq_setsockopt (zmq, ZMQ_CURVE_SECRETKEY, links->pair.secret_key,
+                         AB_CURVE_KEY_BYTES)
+             < 0)
+    return AB_ERR_UNAVAILABLE;
+  return 0;
+}
+
+static int
+open_monitor (struct link *link)
+{
+  char name[MONITOR_BYTES];
+  int events = ZMQ_EVENT_HANDSHAKE_SUCCEEDED
+               | ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL
+               | ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL
+               | ZMQ_EVENT_HANDSHAKE_FAILED_AUTH | ZMQ_EVENT_DISCONNECTED;
+
+  snprintf (name, sizeof name, "inproc://peer-monitor-%llu",
+            (unsigned long long)++link->owner->monitors);
+  if (zmq_socket_monitor (link->socket.zmq, name, events) < 0)
+    return AB_ERR_UNAVAILABLE;
+  link->monitor = zmq_socket (link->owner->context, ZMQ_PAIR);
+  if (!link->monitor || zmq_connect (link->monitor, name) < 0)
+    return AB_ERR_UNAVAILABLE;
+  return 0;
+}
+
+static int
+open_sockets (struct link *link)
+{
+  char endpoint[AB_ADDRESS_BYTES + sizeof "tcp://"];
+  int rc;
+
+  link->socket.ready = on_ready;
+  link->socket.ctx = link;
+  rc = ab_peer_socket_open (&link->socket, link->owner->context, ZMQ_DEALER,
+                            link->owner->base);
+  if (rc < 0)
+    return rc;
+  rc = set_options (link);
+  if (rc == 0 && link->owner->key_count > 1)
+    rc = open_monitor (link);
+  if (rc < 0)
+    goto fail;
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", link->address);
+  if (zmq_connect (link->socket.zmq, endpoint) < 0)
+    {
+      rc = AB_ERR_INVALID;
+      goto fail;
+    }
+  return 0;
+fail:
+  close_sockets (link);
+  return rc;
+}
+
+static void
+close_least_used (struct ab_peer_links *links)
+{
+  struct link *oldest = links->links;
+
+  for (struct link *link = links->links; link; link = link->hh.next)
+    if (link->used_ms < oldest->used_ms)
+      oldest = link;
+  if (oldest)
+    drop_link (links, oldest);
+}
+
+static int
+open_link (struct ab_peer_links *links, const char *address,
+           struct link **result)
+{
+  struct link *link = calloc (1, sizeof *link);
+  int rc;
+
+  if (!link)
+    return AB_ERR_MEMORY;
+  link->owner = links;
+  if (!ab_chunk_copy (ab_chunk_str (address), link->address,
+                      sizeof link->address))
+    {
+      free (link);
+      return AB_ERR_INVALID;
+    }
+  rc = open_sockets (link);
+  if (rc < 0)
+    {
+      free (link);
+      return rc;
+    }
+  if (HASH_COUNT (links->links) >= AB_PEER_LINKS_MAX)
+    close_least_used (links);
+  HASH_ADD_STR (links->links, address, link);
+  *result = link;
+  return 0;
+}
+
+static int
+wait_for_connection (struct link *link, struct ab_chunk data, uint64_t now_ms)
+{
+  struct waiting *waiting;
+
+  if (link->waiting_count >= AB_PEER_WAIT_FRAMES
+      || link->waiting_bytes + data.len > AB_PEER_WAIT_BYTES)
+    return AB_ERR_FULL;
+  waiting = calloc (1, sizeof *waiting);
+  if (!waiting)
+    return AB_ERR_MEMORY;
+  waiting->since_ms = now_ms;
+  if (ab_buf_append_chunk (&waiting->data, data) < 0)
+    {
+      free (waiting);
+      return AB_ERR_MEMORY;
+    }
+  DL_APPEND (link->waiting, waiting);
+  link->waiting_count++;
+  link->waiting_bytes += data.len;
+  return 0;
+}
+
+static int
+send_on_link (struct link *link, struct ab_chunk data, uint64_t now_ms)
+{
+  int rc = 0;
+
+  link->used_ms = now_ms;
+  send_waiting (link);
+  /* Frames keep their order: nothing overtakes what waits.  */
+  if (!link->waiting
+      && zmq_send (link->socket.zmq, data.data, data.len, ZMQ_DONTWAIT) >= 0)
+    {
+      link->sent++;
+      ab_peer_socket_check (&link->socket);
+      return 0;
+    }
+  rc = wait_for_connection (link, data, now_ms);
+  if (rc < 0)
+    {
+      link->dropped++;
+      link->owner->dropped++;
+    }
+  ab_peer_socket_check (&link->socket);
+  return rc;
+}
+
+int
+ab_peer_links_send (struct ab_peer_links *links, const char *address,
+                    struct ab_chunk data, uint64_t now_ms)
+{
+  struct link *link = NULL;
+  int rc = 0;
+
+  HASH_FIND_STR (links->links, address, link);
+  if (!link)
+    rc = open_link (links, address, &link);
+  if (rc < 0)
+    return rc;
+  return send_on_link (link, data, now_ms);
+}
+
+void
+ab_peer_links_close (struct ab_peer_links *links, const char *address)
+{
+  struct link *link = NULL;
+
+  HASH_FIND_STR (links->links, address, link);
+  if (link)
+    drop_link (links, link);
+}
+
+static void
+drop_old (struct link *link, uint64_t now_ms)
+{
+  while (link->waiting && link->waiting->since_ms + AB_PEER_WAIT_MS <= now_ms)
+    {
+      free_waiting (link, link->waiting);
+      link->dropped++;
+      link->owner->dropped++;
+    }
+}
+
+/* Reads the handshake's events.  Sets *FAILED when the last one was a
+   failure.  */
+static void
+read_monitor (struct link *link, bool *failed)
+{
+  uint16_t event;
+  zmq_msg_t message;
+
+  zmq_msg_init (&message);
+  while (zmq_msg_recv (&message, link->monitor, ZMQ_DONTWAIT) >= 0)
+    {
+      if (zmq_msg_size (&message) >= sizeof event)
+        {
+          memcpy (&event, zmq_msg_data (&message), sizeof event);
+          *failed = event != ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
+        }
+      zmq_msg_recv (&message, link->monitor, ZMQ_DONTWAIT); /* Address.  */
+    }
+  zmq_msg_close (&message);
+}
+
+/* During a rotation the peer may listen with any of the keys.  */
+static void
+try_next_key (struct link *link)
+{
+  bool failed = false;
+
+  if (!link->monitor)
+    return;
+  read_monitor (link, &failed);
+  if (!failed)
+    return;
+  close_sockets (link);
+  link->key = (link->key + 1) % link->owner->key_count;
+  if (open_sockets (link) < 0)
+    drop_link (link->owner, link);
+}
+
+void
+ab_peer_links_poll (struct ab_peer_links *links, uint64_t now_ms)
+{
+  struct link *link;
+  struct link *next;
+
+  for (link = links->links; link; link = next)
+    {
+      next = link->hh.next;
+      on_ready (link);
+      drop_old (link, now_ms);
+      try_next_key (link);
+    }
+}
+
+uint64_t
+ab_peer_links_dropped (const struct ab_peer_links *links)
+{
+  return links->dropped;
+}
+
+json_t *
+ab_peer_links_state (const struct ab_peer_links *links)
+{
+  uint64_t now_ms = ab_clock_monotonic_ms (ab_clock_system ());
+  json_t *list = json_array ();
+
+  for (const struct link *link = links->links; link; link = link->hh.next)
+    json_array_append_new (
+        list, json_pack ("{s:s, s:I, s:I, s:I, s:I, s:b}", "address",
+                         link->address, "sent", (json_int_t)link->sent,
+                         "dropped", (json_int_t)link->dropped, "waiting",
+                         (json_int_t)link->waiting_count, "idle_ms",
+                         (json_int_t)(now_ms - link->used_ms), "writable",
+                         ab_peer_socket_writable (&link->socket)));
+  return list;
+}
--- a/src/peer_task.h
+++ b/src/peer_task.h
@@ -40,6 +40,17 @@
 int ab_peer_task_send_address (struct ab_peer_task *task, const char *address,
                                enum ab_frame_type type, struct ab_chunk body);
 
+/* The address that the peer socket is bound to, with the port that the system
+   chose when the settings give port 0.  */
+const char *ab_peer_task_address (const struct ab_peer_task *task);
+
+/* Accepts the fleet's own key and KEYS from now on, as sender and as receiver
+   of a connection, for a key rotation without a stop.  Established incoming
+   connections stay.  AB_ERR_TOO_LARGE, AB_ERR_INVALID.  */
+int ab_peer_task_accept_keys (struct ab_peer_task *task,
+                              const char (*keys)[AB_CURVE_KEY_BYTES],
+                              size_t count);
+
 /* State dump: peers, queues, counts by frame type, rejected strangers.  */
 json_t *ab_peer_task_state (const struct ab_peer_task *task);
 
