Add the membership state machine and rendezvous choice

Hosts need one view of hosts, targets and quarantined requests within 3 KB/s. A joining host gets its view from the unused credit of others.

--- /dev/null
+++ b/src/member_repair.c
@@ -0,0 +1,581 @@
+#include <endian.h>
+
+#include "error.h"
+#include "member_core.h"
+
+/* Repair by digests.  A host sends the hashes of its buckets; the other
+   answers for buckets that differ with the hashes of their leaves, or with a
+   summary of the items when there are few; the summary is answered with the
+   items that are newer, and with the keys of those that are wanted.  */
+
+#define DIGEST_INTERVAL_MS 5000
+#define JOIN_INTERVAL_MS 500
+/* While differences are found, and no changes wait for tokens.  */
+#define DIFFERING_INTERVAL_MS 1000
+/* A bucket with so many items is summarised as a whole.  */
+#define SUMMARY_ITEMS_MAX 16
+/* In a summary: ranges of leaves, and items.  A line takes 14 bytes.  */
+#define RANGES_MAX 8
+#define LINES_MAX 32
+#define FAR_DIGEST_EVERY 16
+#define DIGEST_FIELDS_MAX 16
+/* Tokens for the first answer of a round, and for what follows from it.  The
+   bucket of tokens is small, so a round must leave some for its end.  */
+#define ANSWER_RESERVE 900
+#define REPAIR_RESERVE 250
+#define JOIN_PACKET_BYTES 8192
+/* Changes in flight make a few buckets differ at any time.  */
+#define NEARLY_EQUAL 2
+#define NEARLY_EQUAL_ROUNDS 4
+
+enum digest_kind
+{
+  DIGEST_TOP,     /* joining, hashes of the buckets */
+  DIGEST_BUCKET,  /* bucket, hashes of its leaves */
+  DIGEST_SUMMARY, /* ranges of leaves, keys and marks of their items */
+  DIGEST_WANT,    /* keys */
+  DIGEST_DIFFERS  /* How many buckets differ.  */
+};
+
+static void
+begin_digest (struct ab_membership *m, enum digest_kind kind, size_t fields)
+{
+  ab_buf_clear (&m->packet);
+  ab_pack_array (&m->packet, fields + 1);
+  ab_pack_u64 (&m->packet, kind);
+}
+
+/* Hashes are cut to 32 bits: a difference is missed once in 2^32 times, and
+   only until the next change.  */
+static uint32_t
+cut_hash (uint64_t hash)
+{
+  return (uint32_t)(hash >> 32);
+}
+
+static void
+read_hashes (struct ab_reader *reader, uint32_t *hashes, size_t count)
+{
+  ab_reader_fixed (reader, hashes, count * sizeof hashes[0]);
+  for (size_t i = 0; i < count; i++)
+    hashes[i] = le32toh (hashes[i]);
+}
+
+static void
+pack_hashes (struct ab_membership *m, const uint64_t *hashes, size_t count)
+{
+  uint32_t cut[MEMBER_BUCKETS];
+
+  for (size_t i = 0; i < count; i++)
+    cut[i] = htole32 (cut_hash (hashes[i]));
+  ab_pack_bytes (&m->packet, ab_chunk (cut, count * sizeof cut[0]));
+}
+
+static void
+send_top (struct ab_membership *m, struct ab_member *host, bool joining)
+{
+  begin_digest (m, DIGEST_TOP, 2);
+  ab_pack_bool (&m->packet, joining);
+  pack_hashes (m, m->bucket_hash, MEMBER_BUCKETS);
+  member_send (m, host, AB_FRAME_DIGEST);
+}
+
+static void
+send_differs (struct ab_membership *m, struct ab_member *host, size_t count)
+{
+  begin_digest (m, DIGEST_DIFFERS, 1);
+  ab_pack_u64 (&m->packet, count);
+  member_send (m, host, AB_FRAME_DIGEST);
+}
+
+static void
+send_bucket (struct ab_membership *m, struct ab_member *host, size_t bucket)
+{
+  begin_digest (m, DIGEST_BUCKET, 2);
+  ab_pack_u64 (&m->packet, bucket);
+  pack_hashes (m, &m->leaf_hash[bucket * MEMBER_LEAVES_PER_BUCKET],
+               MEMBER_LEAVES_PER_BUCKET);
+  member_send (m, host, AB_FRAME_DIGEST);
+}
+
+/* The leaves of one summary: ranges of leaf numbers.  */
+struct ranges
+{
+  size_t first[RANGES_MAX];
+  size_t end[RANGES_MAX];
+  size_t count;
+  size_t lines; /* Items in them, here.  */
+};
+
+static bool
+ranges_full (const struct ranges *ranges, size_t more_lines)
+{
+  return ranges->count == RANGES_MAX
+         || (ranges->count > 0 && ranges->lines + more_lines > LINES_MAX);
+}
+
+static void
+add_range (struct ranges *ranges, size_t first, size_t count, size_t lines)
+{
+  ranges->first[ranges->count] = first;
+  ranges->end[ranges->count++] = first + count;
+  ranges->lines += lines;
+}
+
+static bool
+in_ranges (const struct ranges *ranges, size_t leaf)
+{
+  for (size_t i = 0; i < ranges->count; i++)
+    if (leaf >= ranges->first[i] && leaf < ranges->end[i])
+      return true;
+  return false;
+}
+
+/* Sends keys and marks of the items in RANGES and empties it.  */
+static void
+send_summary (struct ab_membership *m, struct ab_member *host,
+              struct ranges *ranges)
+{
+  size_t count = 0;
+
+  if (ranges->count == 0)
+    return;
+  ab_buf_clear (&m->items);
+  for (size_t r = 0; r < ranges->count; r++)
+    for (size_t i = ranges->first[r]; i < ranges->end[r]; i++)
+      for (const struct ab_member *member = m->leaves[i]; member;
+           member = member->next)
+        {
+          if (!member->mark || count == LINES_MAX)
+            continue;
+          ab_pack_u64 (&m->items, member->item.key);
+          ab_pack_u64 (&m->items, cut_hash (member->mark));
+          count++;
+        }
+  begin_digest (m, DIGEST_SUMMARY, 2);
+  ab_pack_array (&m->packet, 2 * ranges->count);
+  for (size_t r = 0; r < ranges->count; r++)
+    {
+      ab_pack_u64 (&m->packet, ranges->first[r]);
+      ab_pack_u64 (&m->packet, ranges->end[r]);
+    }
+  ab_pack_array (&m->packet, 2 * count);
+  ab_buf_append_chunk (&m->packet, ab_buf_chunk (&m->items));
+  member_send (m, host, AB_FRAME_DIGEST);
+  /* A batch may be filled there next.  */
+  ab_buf_clear (&m->items);
+  ranges->count = 0;
+  ranges->lines = 0;
+}
+
+/* A batch of items on their way to HOST.  */
+struct batch
+{
+  struct ab_member *host;
+  size_t count;
+  size_t bytes_max;
+  bool joining; /* The host's whole view is missing: credit may be used.  */
+};
+
+static bool
+may_repair (const struct ab_membership *m, bool joining)
+{
+  return joining ? m->credit > JOIN_PACKET_BYTES
+                 : m->tokens > (double)(REPAIR_RESERVE + m->items.len);
+}
+
+static bool
+may_answer (const struct ab_membership *m, bool joining)
+{
+  return joining ? m->credit > JOIN_PACKET_BYTES : m->tokens > ANSWER_RESERVE;
+}
+
+static void
+send_batch (struct ab_membership *m, struct batch *batch)
+{
+  if (batch->count == 0)
+    return;
+  ab_buf_clear (&m->packet);
+  ab_pack_array (&m->packet, batch->count);
+  ab_buf_append_chunk (&m->packet, ab_buf_chunk (&m->items));
+  member_send (m, batch->host, AB_FRAME_REPAIR);
+  m->stats.repaired += batch->count;
+  ab_buf_clear (&m->items);
+  batch->count = 0;
+}
+
+/* Adds an item; false when no more may be sent now.  */
+static bool
+add_to_batch (struct ab_membership *m, struct batch *batch,
+              struct ab_member *member)
+{
+  if (!may_repair (m, batch->joining))
+    return false;
+  member_refresh_age (m, member);
+  ab_item_pack (&member->item, &m->items);
+  batch->count++;
+  if (m->items.len + AB_ITEM_BYTES_MAX / 2 > batch->bytes_max)
+    send_batch (m, batch);
+  return true;
+}
+
+static bool
+send_whole_bucket (struct ab_membership *m, struct batch *batch, size_t bucket)
+{
+  for (size_t i = 0; i < MEMBER_LEAVES_PER_BUCKET; i++)
+    for (struct ab_member *member
+         = m->leaves[bucket * MEMBER_LEAVES_PER_BUCKET + i];
+         member; member = member->next)
+      if (member->mark && !add_to_batch (m, batch, member))
+        return false;
+  return true;
+}
+
+/* Answers a bucket that differs.  Small buckets are gathered in RANGES for
+   one summary.  Returns false when no more may be sent now.  */
+static bool
+answer_bucket (struct ab_membership *m, struct batch *batch,
+               struct ranges *ranges, size_t bucket)
+{
+  size_t lines = m->bucket_items[bucket];
+
+  if (!may_answer (m, batch->joining))
+    return false;
+  if (lines > SUMMARY_ITEMS_MAX)
+    {
+      send_bucket (m, batch->host, bucket);
+      return true;
+    }
+  /* One packet of summaries is enough for a round.  */
+  if (ranges_full (ranges, lines))
+    return batch->joining;
+  add_range (ranges, bucket * MEMBER_LEAVES_PER_BUCKET,
+             MEMBER_LEAVES_PER_BUCKET, lines);
+  return true;
+}
+
+/* Answers all that differs from the hashes THEIRS; returns in how many
+   buckets.  */
+static size_t
+answer_top (struct ab_membership *m, struct batch *batch,
+            const uint32_t theirs[MEMBER_BUCKETS])
+{
+  struct ranges ranges = { .count = 0 };
+  size_t start = (size_t)ab_rng_below (m->rng, MEMBER_BUCKETS);
+  size_t differing = 0;
+  bool room = true;
+
+  ab_buf_clear (&m->items);
+  for (size_t i = 0; i < MEMBER_BUCKETS; i++)
+    {
+      size_t bucket = (start + i) % MEMBER_BUCKETS;
+      if (theirs[bucket] == cut_hash (m->bucket_hash[bucket]))
+        continue;
+      differing++;
+      if (!room)
+        continue;
+      if (batch->joining && theirs[bucket] == 0)
+        room = send_whole_bucket (m, batch, bucket);
+      else
+        room = answer_bucket (m, batch, &ranges, bucket);
+    }
+  send_batch (m, batch);
+  send_summary (m, batch->host, &ranges);
+  return differing;
+}
+
+static int
+receive_top (struct ab_membership *m, struct ab_reader *reader,
+             struct ab_member *host)
+{
+  uint32_t theirs[MEMBER_BUCKETS];
+  struct batch batch = { .host = host };
+  size_t differing;
+
+  batch.joining = ab_reader_bool (reader);
+  batch.bytes_max = batch.joining ? JOIN_PACKET_BYTES : AB_MEMBER_PACKET_BYTES;
+  read_hashes (reader, theirs, MEMBER_BUCKETS);
+  if (ab_reader_error (reader) < 0)
+    return ab_reader_error (reader);
+  m->on_credit = batch.joining;
+  differing = answer_top (m, &batch, theirs);
+  if (batch.joining)
+    send_differs (m, host, differing);
+  m->on_credit = false;
+  return 0;
+}
+
+static int
+receive_bucket (struct ab_membership *m, struct ab_reader *reader,
+                struct ab_member *host)
+{
+  uint32_t theirs[MEMBER_LEAVES_PER_BUCKET];
+  struct ranges ranges = { .count = 0 };
+  size_t bucket = (size_t)ab_reader_u64 (reader);
+  size_t first = bucket * MEMBER_LEAVES_PER_BUCKET;
+
+  read_hashes (reader, theirs, MEMBER_LEAVES_PER_BUCKET);
+  if (ab_reader_error (reader) < 0 || bucket >= MEMBER_BUCKETS)
+    return AB_ERR_CORRUPT;
+  if (!may_answer (m, !m->joined))
+    return 0;
+  for (size_t i = 0; i < MEMBER_LEAVES_PER_BUCKET; i++)
+    {
+      size_t lines = 0;
+      if (theirs[i] == cut_hash (m->leaf_hash[first + i]))
+        continue;
+      for (const struct ab_member *member = m->leaves[first + i]; member;
+           member = member->next)
+        lines += member->mark != 0;
+      if (ranges_full (&ranges, lines))
+        break;
+      add_range (&ranges, first + i, 1, lines);
+    }
+  send_summary (m, host, &ranges);
+  return 0;
+}
+
+/* What a summary says of one item.  */
+struct line
+{
+  uint64_t key;
+  uint32_t mark;
+};
+
+struct summary
+{
+  struct ranges ranges;
+  struct line lines[LINES_MAX];
+  size_t count;
+};
+
+static int
+read_ranges (struct ab_reader *reader, struct ranges *ranges)
+{
+  size_t count = ab_reader_enter (reader, 2 * RANGES_MAX) / 2;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t first = (size_t)ab_reader_u64 (reader);
+      size_t end = (size_t)ab_reader_u64 (reader);
+      if (first > end || end > MEMBER_LEAVES)
+        return AB_ERR_CORRUPT;
+      add_range (ranges, first, end - first, 0);
+    }
+  ab_reader_leave (reader);
+  return ab_reader_error (reader);
+}
+
+static int
+read_summary (struct ab_reader *reader, struct summary *summary)
+{
+  int rc = read_ranges (reader, &summary->ranges);
+
+  if (rc < 0)
+    return rc;
+  summary->count = ab_reader_enter (reader, 2 * LINES_MAX) / 2;
+  for (size_t i = 0; i < summary->count; i++)
+    {
+      summary->lines[i].key = ab_reader_u64 (reader);
+      summary->lines[i].mark = (uint32_t)ab_reader_u64 (reader);
+    }
+  return ab_reader_error (reader);
+}
+
+static const struct line *
+find_line (const struct summary *summary, uint64_t key)
+{
+  for (size_t i = 0; i < summary->count; i++)
+    if (summary->lines[i].key == key)
+      return &summary->lines[i];
+  return NULL;
+}
+
+/* Sends the items of the summary's leaves that are missing or differ there;
+   which of two versions is newer is for the receiver to find.  */
+static void
+send_different (struct ab_membership *m, const struct summary *summary,
+                struct batch *batch)
+{
+  ab_buf_clear (&m->items);
+  for (size_t i = 0; i < MEMBER_LEAVES; i++)
+    {
+      if (!in_ranges (&summary->ranges, i))
+        continue;
+      for (struct ab_member *member = m->leaves[i]; member;
+           member = member->next)
+        {
+          const struct line *line = find_line (summary, member->item.key);
+          if (!member->mark || (line && line->mark == cut_hash (member->mark)))
+            continue;
+          if (!add_to_batch (m, batch, member))
+            goto out;
+        }
+    }
+out:
+  send_batch (m, batch);
+}
+
+static void
+send_wanted (struct ab_membership *m, const struct summary *summary,
+             struct ab_member *host)
+{
+  uint64_t wanted[LINES_MAX];
+  size_t count = 0;
+
+  for (size_t i = 0; i < summary->count; i++)
+    {
+      const struct line *line = &summary->lines[i];
+      const struct ab_member *own = member_find (m, line->key);
+      if (!own || (own->mark && cut_hash (own->mark) != line->mark))
+        wanted[count++] = line->key;
+    }
+  if (count == 0 || !may_repair (m, !m->joined))
+    return;
+  begin_digest (m, DIGEST_WANT, 1);
+  ab_pack_array (&m->packet, count);
+  for (size_t i = 0; i < count; i++)
+    ab_pack_u64 (&m->packet, wanted[i]);
+  member_send (m, host, AB_FRAME_DIGEST);
+}
+
+static int
+receive_summary (struct ab_membership *m, struct ab_reader *reader,
+                 struct ab_member *host)
+{
+  struct summary summary = { .count = 0 };
+  struct batch batch = { .host = host, .bytes_max = AB_MEMBER_PACKET_BYTES };
+  int rc = read_summary (reader, &summary);
+
+  if (rc < 0)
+    return rc;
+  /* The keys first: what this host lacks matters more to it.  */
+  send_wanted (m, &summary, host);
+  send_different (m, &summary, &batch);
+  return 0;
+}
+
+static int
+receive_want (struct ab_membership *m, struct ab_reader *reader,
+              struct ab_member *host)
+{
+  struct batch batch = { .host = host, .bytes_max = AB_MEMBER_PACKET_BYTES };
+  size_t count = ab_reader_enter (reader, LINES_MAX);
+
+  ab_buf_clear (&m->items);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct ab_member *member = member_find (m, ab_reader_u64 (reader));
+      if (member && !add_to_batch (m, &batch, member))
+        break;
+    }
+  send_batch (m, &batch);
+  return ab_reader_error (reader);
+}
+
+static int
+receive_differs (struct ab_membership *m, struct ab_reader *reader)
+{
+  uint64_t count = ab_reader_u64 (reader);
+
+  if (ab_reader_error (reader) < 0)
+    return ab_reader_error (reader);
+  if (count == 0
+      || (count <= NEARLY_EQUAL && ++m->nearly_equal == NEARLY_EQUAL_ROUNDS))
+    m->joined = true;
+  return 0;
+}
+
+static int
+receive_kind (struct ab_membership *m, struct ab_reader *reader,
+              struct ab_member *host)
+{
+  ab_reader_enter (reader, DIGEST_FIELDS_MAX);
+  switch (ab_reader_u64 (reader))
+    {
+    case DIGEST_TOP:
+      return receive_top (m, reader, host);
+    case DIGEST_BUCKET:
+      return receive_bucket (m, reader, host);
+    case DIGEST_SUMMARY:
+      return receive_summary (m, reader, host);
+    case DIGEST_WANT:
+      return receive_want (m, reader, host);
+    case DIGEST_DIFFERS:
+      return receive_differs (m, reader);
+    default:
+      return AB_ERR_CORRUPT;
+    }
+}
+
+int
+member_receive_digest (struct ab_membership *m, const struct ab_frame *frame)
+{
+  struct ab_member *host = member_find_host (m, frame->sender);
+  struct ab_reader reader;
+  int rc;
+
+  if (!host || host == m->self)
+    return 0;
+  rc = ab_reader_init (&reader, frame->body);
+  if (rc == 0)
+    rc = receive_kind (m, &reader, host);
+  ab_reader_free (&reader);
+  return rc;
+}
+
+int
+member_receive_repair (struct ab_membership *m, const struct ab_frame *frame)
+{
+  struct ab_reader reader;
+  size_t news = 0;
+  int rc = ab_reader_init (&reader, frame->body);
+
+  if (rc == 0)
+    {
+      m->quiet = frame->type == AB_FRAME_REPAIR && !m->joined;
+      news = member_read_items (m, &reader);
+      m->quiet = false;
+      rc = ab_reader_error (&reader);
+    }
+  ab_reader_free (&reader);
+  if (frame->type == AB_FRAME_REPAIR && news > 0)
+    m->differed = true;
+  return rc;
+}
+
+/* Hosts compare with their own region; those that pass changes on also
+   compare with other regions, and any host does now and then.  */
+static bool
+compare_far (struct ab_membership *m)
+{
+  struct ab_member *far;
+
+  if (ab_rng_below (m->rng, FAR_DIGEST_EVERY) == 0)
+    return true;
+  far = member_random_host (m, false);
+  return far && member_is_bridge (m, far->item.host.region)
+         && ab_rng_below (m->rng, 2) == 0;
+}
+
+void
+member_repair_tick (struct ab_membership *m)
+{
+  struct ab_member *host;
+  uint64_t interval_ms = DIGEST_INTERVAL_MS;
+
+  if (m->differed && m->hot_count == 0 && m->joined
+      && m->digest_ms > m->now_ms + DIFFERING_INTERVAL_MS)
+    m->digest_ms = m->now_ms + DIFFERING_INTERVAL_MS;
+  if (m->now_ms < m->digest_ms)
+    return;
+  if (!m->joined && m->now_ms >= m->join_until_ms)
+    m->joined = true;
+  host = member_random_host (m, m->joined && !compare_far (m));
+  m->differed = false;
+  if (!m->joined)
+    interval_ms = JOIN_INTERVAL_MS;
+  m->digest_ms = m->now_ms + interval_ms;
+  if (host)
+    send_top (m, host, !m->joined);
+}
--- /dev/null
+++ b/src/member_table.c
@@ -0,0 +1,182 @@
+#include "member_core.h"
+
+#include <stdlib.h>
+
+#include "error.h"
+#include "rendezvous.h"
+
+#define LEAF_SHIFT 52 /* The top 12 bits of a key choose its leaf.  */
+
+size_t
+member_leaf (uint64_t key)
+{
+  return (size_t)(key >> LEAF_SHIFT);
+}
+
+struct ab_member *
+member_find (const struct ab_membership *m, uint64_t key)
+{
+  struct ab_member *member = m->leaves[member_leaf (key)];
+
+  while (member && member->item.key != key)
+    member = member->next;
+  return member;
+}
+
+struct ab_member *
+member_find_host (const struct ab_membership *m, struct ab_chunk name)
+{
+  struct ab_member *member = member_find (m, ab_item_host_key (name));
+
+  if (member
+      && (member->item.kind != AB_ITEM_HOST
+          || !ab_chunk_equal (ab_chunk_str (member->item.host.name), name)))
+    return NULL;
+  return member;
+}
+
+static uint64_t
+mark_of (const struct ab_item *item)
+{
+  uint64_t mark = ab_rendezvous_mix (item->key ^ item->incarnation);
+
+  mark = ab_rendezvous_mix (mark + item->version);
+  mark = ab_rendezvous_mix (mark + item->check);
+  return mark ? mark : 1;
+}
+
+void
+member_set_digested (struct ab_membership *m, struct ab_member *member,
+                     bool digested)
+{
+  size_t leaf = member_leaf (member->item.key);
+  size_t bucket = leaf / MEMBER_LEAVES_PER_BUCKET;
+  uint64_t mark = digested ? mark_of (&member->item) : 0;
+
+  m->leaf_hash[leaf] += mark - member->mark;
+  m->bucket_hash[bucket] += mark - member->mark;
+  m->bucket_items[bucket] += (mark != 0) - (member->mark != 0);
+  member->mark = mark;
+}
+
+static int
+add_host (struct ab_membership *m, struct ab_member *member)
+{
+  if (m->host_count == m->host_cap)
+    {
+      size_t cap = m->host_cap ? 2 * m->host_cap : 16;
+      struct ab_member **hosts
+          = realloc (m->hosts, cap * sizeof (struct ab_member *));
+      if (!hosts)
+        return AB_ERR_MEMORY;
+      m->hosts = hosts;
+      m->host_cap = cap;
+    }
+  m->hosts[m->host_count++] = member;
+  return 0;
+}
+
+static struct ab_member *
+add_member (struct ab_membership *m, const struct ab_item *item)
+{
+  struct ab_member **leaf = &m->leaves[member_leaf (item->key)];
+  struct ab_member *member = calloc (1, sizeof *member);
+
+  if (!member)
+    return NULL;
+  member->item = *item;
+  if (item->kind == AB_ITEM_HOST)
+    {
+      member->node = ab_rendezvous_hash (ab_chunk_str (item->host.name));
+      if (add_host (m, member) < 0)
+        {
+          free (member);
+          return NULL;
+        }
+    }
+  member->since_ms = m->now_ms;
+  member->next = *leaf;
+  *leaf = member;
+  m->item_count++;
+  return member;
+}
+
+struct ab_member *
+member_store (struct ab_membership *m, const struct ab_item *item)
+{
+  struct ab_member *member = member_find (m, item->key);
+  bool was_gone = false;
+
+  if (!member)
+    member = add_member (m, item);
+  else
+    was_gone = ab_item_gone (&member->item) || member->hidden;
+  if (!member)
+    return NULL;
+  if (item->incarnation != member->item.incarnation
+      || (was_gone && !ab_item_gone (item)))
+    member->since_ms = m->now_ms;
+  member->item = *item;
+  member->hidden = false;
+  member->orphan_ms = 0;
+  if (item->kind == AB_ITEM_TARGET)
+    member->item.target.since_ms = member->since_ms;
+  member->ended_ms = ab_item_gone (item) && m->now_ms > item->age_ms
+                         ? m->now_ms - item->age_ms
+                         : 0;
+  if (ab_item_gone (item) && member->ended_ms == 0)
+    member->ended_ms = 1;
+  if (item->kind != AB_ITEM_HOST || item->host.state != AB_HOST_SUSPECT)
+    member->suspect_ms = 0;
+  else if (member->suspect_ms == 0)
+    member->suspect_ms = m->now_ms;
+  member_set_digested (m, member, true);
+  return member;
+}
+
+static void
+remove_host (struct ab_membership *m, const struct ab_member *member)
+{
+  for (size_t i = 0; i < m->host_count; i++)
+    if (m->hosts[i] == member)
+      {
+        m->hosts[i] = m->hosts[--m->host_count];
+        return;
+      }
+}
+
+void
+member_remove (struct ab_membership *m, struct ab_member *member)
+{
+  struct ab_member **link = &m->leaves[member_leaf (member->item.key)];
+
+  member_set_digested (m, member, false);
+  member_cool (m, member);
+  if (member->item.kind == AB_ITEM_HOST)
+    remove_host (m, member);
+  while (*link != member)
+    link = &(*link)->next;
+  *link = member->next;
+  m->item_count--;
+  free (member);
+}
+
+void
+member_refresh_age (const struct ab_membership *m, struct ab_member *member)
+{
+  member->item.age_ms
+      = ab_item_gone (&member->item) ? m->now_ms - member->ended_ms : 0;
+}
+
+bool
+member_is_live (const struct ab_member *member)
+{
+  return member->item.host.state != AB_HOST_GONE;
+}
+
+bool
+member_same_region (const struct ab_membership *m,
+                    const struct ab_member *host)
+{
+  return strcmp (m->self->item.host.region, host->item.host.region) == 0;
+}
--- a/src/member_task.h
+++ b/src/member_task.h
@@ -12,59 +12,10 @@
 
 #include "daemon.h"
 #include "digest.h"
+#include "member_item.h"
 
 struct evhttp;
 
-enum ab_host_state
-{
-  AB_HOST_ALIVE,
-  AB_HOST_SUSPECT,
-  AB_HOST_LEAVING,
-  AB_HOST_GONE
-};
-
-struct ab_host_view
-{
-  char name[AB_NAME_BYTES];
-  enum ab_role role;
-  char region[AB_NAME_BYTES];
-  char failure_domain[AB_NAME_BYTES];
-  char callers[AB_ADDRESS_BYTES]; /* Empty for control hosts.  */
-  char peers[AB_ADDRESS_BYTES];
-  char admin[AB_ADDRESS_BYTES];
-  uint64_t incarnation;
-  enum ab_host_state state;
-  bool ready; /* Has an accepted bundle and a view of targets.  */
-};
-
-enum ab_target_state
-{
-  AB_TARGET_ACTIVE,
-  AB_TARGET_DRAINING,
-  AB_TARGET_GONE
-};
-
-struct ab_target_view
-{
-  char service[AB_NAME_BYTES];
-  char address[AB_ADDRESS_BYTES]; /* Identifies the target in the service.  */
-  uint64_t slots;
-  char region[AB_NAME_BYTES];
-  char failure_domain[AB_NAME_BYTES];
-  uint64_t incarnation;
-  enum ab_target_state state;
-  char registrar[AB_NAME_BYTES];
-  uint64_t since_ms; /* Monotonic time when this host learned of it.  */
-};
-
-/* A request that crashed targets; requests with this content are refused.  */
-struct ab_quarantine_view
-{
-  struct ab_digest content;
-  uint64_t until_wall_ms;
-  char reason[AB_NAME_BYTES]; /* The targets' service.  */
-};
-
 /* Called for each item; returns false to stop.  */
 typedef bool (*ab_host_visitor) (void *ctx, const struct ab_host_view *host);
 typedef bool (*ab_target_visitor) (void *ctx,
--- /dev/null
+++ b/src/rendezvous.c
@@ -0,0 +1,37 @@
+#include "rendezvous.h"
+
+#define FNV_OFFSET 0xcbf29ce484222325ULL
+#define FNV_PRIME 0x100000001b3ULL
+#define GOLDEN 0x9e3779b97f4a7c15ULL
+
+uint64_t
+ab_rendezvous_mix (uint64_t value)
+{
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31);
+}
+
+/* FNV-1a alone leaves the high bits of short names weak, so it is mixed.  */
+uint64_t
+ab_rendezvous_hash (struct ab_chunk name)
+{
+  uint64_t hash = FNV_OFFSET;
+
+  for (size_t i = 0; i < name.len; i++)
+    hash = (hash ^ (unsigned char)name.data[i]) * FNV_PRIME;
+  return ab_rendezvous_mix (hash);
+}
+
+uint64_t
+ab_rendezvous_hash_pair (struct ab_chunk a, struct ab_chunk b)
+{
+  return ab_rendezvous_mix (ab_rendezvous_hash (a) * GOLDEN
+                            + ab_rendezvous_hash (b));
+}
+
+uint64_t
+ab_rendezvous_score (uint64_t subject, uint64_t node)
+{
+  return ab_rendezvous_mix (ab_rendezvous_mix (subject + GOLDEN) ^ node);
+}
--- /dev/null
+++ b/src/rendezvous.h
@@ -0,0 +1,27 @@
+/* Highest-random-weight (rendezvous) choice.
+
+   Each pair of a subject and a node has a score that every process computes
+   from the two names alone.  The node with the highest score is chosen; when
+   it leaves, only its own subjects move.  */
+
+#ifndef AB_RENDEZVOUS_H
+#define AB_RENDEZVOUS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "chunk.h"
+
+/* 64-bit hash of a name; kept by callers that score often.  */
+uint64_t ab_rendezvous_hash (struct ab_chunk name);
+
+/* Hash of two names in order, as service and failure domain.  */
+uint64_t ab_rendezvous_hash_pair (struct ab_chunk a, struct ab_chunk b);
+
+/* Score of NODE for SUBJECT, both hashes of names.  */
+uint64_t ab_rendezvous_score (uint64_t subject, uint64_t node);
+
+/* A bijective mix of 64 bits (the finaliser of SplitMix64).  */
+uint64_t ab_rendezvous_mix (uint64_t value);
+
+#endif
