Add the member task with the interface for targets and callers

Announcements, renewals, drains and ends of targets come over HTTP to any entry host, which becomes the registrar; callers ask for addresses. Paths below /v1/targets/ hold an id, which the listener cannot match, so the owner of its general callback passes them on with ab_member_task_serve_http.

With probes every 100 ms, probes alone took all tokens and changes did not spread between two hosts; the budget now grows with the probe rate, and urgent changes always go along with probes.

--- a/src/member_gossip.c
+++ b/src/member_gossip.c
@@ -12,6 +12,8 @@
 /* Tokens that changes leave for probes and answers.  */
 #define PROBE_RESERVE 300
 #define SECOND_MS 1000
+/* A ping and an answer, each way of one probe.  */
+#define PROBE_BYTES 600
 #define ITEM_BYTES_TYPICAL 96
 #define ARRAY_HEADER_BYTES 3
 /* With more changes than this, each is sent less often: they would queue for
@@ -311,11 +313,20 @@
     }
 }
 
+/* Bytes a second.  An operator who has hosts probed more often than once a
+   second pays for it; it must not take the tokens from changes.  */
+static double
+rate (const struct ab_membership *m)
+{
+  double probes = (double)SECOND_MS / (double)m->config.probe_interval_ms;
+
+  return AB_MEMBER_RATE + (probes > 1 ? (probes - 1) * PROBE_BYTES : 0);
+}
+
 static void
 refill (struct ab_membership *m)
 {
-  double added
-      = (double)(m->now_ms - m->tokens_ms) * AB_MEMBER_RATE / SECOND_MS;
+  double added = (double)(m->now_ms - m->tokens_ms) * rate (m) / SECOND_MS;
 
   m->tokens_ms = m->now_ms;
   m->tokens += added;
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -24,13 +24,13 @@
 static void
 pack_ping (struct ab_membership *m, uint32_t number, struct ab_member *first)
 {
-  size_t bytes = m->tokens > PIGGYBACK_BYTES ? PIGGYBACK_BYTES : 0;
-
   ab_buf_clear (&m->packet);
   ab_pack_array (&m->packet, 3);
   ab_pack_u64 (&m->packet, number);
   ab_pack_bytes (&m->packet, ab_chunk_str (m->self->item.host.peers));
-  member_pack_hot (m, first, bytes, true);
+  /* Urgent changes go along even without tokens, so that a host which answers
+     many probes still spreads them.  */
+  member_pack_hot (m, first, PIGGYBACK_BYTES, m->tokens > PIGGYBACK_BYTES);
 }
 
 static struct ab_member *
--- a/src/member_query.c
+++ b/src/member_query.c
@@ -1,21 +1,36 @@
 #include "member_core.h"
 #include "rendezvous.h"
 
+static bool
+is_shown (const struct ab_member *member, bool gone)
+{
+  return gone || (!member->hidden && !ab_item_gone (&member->item));
+}
+
+static void
+visit_hosts (const struct ab_membership *m, bool gone, ab_item_visitor visit,
+             void *ctx)
+{
+  for (size_t i = 0; i < m->host_count; i++)
+    if (is_shown (m->hosts[i], gone) && !visit (ctx, &m->hosts[i]->item))
+      return;
+}
+
 void
 ab_membership_visit (const struct ab_membership *m, enum ab_item_kind kind,
                      bool gone, ab_item_visitor visit, void *ctx)
 {
+  if (kind == AB_ITEM_HOST)
+    {
+      visit_hosts (m, gone, visit, ctx);
+      return;
+    }
   for (size_t i = 0; i < MEMBER_LEAVES; i++)
     for (const struct ab_member *member = m->leaves[i]; member;
          member = member->next)
-      {
-        if (member->item.kind != kind)
-          continue;
-        if ((member->hidden || ab_item_gone (&member->item)) && !gone)
-          continue;
-        if (!visit (ctx, &member->item))
-          return;
-      }
+      if (member->item.kind == kind && is_shown (member, gone)
+          && !visit (ctx, &member->item))
+        return;
 }
 
 const struct ab_item *
@@ -64,6 +79,19 @@
   return m->joined;
 }
 
+uint64_t
+ab_membership_target_incarnation (const struct ab_membership *m,
+                                  struct ab_chunk service,
+                                  struct ab_chunk address)
+{
+  const struct ab_member *member
+      = member_find (m, ab_item_target_key (service, address));
+
+  return member && member->item.kind == AB_ITEM_TARGET
+             ? member->item.incarnation
+             : 0;
+}
+
 uint64_t
 ab_membership_digest (const struct ab_membership *m)
 {
--- /dev/null
+++ b/src/member_state_task.h
@@ -0,0 +1,62 @@
+/* What the files of the member task share: the task itself (member_task.c),
+   the HTTP interface (member_http_task.c) and the choice of hosts
+   (member_choice_task.c).  */
+
+#ifndef AB_MEMBER_STATE_TASK_H
+#define AB_MEMBER_STATE_TASK_H
+
+#include "lease.h"
+#include "member_task.h"
+#include "membership.h"
+
+#define MEMBER_LISTENERS_MAX 8
+
+struct event;
+struct member_choices;
+
+struct member_change; /* For the listeners, in member_task.c.  */
+
+struct ab_member_task
+{
+  struct ab_membership_env env; /* Must be first.  */
+  struct ab_daemon *daemon;
+  struct ab_membership *m;
+  struct ab_leases *leases;
+  struct ab_rng rng;
+  struct event *tick;
+  struct event *notify;
+  struct member_change *changes;
+  struct
+  {
+    ab_host_listener listener;
+    void *ctx;
+  } host_listeners[MEMBER_LISTENERS_MAX];
+  struct
+  {
+    ab_target_listener listener;
+    void *ctx;
+  } target_listeners[MEMBER_LISTENERS_MAX];
+  size_t host_listener_count;
+  size_t target_listener_count;
+  struct member_choices *choices; /* Cache of dispatchers.  */
+  uint64_t ticked_ms;
+  size_t changes_left; /* Lease changes that may go on in this tick.  */
+  bool leaving;
+  bool ready;
+};
+
+uint64_t member_now_ms (void);
+
+/* Passes changes of leases on to the view, within this tick's bound.  */
+void member_flush_leases (struct ab_member_task *task);
+
+/* Forgets cached choices, after a change of a host.  */
+void member_choices_clear (struct ab_member_task *task);
+
+/* Hosts for a caller in FAILURE_DOMAIN, in order; at most MAX.  */
+size_t member_choose_addresses (struct ab_member_task *task,
+                                struct ab_chunk service,
+                                struct ab_chunk failure_domain,
+                                const struct ab_host_view **hosts, size_t max);
+
+#endif
--- a/src/member_task.h
+++ b/src/member_task.h
@@ -15,6 +15,7 @@
 #include "member_item.h"
 
 struct evhttp;
+struct evhttp_request;
 
 /* Called for each item; returns false to stop.  */
 typedef bool (*ab_host_visitor) (void *ctx, const struct ab_host_view *host);
@@ -30,11 +31,17 @@
                         struct ab_member_task **task);
 void ab_member_task_free (struct ab_member_task *task);
 
-/* Adds the HTTP interface for targets (/v1/targets...) and callers
+/* Adds the HTTP interface for targets (/v1/targets) and callers
    (/v1/addresses) to the callers' listener.  */
 int ab_member_task_bind_http (struct ab_member_task *task,
                               struct evhttp *http);
 
+/* Answers REQ when its path is below /v1/targets/ and returns true.  The
+   listener matches whole paths only, so the owner of its general callback
+   must call this first.  */
+bool ab_member_task_serve_http (struct ab_member_task *task,
+                                struct evhttp_request *req);
+
 /* Commands.  */
 
 /* Marks this host as leaving: other hosts stop naming it in answers.  */
--- a/src/membership.h
+++ b/src/membership.h
@@ -12,7 +12,8 @@
    raising its version.
 
    Bytes: all that is sent is charged to a token bucket of AB_MEMBER_RATE bytes
-   a second.  Probes and their answers always pass; changes and repairs wait
+   a second, and more when hosts are probed more often than once a second.
+   Probes and their answers always pass; changes and repairs wait
    for tokens, urgent changes (draining, leaving, suspicion) first.  */
 
 #ifndef AB_MEMBERSHIP_H
@@ -150,6 +151,11 @@
 const struct ab_item *ab_membership_find_target (const struct ab_membership *m,
                                                  struct ab_chunk service,
                                                  struct ab_chunk address);
+/* The newest incarnation known, of a target that is gone too; 0 when none
+   is.  */
+uint64_t ab_membership_target_incarnation (const struct ab_membership *m,
+                                           struct ab_chunk service,
+                                           struct ab_chunk address);
 const struct ab_item *
 ab_membership_find_quarantine (const struct ab_membership *m,
                                const struct ab_digest *content);
--- a/src/peer_link_task.c
+++ b/src/peer_link_task.c
@@ -159,7 +159,7 @@
 static int
 set_options (struct link *link)
 {
-  static const struct
+  const struct
   {
     int option;
     int value;
@@ -172,7 +172,7 @@
                   { ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS },
                   { ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS },
                   { ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS },
-                  { ZMQ_IPV6, 1 } };
+                  { ZMQ_IPV6, link->address[0] == '[' } };
   const struct ab_peer_links *links = link->owner;
   const char *server = links->keys[link->key % links->key_count];
   void *zmq = link->socket.zmq;
--- a/src/peer_task.c
+++ b/src/peer_task.c
@@ -322,7 +322,7 @@
                          sizeof max_bytes)
              < 0
       || ab_peer_socket_set (router, ZMQ_LINGER, 0) < 0
-      || ab_peer_socket_set (router, ZMQ_IPV6, 1) < 0
+      || ab_peer_socket_set (router, ZMQ_IPV6, address[0] == '[') < 0
       || zmq_setsockopt (router->zmq, ZMQ_CURVE_SECRETKEY,
                          task->pair.secret_key, AB_CURVE_KEY_BYTES)
              < 0
