--- /dev/null
+++ b/bench/policy_world_lib.h
@@ -0,0 +1,177 @@
+/* Inside of the fakes; see policy_fake_lib.h.  */
+
+#ifndef POLICY_WORLD_LIB_H
+#define POLICY_WORLD_LIB_H
+
+#include "dispatcher.h"
+#include "policy_fake_lib.h"
+#include "retry_budget.h"
+
+#define FAKE_QUEUE_MAX 64
+#define FAKE_ATTEMPTS 3
+#define FAKE_HOP_US 300     /* Between hosts of a failure domain.  */
+#define FAKE_TARGET_US 500  /* From a host to a target and back.  */
+#define FAKE_REGION_US 1000 /* Between domains of a region.  */
+#define FAKE_FAR_US 20000   /* Between regions.  */
+#define FAKE_BINS_PER_S 10
+#define FAKE_BINS (FAKE_SECONDS_MAX * FAKE_BINS_PER_S)
+
+enum fake_event_kind
+{
+  FAKE_EV_ARRIVAL,
+  FAKE_EV_ASK,      /* A: request; B: domain.  */
+  FAKE_EV_GRANTED,  /* A: request; B: target.  */
+  FAKE_EV_REFUSED,  /* A: request; B: whether to spill.  */
+  FAKE_EV_REACH,    /* A: request; B: target.  */
+  FAKE_EV_DONE,     /* A: request; B: target.  */
+  FAKE_EV_ANSWER,   /* A: request; B: outcome kind.  */
+  FAKE_EV_DEADLINE, /* A: request.  */
+  FAKE_EV_TICK,
+  FAKE_EV_EVIDENCE,
+  FAKE_EV_PERMIT, /* A: domain; B: granted.  */
+  FAKE_EV_PROBED, /* A: target; B: healthy.  */
+  FAKE_EV_CRASH,
+  FAKE_EV_RESTART, /* A: target.  */
+  FAKE_EV_DEATH
+};
+
+struct fake_event
+{
+  uint64_t at_us;
+  uint64_t order;
+  enum fake_event_kind kind;
+  int a;
+  int b;
+  uint32_t gen;
+};
+
+struct fake_request
+{
+  bool used;
+  bool sent;
+  bool killer;
+  uint32_t gen; /* Changes with each attempt; old events are ignored.  */
+  int host;
+  int target;
+  int domain; /* Whose dispatcher is asked.  */
+  int spills;
+  int attempts;
+  int kills;
+  uint64_t arrival_us;
+  uint64_t deadline_us;
+  uint64_t sent_us;
+  uint64_t grant;
+  bool granted;
+  int excluded[AB_DISPATCHER_EXCLUDED_MAX];
+  size_t excluded_count;
+};
+
+struct fake_job
+{
+  int request;
+  uint32_t gen;
+};
+
+struct fake_target
+{
+  char name[16];
+  int domain;
+  uint64_t incarnation;
+  bool down;
+  bool out; /* Ejected by the dispatcher.  */
+  uint64_t started_us;
+  struct fake_job busy[FAKE_SLOTS_MAX];
+  size_t busy_count;
+  struct fake_job queue[FAKE_QUEUE_MAX];
+  size_t queue_count;
+};
+
+/* What one host keeps for the policies without dispatcher.  */
+struct fake_host
+{
+  char name[16];
+  struct ab_retry_budget budget;
+  int next;
+  int outstanding[FAKE_TARGETS_MAX];
+  int errors[FAKE_TARGETS_MAX];
+  int times[FAKE_TARGETS_MAX];
+  uint64_t out_until_us[FAKE_TARGETS_MAX];
+  int leased[FAKE_TARGETS_MAX];
+  uint64_t demand;
+  int waiting[512];
+  size_t waiting_count;
+};
+
+struct fake_world;
+
+struct fake_env
+{
+  struct ab_dispatcher_env env;
+  struct fake_world *world;
+  int domain;
+  struct ab_dispatcher *dispatcher;
+};
+
+struct fake_world
+{
+  struct fake_setup setup;
+  struct fake_result *result;
+  uint64_t now_us;
+  uint64_t order;
+  struct ab_rng rng;
+  struct ab_rng choice_rng;
+  struct fake_event *heap;
+  size_t heap_count;
+  size_t heap_size;
+  struct fake_request *requests;
+  size_t request_count;
+  struct fake_target targets[FAKE_TARGETS_MAX];
+  struct fake_host hosts[FAKE_HOSTS];
+  struct fake_env domains[FAKE_DOMAINS];
+  size_t permits_out;
+  int sick;
+  uint64_t first_bad_us;
+  uint32_t sick_sends[FAKE_BINS]; /* That the fault touches, by time.  */
+};
+
+/* policy_fake_lib.c  */
+void fake_push (struct fake_world *world, uint64_t at_us,
+                enum fake_event_kind kind, int a, int b, uint32_t gen);
+bool fake_fault_on (const struct fake_world *world);
+void fake_start_attempt (struct fake_world *world, int request);
+void fake_finish (struct fake_world *world, int request, bool good,
+                  bool refused);
+/* Sends REQUEST to TARGET.  */
+void fake_send (struct fake_world *world, int request, int target);
+
+/* policy_target_lib.c  */
+void fake_reach (struct fake_world *world, int request, int target,
+                 uint32_t gen);
+void fake_done (struct fake_world *world, int request, int target,
+                uint32_t gen);
+void fake_cancel (struct fake_world *world, int request);
+void fake_crash (struct fake_world *world, int target, uint64_t down_ms);
+void fake_restart (struct fake_world *world, int target);
+bool fake_touches (const struct fake_world *world, int host, int target);
+bool fake_lost (const struct fake_world *world, int host, int target);
+
+/* policy_choice_lib.c: policies without dispatcher.  */
+void fake_choose (struct fake_world *world, int request);
+void fake_chosen_done (struct fake_world *world, int request,
+                       enum ab_outcome_kind kind);
+void fake_divide_leases (struct fake_world *world);
+
+/* policy_dispatch_lib.c: the dispatchers.  */
+void fake_dispatch_new (struct fake_world *world);
+void fake_dispatch_free (struct fake_world *world);
+void fake_dispatch_start (struct fake_world *world, int request);
+void fake_dispatch_ask (struct fake_world *world, int request, int domain);
+void fake_dispatch_refused (struct fake_world *world, int request, bool spill);
+void fake_dispatch_outcome (struct fake_world *world, int request,
+                            enum ab_outcome_kind kind);
+void fake_dispatch_cancel (struct fake_world *world, int request);
+void fake_dispatch_tick (struct fake_world *world);
+void fake_dispatch_evidence (struct fake_world *world);
+void fake_dispatch_target (struct fake_world *world, int target, bool warm);
+
+#endif
--- /dev/null
+++ b/src/detector.c
@@ -0,0 +1,332 @@
+#include "detector.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "detector_impl.h"
+#include "error.h"
+
+/* Scores at which a target is sick, for weights 0 and 1.  A score of 16 is
+   reached by chance about once in e^16 requests, 9 once in e^9 at worst.  */
+#define THRESHOLD_CAREFUL 16.0
+#define THRESHOLD_FAST 9.0
+/* A target counts as stalled when it finished nothing for this many times
+   the longest normal latency.  */
+#define STALL_CAREFUL 10.0
+#define STALL_FAST 4.0
+/* For this long after an ejection a smaller score is enough.  */
+#define WARY_MS 30000
+/* One request may add at most this fraction of the threshold, so that no
+   verdict rests on fewer than three requests.  */
+#define SHARE_OF_ONE (1.0 / 3)
+/* Bad requests that overlap in time may have one cause, such as a pause for
+   garbage collection; all but the first count for less.  */
+#define OVERLAP_LATENCY 0.35
+#define OVERLAP_ERROR 0.5
+/* Old evidence fades with this time constant.  */
+#define FADE_MS 30000.0
+/* Share of errors of a sick target, at least.  */
+#define SICK_ERRORS 0.2
+#define SICK_OVER_NORMAL 5.0
+/* Connections that break are rarer than errors in normal operation, and a
+   target that sheds is busy rather than sick.  */
+#define BROKEN_RARITY 0.4
+#define SHED_WEIGHT 0.3
+/* Steps of the running median of a target, in log latency.  */
+#define STEP_FIRST 0.2
+#define STEP 0.05
+#define STEP_TYPICAL 0.005
+#define FIRST_SAMPLES 10
+
+struct ab_detector *
+ab_detector_new (double weight)
+{
+  struct ab_detector *detector = calloc (1, sizeof *detector);
+
+  if (!detector)
+    return NULL;
+  ab_detector_set_weight (detector, weight);
+  return detector;
+}
+
+void
+ab_detector_free (struct ab_detector *detector)
+{
+  if (!detector)
+    return;
+  for (size_t i = 0; i < detector->target_count; i++)
+    free (detector->targets[i].in_flight);
+  free (detector->targets);
+  free (detector->remotes);
+  free (detector);
+}
+
+void
+ab_detector_set_weight (struct ab_detector *detector, double weight)
+{
+  weight = fmin (1, fmax (0, weight));
+  detector->threshold
+      = THRESHOLD_CAREFUL + weight * (THRESHOLD_FAST - THRESHOLD_CAREFUL);
+  detector->stall_factor
+      = STALL_CAREFUL + weight * (STALL_FAST - STALL_CAREFUL);
+}
+
+int
+ab_detector_add (struct ab_detector *detector, uint32_t hash, uint64_t cold_ms,
+                 uint64_t now_ms)
+{
+  struct ab_detector_target *target;
+  size_t at = 0;
+
+  while (at < detector->target_count && detector->targets[at].used)
+    at++;
+  if (at == AB_DETECTOR_TARGETS_MAX)
+    return AB_ERR_FULL;
+  if (at == detector->target_count)
+    {
+      target
+          = realloc (detector->targets, (at + 1) * sizeof *detector->targets);
+      if (!target)
+        return AB_ERR_MEMORY;
+      detector->targets = target;
+      detector->target_count++;
+    }
+  detector->targets[at]
+      = (struct ab_detector_target){ .used = true,
+                                     .hash = hash,
+                                     .scored_ms = now_ms,
+                                     .cold_until_ms = now_ms + cold_ms };
+  return (int)at;
+}
+
+void
+ab_detector_remove (struct ab_detector *detector, int target)
+{
+  free (detector->targets[target].in_flight);
+  detector->targets[target] = (struct ab_detector_target){ .used = false };
+}
+
+void
+ab_detector_reset (struct ab_detector *detector, int target, bool wary,
+                   uint64_t cold_ms, uint64_t now_ms)
+{
+  struct ab_detector_target *at = &detector->targets[target];
+
+  at->latency_score = 0;
+  at->error_score = 0;
+  at->scored_ms = now_ms;
+  at->bad_end_ms = 0;
+  at->cold_until_ms = now_ms + cold_ms;
+  at->wary_until_ms = wary ? now_ms + WARY_MS : 0;
+  at->paths = (struct ab_path_table){ 0 };
+  for (size_t i = 0; i < AB_DETECTOR_CLASSES_MAX; i++)
+    at->classes[i].samples = 0;
+}
+
+int
+ab_detector_class (struct ab_detector *detector, struct ab_chunk name)
+{
+  struct ab_detector_class *at;
+
+  for (size_t i = 0; i < detector->class_count; i++)
+    if (ab_chunk_equal (name, ab_chunk_str (detector->classes[i].name)))
+      return (int)i;
+  if (detector->class_count == AB_DETECTOR_CLASSES_MAX)
+    return AB_DETECTOR_CLASSES_MAX - 1;
+  at = &detector->classes[detector->class_count];
+  if (!ab_chunk_copy (name, at->name, sizeof at->name))
+    return AB_DETECTOR_CLASSES_MAX - 1;
+  return (int)detector->class_count++;
+}
+
+int
+ab_detector_start (struct ab_detector *detector, int target, int class_id,
+                   uint32_t path, uint64_t now_ms)
+{
+  struct ab_detector_target *at = &detector->targets[target];
+  size_t free_one = 0;
+
+  while (free_one < at->in_flight_size && at->in_flight[free_one].used)
+    free_one++;
+  if (free_one == AB_DETECTOR_IN_FLIGHT_MAX)
+    return AB_ERR_FULL;
+  if (free_one == at->in_flight_size)
+    {
+      struct ab_in_flight *grown
+          = realloc (at->in_flight, (free_one + 1) * sizeof *grown);
+
+      if (!grown)
+        return AB_ERR_MEMORY;
+      at->in_flight = grown;
+      at->in_flight_size++;
+    }
+  at->in_flight[free_one] = (struct ab_in_flight){
+    .used = true, .class_id = class_id, .path = path, .start_ms = now_ms
+  };
+  return (int)free_one;
+}
+
+static void
+fade (struct ab_detector_target *target, uint64_t now_ms)
+{
+  double factor;
+
+  if (now_ms <= target->scored_ms)
+    return;
+  factor = exp (-(double)(now_ms - target->scored_ms) / FADE_MS);
+  target->latency_score *= factor;
+  target->error_score *= factor;
+  target->scored_ms = now_ms;
+}
+
+/* Moves the running medians by the log latency X.  */
+static void
+learn_latency (struct ab_detector *detector, struct ab_detector_target *target,
+               int class_id, double x, bool learn_shape, uint64_t now_ms)
+{
+  struct ab_class_view *view = &target->classes[class_id];
+  struct ab_detector_class *class = &detector->classes[class_id];
+  double step = view->samples < FIRST_SAMPLES ? STEP_FIRST : STEP;
+
+  if (class->samples++ == 0)
+    class->typical = x;
+  if (view->samples++ == 0)
+    view->location = view->peers_ms ? view->peer_location : x;
+  if (learn_shape && view->samples > FIRST_SAMPLES)
+    ab_baseline_learn (&class->baseline, x - view->location);
+  view->location += x > view->location ? step : -step;
+  class->typical += x > class->typical ? STEP_TYPICAL : -STEP_TYPICAL;
+  view->last_ms = now_ms;
+}
+
+static double
+latency_llr (struct ab_detector *detector, struct ab_detector_target *target,
+             int class_id, double x, uint64_t now_ms)
+{
+  const struct ab_class_view *view = &target->classes[class_id];
+  double p;
+
+  if (!ab_detector_peers (detector, target, class_id, now_ms))
+    return 0;
+  p = ab_baseline_tail (&detector->classes[class_id].baseline,
+                        x - view->peer_location - view->tolerance);
+  return p >= 1 ? 0 : ab_baseline_llr (p);
+}
+
+/* How much OUTCOME looks like an error, 0 to 1.  */
+static double
+error_part (enum ab_outcome_kind kind)
+{
+  switch (kind)
+    {
+    case AB_OUTCOME_ERROR:
+    case AB_OUTCOME_RESET:
+    case AB_OUTCOME_REFUSED:
+      return 1;
+    case AB_OUTCOME_SHED:
+      return SHED_WEIGHT;
+    default:
+      return 0;
+    }
+}
+
+static double
+error_llr (const struct ab_detector_class *class, enum ab_outcome_kind kind)
+{
+  double normal = ab_baseline_error_share (&class->baseline);
+  double sick = fmin (0.95, fmax (SICK_ERRORS, SICK_OVER_NORMAL * normal));
+
+  if (sick <= normal)
+    return 0;
+  if (kind == AB_OUTCOME_RESET || kind == AB_OUTCOME_REFUSED)
+    return log (sick / (normal * BROKEN_RARITY));
+  if (error_part (kind) > 0)
+    return error_part (kind) * log (sick / normal);
+  return log ((1 - sick) / (1 - normal));
+}
+
+/* Adds LLR to *SCORE, less for a bad request that overlaps another.  */
+static void
+add_llr (double *score, double llr, bool overlaps, double discount,
+         double limit)
+{
+  if (llr > limit * SHARE_OF_ONE)
+    llr = limit * SHARE_OF_ONE;
+  if (llr > 0 && overlaps)
+    llr *= discount;
+  *score = fmax (0, *score + llr);
+}
+
+/* Whether the outcome tells how long the target takes.  */
+static bool
+has_latency (enum ab_outcome_kind kind)
+{
+  return kind == AB_OUTCOME_OK || kind == AB_OUTCOME_TIMEOUT;
+}
+
+static double
+score_outcome (struct ab_detector *detector, struct ab_detector_target *target,
+               const struct ab_in_flight *entry,
+               const struct ab_outcome *outcome, uint64_t now_ms)
+{
+  struct ab_detector_class *class = &detector->classes[entry->class_id];
+  double limit = ab_detector_limit (detector, target, now_ms);
+  bool cold = now_ms < target->cold_until_ms;
+  bool calm = ab_detector_score (detector, target, now_ms) < limit / 4;
+  double x = log (fmax (1, (double)outcome->latency_us));
+  double slow = 0;
+  double error = error_llr (class, outcome->kind);
+  bool overlaps = entry->start_ms < target->bad_end_ms;
+
+  if (has_latency (outcome->kind) && !cold)
+    {
+      slow = latency_llr (detector, target, entry->class_id, x, now_ms);
+      /* A deadline that passed early tells little, not that all is well.  */
+      if (outcome->kind == AB_OUTCOME_TIMEOUT)
+        slow = fmax (0, slow);
+      else
+        learn_latency (detector, target, entry->class_id, x, calm, now_ms);
+    }
+  if (calm)
+    ab_baseline_learn_error (&class->baseline, error_part (outcome->kind));
+  add_llr (&target->latency_score, slow, overlaps, OVERLAP_LATENCY, limit);
+  add_llr (&target->error_score, error, overlaps, OVERLAP_ERROR, limit);
+  return slow > 0 || error > 0 ? fmax (slow, error) : slow + error;
+}
+
+double
+ab_detector_finish (struct ab_detector *detector, int target, int ticket,
+                    const struct ab_outcome *outcome, uint64_t now_ms)
+{
+  struct ab_detector_target *at = &detector->targets[target];
+  struct ab_in_flight entry;
+  struct ab_path_score *path;
+  double llr;
+
+  if (ticket < 0 || (size_t)ticket >= at->in_flight_size
+      || !at->in_flight[ticket].used)
+    return 0;
+  entry = at->in_flight[ticket];
+  at->in_flight[ticket].used = false;
+  if (outcome->kind == AB_OUTCOME_UNUSED
+      || outcome->kind == AB_OUTCOME_CANCELLED)
+    return 0;
+  at->outcomes++;
+  at->classes[entry.class_id].outcomes++;
+  if (error_part (outcome->kind) >= 1)
+    at->classes[entry.class_id].errors++;
+  fade (at, now_ms);
+  path = ab_path_find (&at->paths, entry.path, now_ms);
+  if (now_ms < path->avoid_until_ms && outcome->kind != AB_OUTCOME_OK)
+    return 0;
+  llr = score_outcome (detector, at, &entry, outcome, now_ms);
+  ab_path_add (path, llr, entry.start_ms, now_ms);
+  if (llr < 0)
+    at->answer_ms = entry.start_ms;
+  if (llr > 1)
+    {
+      at->bad++;
+      at->bad_end_ms = now_ms;
+    }
+  return llr;
+}
--- /dev/null
+++ b/src/detector_impl.h
@@ -0,0 +1,100 @@
+/* Structures shared by the files of the detector; see detector.h.  */
+
+#ifndef AB_DETECTOR_IMPL_H
+#define AB_DETECTOR_IMPL_H
+
+#include "baseline.h"
+#include "detector.h"
+#include "path_score.h"
+#include "settings.h"
+
+struct ab_in_flight
+{
+  bool used;
+  int class_id;
+  uint32_t path;
+  uint64_t start_ms;
+};
+
+/* What is known of one target in one class.  */
+struct ab_class_view
+{
+  double location; /* Running median of the log latency.  */
+  uint64_t samples;
+  uint64_t last_ms;
+  uint32_t outcomes; /* Since the last export.  */
+  uint32_t errors;
+  /* The peers' median and the tolerance, computed at PEERS_MS.  */
+  double peer_location;
+  double tolerance;
+  uint64_t peers_ms;
+};
+
+struct ab_detector_target
+{
+  bool used;
+  uint32_t hash;
+  uint64_t cold_until_ms;
+  uint64_t wary_until_ms;
+  double latency_score;
+  double error_score;
+  uint64_t scored_ms;  /* When the scores were decayed last.  */
+  uint64_t bad_end_ms; /* End of the last bad request.  */
+  uint64_t answer_ms;  /* Start of the last request with a good end.  */
+  uint64_t outcomes;
+  uint64_t bad;
+  struct ab_class_view classes[AB_DETECTOR_CLASSES_MAX];
+  struct ab_path_table paths;
+  struct ab_in_flight *in_flight;
+  size_t in_flight_size;
+};
+
+struct ab_detector_class
+{
+  char name[AB_NAME_BYTES];
+  struct ab_baseline baseline;
+  double typical; /* Slow running median over all targets.  */
+  uint64_t samples;
+};
+
+struct ab_remote
+{
+  uint32_t target;
+  int class_id;
+  double location;
+  bool suspect;
+  uint64_t at_ms;
+};
+
+struct ab_detector
+{
+  double threshold;
+  double stall_factor;
+  struct ab_detector_target *targets;
+  size_t target_count;
+  struct ab_detector_class classes[AB_DETECTOR_CLASSES_MAX];
+  size_t class_count;
+  struct ab_remote *remotes;
+  size_t remote_count;
+};
+
+/* The peers' median of a class for TARGET, less what counts as normal
+   spread; false when there is none.  */
+bool ab_detector_peers (struct ab_detector *detector,
+                        struct ab_detector_target *target, int class_id,
+                        uint64_t now_ms);
+
+/* Evidence of the requests in flight that take longer than usual.  */
+double ab_detector_overdue (const struct ab_detector *detector,
+                            const struct ab_detector_target *target,
+                            uint64_t now_ms, uint64_t *count);
+
+double ab_detector_score (const struct ab_detector *detector,
+                          const struct ab_detector_target *target,
+                          uint64_t now_ms);
+
+double ab_detector_limit (const struct ab_detector *detector,
+                          const struct ab_detector_target *target,
+                          uint64_t now_ms);
+
+#endif
--- a/src/dispatch_task.h
+++ b/src/dispatch_task.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 
 #include "daemon.h"
+#include "outcome.h"
 
 #define AB_REQUEST_ID_BYTES 64
 #define AB_EXCLUDED_MAX 4
@@ -37,24 +38,6 @@
   uint64_t max_connections;       /* Of this host to this target.  */
 };
 
-enum ab_outcome_kind
-{
-  AB_OUTCOME_OK,        /* Whole response, status below 500.  */
-  AB_OUTCOME_ERROR,     /* Whole response, status 500 or above.  */
-  AB_OUTCOME_SHED,      /* The target's own refusal for load.  */
-  AB_OUTCOME_REFUSED,   /* No connection.  */
-  AB_OUTCOME_RESET,     /* Connection lost before the whole response.  */
-  AB_OUTCOME_TIMEOUT,   /* Deadline passed without a whole response.  */
-  AB_OUTCOME_CANCELLED, /* The caller went away.  */
-  AB_OUTCOME_UNUSED     /* The grant was not used.  */
-};
-
-struct ab_outcome
-{
-  enum ab_outcome_kind kind;
-  uint64_t latency_us;
-};
-
 struct ab_dispatch_ask;
 
 /* RC: 0 with a grant; AB_ERR_FULL (shed: queue full or deadline cannot be
--- /dev/null
+++ b/src/dispatcher.c
@@ -0,0 +1,531 @@
+#include "dispatcher.h"
+
+#include <stdlib.h>
+
+#include "dispatcher_impl.h"
+#include "error.h"
+
+/* A slot whose outcome never comes is freed this long after the request's
+   deadline: time for the outcome to arrive from another region.  */
+#define LOST_MARGIN_MS 500
+#define OCCUPANCY_STEP 0.05
+/* Penalties in the choice among targets; 1 equals a full load.  */
+#define SHED_PENALTY 0.5
+#define BROKEN_PENALTY 1.0
+#define ERROR_PENALTY 0.3
+/* Log likelihood ratio up to which a request on probation was good.  */
+#define PROBATION_LLR_MAX 0.5
+
+struct ab_dispatcher *
+ab_dispatcher_new (struct ab_dispatcher_env *env,
+                   const struct ab_dispatcher_options *options,
+                   struct ab_rng *rng)
+{
+  struct ab_dispatcher *dispatcher = calloc (1, sizeof *dispatcher);
+
+  if (!dispatcher)
+    return NULL;
+  dispatcher->env = env;
+  dispatcher->rng = rng;
+  dispatcher->options = *options;
+  dispatcher->detector = ab_detector_new (options->detection_weight);
+  if (!dispatcher->detector)
+    {
+      free (dispatcher);
+      return NULL;
+    }
+  return dispatcher;
+}
+
+/* A free place in the table of grants, or null.  */
+static struct ab_dgrant *
+take_grant (struct ab_dispatcher *dispatcher)
+{
+  struct ab_dgrant *grant;
+  size_t at;
+
+  if (dispatcher->grant_free == 0)
+    {
+      at = dispatcher->grant_size;
+      if (at == AB_DGRANTS_MAX)
+        return NULL;
+      grant = realloc (dispatcher->grants, (at + 1) * sizeof *grant);
+      if (!grant)
+        return NULL;
+      dispatcher->grants = grant;
+      dispatcher->grants[at] = (struct ab_dgrant){ .next_free = 0 };
+      dispatcher->grant_size++;
+      dispatcher->grant_free = at + 1;
+    }
+  at = dispatcher->grant_free - 1;
+  grant = &dispatcher->grants[at];
+  dispatcher->grant_free = grant->next_free;
+  *grant = (struct ab_dgrant){
+    .used = true,
+    .id = (++dispatcher->grant_serial << AB_DGRANT_INDEX_BITS) | at
+  };
+  return grant;
+}
+
+static void
+drop_grant (struct ab_dispatcher *dispatcher, struct ab_dgrant *grant)
+{
+  grant->used = false;
+  grant->next_free = dispatcher->grant_free;
+  dispatcher->grant_free = (size_t)(grant - dispatcher->grants) + 1;
+}
+
+void
+ab_dispatcher_free (struct ab_dispatcher *dispatcher)
+{
+  if (!dispatcher)
+    return;
+  free (dispatcher->grants);
+  for (size_t i = 0; i < dispatcher->queued; i++)
+    free (dispatcher->queue[i]);
+  free (dispatcher->queue);
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    free (dispatcher->targets[i]);
+  free (dispatcher->targets);
+  ab_detector_free (dispatcher->detector);
+  free (dispatcher);
+}
+
+void
+ab_dispatcher_configure (struct ab_dispatcher *dispatcher,
+                         const struct ab_dispatcher_options *options)
+{
+  dispatcher->options = *options;
+  ab_detector_set_weight (dispatcher->detector, options->detection_weight);
+}
+
+static struct ab_dtarget *
+find_target (const struct ab_dispatcher *dispatcher, const char *address)
+{
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    if (strcmp (dispatcher->targets[i]->address, address) == 0)
+      return dispatcher->targets[i];
+  return NULL;
+}
+
+static int
+add_target (struct ab_dispatcher *dispatcher, const char *address,
+            uint64_t cold_ms, uint64_t now_ms, struct ab_dtarget **target)
+{
+  struct ab_dtarget **grown
+      = realloc (dispatcher->targets, (dispatcher->target_count + 1)
+                                          * sizeof (struct ab_dtarget *));
+
+  if (!grown)
+    return AB_ERR_MEMORY;
+  dispatcher->targets = grown;
+  *target = calloc (1, sizeof **target);
+  if (!*target)
+    return AB_ERR_MEMORY;
+  (*target)->evidence = ab_detector_add (
+      dispatcher->detector, ab_dispatcher_hash (address), cold_ms, now_ms);
+  if ((*target)->evidence < 0)
+    {
+      int rc = (*target)->evidence;
+
+      free (*target);
+      return rc;
+    }
+  ab_chunk_copy (ab_chunk_str (address), (*target)->address,
+                 sizeof (*target)->address);
+  grown[dispatcher->target_count++] = *target;
+  return 0;
+}
+
+static void
+warm_up (struct ab_dtarget *target, uint64_t cold_ms, uint64_t now_ms)
+{
+  target->warm_since_ms = now_ms;
+  target->warm_at_ms = now_ms + cold_ms;
+}
+
+/* A new process at the same address: nothing known of the old one holds.  */
+static void
+restart_target (struct ab_dispatcher *dispatcher, struct ab_dtarget *target,
+                uint64_t incarnation, uint64_t now_ms)
+{
+  struct ab_evidence evidence = { .cause = AB_CAUSE_COLD };
+
+  target->incarnation = incarnation;
+  target->in_use = 0;
+  target->penalty = 0;
+  ab_dispatcher_drop_exile (dispatcher, target);
+  target->state = AB_DISPATCH_ACTIVE;
+  ab_detector_reset (dispatcher->detector, target->evidence, false,
+                     dispatcher->options.slow_start_ms, now_ms);
+  warm_up (target, dispatcher->options.slow_start_ms, now_ms);
+  ab_dispatcher_report (dispatcher, target, AB_DISPATCH_RESTARTED, &evidence,
+                        now_ms);
+}
+
+int
+ab_dispatcher_set_target (struct ab_dispatcher *dispatcher,
+                          const struct ab_dispatcher_target *spec, bool warm,
+                          uint64_t now_ms)
+{
+  uint64_t cold_ms = warm ? 0 : dispatcher->options.slow_start_ms;
+  struct ab_dtarget *target = find_target (dispatcher, spec->address);
+  int rc;
+
+  if (strlen (spec->address) >= AB_DISPATCHER_NAME_BYTES || spec->slots == 0)
+    return AB_ERR_INVALID;
+  if (!target)
+    {
+      rc = add_target (dispatcher, spec->address, cold_ms, now_ms, &target);
+      if (rc < 0)
+        return rc;
+      target->incarnation = spec->incarnation;
+      warm_up (target, cold_ms, now_ms);
+    }
+  else if (spec->incarnation > target->incarnation)
+    restart_target (dispatcher, target, spec->incarnation, now_ms);
+  target->slots = spec->slots;
+  target->draining = spec->draining;
+  if (spec->draining)
+    {
+      ab_dispatcher_drop_exile (dispatcher, target);
+      target->state = AB_DISPATCH_DRAINING;
+    }
+  else if (target->state == AB_DISPATCH_DRAINING)
+    target->state = AB_DISPATCH_ACTIVE;
+  ab_dispatcher_serve (dispatcher, now_ms);
+  return 0;
+}
+
+void
+ab_dispatcher_remove_target (struct ab_dispatcher *dispatcher,
+                             const char *address, uint64_t now_ms)
+{
+  struct ab_dtarget *target = find_target (dispatcher, address);
+  size_t at = 0;
+
+  if (!target)
+    return;
+  for (size_t i = 0; i < dispatcher->grant_size; i++)
+    if (dispatcher->grants[i].used && dispatcher->grants[i].target == target)
+      drop_grant (dispatcher, &dispatcher->grants[i]);
+  ab_dispatcher_drop_exile (dispatcher, target);
+  ab_detector_remove (dispatcher->detector, target->evidence);
+  while (dispatcher->targets[at] != target)
+    at++;
+  dispatcher->targets[at] = dispatcher->targets[--dispatcher->target_count];
+  free (target);
+  ab_dispatcher_serve (dispatcher, now_ms);
+}
+
+void
+ab_dispatcher_set_elsewhere (struct ab_dispatcher *dispatcher,
+                             uint64_t announced, uint64_t out)
+{
+  dispatcher->elsewhere_announced = announced;
+  dispatcher->elsewhere_out = out;
+}
+
+bool
+ab_dispatcher_usable (const struct ab_dispatcher *dispatcher)
+{
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    if (dispatcher->targets[i]->state == AB_DISPATCH_ACTIVE)
+      return true;
+  return false;
+}
+
+bool
+ab_dispatcher_try_grant (struct ab_dispatcher *dispatcher,
+                         const struct ab_drequest *request, uint64_t now_ms)
+{
+  struct ab_dtarget *target
+      = ab_dispatcher_choose (dispatcher, request, now_ms);
+  struct ab_dgrant *grant;
+
+  if (!target)
+    return false;
+  grant = take_grant (dispatcher);
+  if (!grant)
+    return false;
+  grant->target = target;
+  grant->incarnation = target->incarnation;
+  grant->class_id = request->class_id;
+  grant->start_ms = now_ms;
+  grant->expires_ms = request->deadline_ms + LOST_MARGIN_MS;
+  grant->probation = target->state == AB_DISPATCH_ON_PROBATION;
+  memcpy (grant->asker, request->asker, sizeof grant->asker);
+  grant->ticket = ab_detector_start (dispatcher->detector, target->evidence,
+                                     request->class_id, request->path, now_ms);
+  target->in_use++;
+  target->last_start_ms = now_ms;
+  dispatcher->granted++;
+  dispatcher->env->ops->grant (
+      dispatcher->env,
+      &(struct ab_dispatcher_grant){ .id = grant->id,
+                                     .ask = request->id,
+                                     .asker = request->asker,
+                                     .target = target->address,
+                                     .class_name = request->class_name });
+  return true;
+}
+
+void
+ab_dispatcher_ask (struct ab_dispatcher *dispatcher,
+                   const struct ab_dispatcher_ask *ask, uint64_t now_ms)
+{
+  struct ab_drequest request = { .id = ask->id,
+                                 .priority = ask->priority,
+                                 .deadline_ms = ask->deadline_ms,
+                                 .path = ab_dispatcher_hash (ask->asker),
+                                 .spilled = ask->spilled };
+
+  ab_chunk_copy (ab_chunk_str (ask->asker), request.asker,
+                 sizeof request.asker);
+  ab_chunk_copy (ask->class_name, request.class_name,
+                 sizeof request.class_name);
+  request.class_id = ab_detector_class (dispatcher->detector, ask->class_name);
+  for (size_t i = 0; i < ask->excluded_count && i < AB_DISPATCHER_EXCLUDED_MAX;
+       i++)
+    if (ab_chunk_copy (ab_chunk_str (ask->excluded[i]),
+                       request.excluded[request.excluded_count],
+                       sizeof request.excluded[0]))
+      request.excluded_count++;
+  ab_dispatcher_enqueue (dispatcher, &request, now_ms);
+}
+
+void
+ab_dispatcher_cancel (struct ab_dispatcher *dispatcher, const char *asker,
+                      uint64_t ask)
+{
+  for (size_t i = 0; i < dispatcher->queued; i++)
+    if (dispatcher->queue[i]->id == ask
+        && strcmp (dispatcher->queue[i]->asker, asker) == 0)
+      {
+        ab_dispatcher_unqueue (dispatcher, i);
+        return;
+      }
+}
+
+static double
+penalty_of (enum ab_outcome_kind kind)
+{
+  switch (kind)
+    {
+    case AB_OUTCOME_SHED:
+      return SHED_PENALTY;
+    case AB_OUTCOME_REFUSED:
+    case AB_OUTCOME_RESET:
+    case AB_OUTCOME_TIMEOUT:
+      return BROKEN_PENALTY;
+    case AB_OUTCOME_ERROR:
+      return ERROR_PENALTY;
+    default:
+      return 0;
+    }
+}
+
+static bool
+says_nothing (enum ab_outcome_kind kind)
+{
+  return kind == AB_OUTCOME_UNUSED || kind == AB_OUTCOME_CANCELLED;
+}
+
+static void
+note_occupancy (struct ab_dispatcher *dispatcher,
+                const struct ab_dgrant *grant, uint64_t now_ms)
+{
+  double held_ms = (double)(now_ms - grant->start_ms);
+
+  if (dispatcher->occupancy_ms <= 0)
+    dispatcher->occupancy_ms = held_ms;
+  dispatcher->occupancy_ms
+      += OCCUPANCY_STEP * (held_ms - dispatcher->occupancy_ms);
+  dispatcher->outcome_ms = now_ms;
+}
+
+/* Ends GRANT, of a target process that still runs, with OUTCOME.  */
+static void
+settle (struct ab_dispatcher *dispatcher, const struct ab_dgrant *grant,
+        const struct ab_outcome *outcome, uint64_t now_ms)
+{
+  struct ab_dtarget *target = grant->target;
+  double llr = ab_detector_finish (dispatcher->detector, target->evidence,
+                                   grant->ticket, outcome, now_ms);
+  bool good = outcome->kind == AB_OUTCOME_OK && llr <= PROBATION_LLR_MAX;
+
+  if (target->in_use > 0)
+    target->in_use--;
+  if (says_nothing (outcome->kind))
+    return;
+  note_occupancy (dispatcher, grant, now_ms);
+  ab_dtarget_punish (target, penalty_of (outcome->kind), now_ms);
+  if (grant->probation)
+    ab_dispatcher_judge_probation (dispatcher, target, good, now_ms);
+  else if (llr > 0)
+    ab_dispatcher_judge (dispatcher, now_ms);
+}
+
+int
+ab_dispatcher_outcome (struct ab_dispatcher *dispatcher, uint64_t id,
+                       const struct ab_outcome *outcome, uint64_t now_ms)
+{
+  size_t at = id & (AB_DGRANTS_MAX - 1);
+  struct ab_dgrant grant;
+
+  if (at >= dispatcher->grant_size || !dispatcher->grants[at].used
+      || dispatcher->grants[at].id != id)
+    return AB_ERR_NOT_FOUND;
+  grant = dispatcher->grants[at];
+  drop_grant (dispatcher, &dispatcher->grants[at]);
+  if (grant.incarnation == grant.target->incarnation)
+    settle (dispatcher, &grant, outcome, now_ms);
+  ab_dispatcher_serve (dispatcher, now_ms);
+  return 0;
+}
+
+void
+ab_dispatcher_observe (struct ab_dispatcher *dispatcher, const char *address,
+                       struct ab_chunk class_name, const char *path,
+                       const struct ab_outcome *outcome, uint64_t now_ms)
+{
+  struct ab_dtarget *target = find_target (dispatcher, address);
+  uint64_t took_ms = outcome->latency_us / 1000;
+  int class_id;
+  int ticket;
+
+  if (!target)
+    return;
+  class_id = ab_detector_class (dispatcher->detector, class_name);
+  ticket = ab_detector_start (dispatcher->detector, target->evidence, class_id,
+                              ab_dispatcher_hash (path),
+                              took_ms < now_ms ? now_ms - took_ms : 0);
+  ab_detector_finish (dispatcher->detector, target->evidence, ticket, outcome,
+                      now_ms);
+}
+
+/* Frees the slot of a grant whose outcome will not come.  */
+static void
+lose_grant (struct ab_dispatcher *dispatcher, struct ab_dgrant *grant,
+            uint64_t now_ms)
+{
+  static const struct ab_outcome lost = { .kind = AB_OUTCOME_UNUSED };
+
+  if (grant->incarnation == grant->target->incarnation)
+    settle (dispatcher, grant, &lost, now_ms);
+  drop_grant (dispatcher, grant);
+}
+
+void
+ab_dispatcher_asker_gone (struct ab_dispatcher *dispatcher, const char *asker,
+                          uint64_t now_ms)
+{
+  for (size_t i = dispatcher->queued; i > 0; i--)
+    if (strcmp (dispatcher->queue[i - 1]->asker, asker) == 0)
+      ab_dispatcher_unqueue (dispatcher, i - 1);
+  for (size_t i = 0; i < dispatcher->grant_size; i++)
+    if (dispatcher->grants[i].used
+        && strcmp (dispatcher->grants[i].asker, asker) == 0)
+      lose_grant (dispatcher, &dispatcher->grants[i], now_ms);
+  ab_dispatcher_serve (dispatcher, now_ms);
+}
+
+void
+ab_dispatcher_tick (struct ab_dispatcher *dispatcher, uint64_t now_ms)
+{
+  for (size_t i = 0; i < dispatcher->grant_size; i++)
+    if (dispatcher->grants[i].used
+        && now_ms >= dispatcher->grants[i].expires_ms)
+      lose_grant (dispatcher, &dispatcher->grants[i], now_ms);
+  ab_dispatcher_judge (dispatcher, now_ms);
+  ab_dispatcher_bring_back (dispatcher, now_ms);
+  ab_dispatcher_serve (dispatcher, now_ms);
+}
+
+struct ab_detector *
+ab_dispatcher_detector (struct ab_dispatcher *dispatcher)
+{
+  return dispatcher->detector;
+}
+
+void
+ab_dispatcher_totals (const struct ab_dispatcher *dispatcher,
+                      struct ab_dispatcher_totals *totals)
+{
+  *totals = (struct ab_dispatcher_totals){
+    .queued = dispatcher->queued,
+    .permits_held = dispatcher->permits,
+    .granted = dispatcher->granted,
+    .refused = dispatcher->refused,
+    .ejections = dispatcher->ejections,
+  };
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    {
+      const struct ab_dtarget *target = dispatcher->targets[i];
+
+      totals->in_use += target->in_use;
+      if (target->state == AB_DISPATCH_DRAINING)
+        continue;
+      totals->announced_slots += target->slots;
+      if (target->state != AB_DISPATCH_ACTIVE)
+        totals->out_slots += target->slots;
+    }
+}
+
+bool
+ab_dispatcher_view (struct ab_dispatcher *dispatcher, size_t index,
+                    uint64_t now_ms, struct ab_dispatcher_view *view)
+{
+  struct ab_dtarget *target;
+
+  if (index >= dispatcher->target_count)
+    return false;
+  target = dispatcher->targets[index];
+  *view = (struct ab_dispatcher_view){
+    .address = target->address,
+    .state = target->state,
+    .slots = target->slots,
+    .allowed = ab_dtarget_allowed (target, now_ms),
+    .in_use = target->in_use,
+    .exile_until_ms = target->exile_until_ms,
+    .exile_level = target->exile_level,
+    .evidence = target->last_evidence,
+  };
+  if (target->state == AB_DISPATCH_ACTIVE)
+    ab_detector_assess (dispatcher->detector, target->evidence, now_ms,
+                        &view->evidence);
+  return true;
+}
+
+/* FNV-1a; the same on all hosts.  */
+uint32_t
+ab_dispatcher_hash (const char *name)
+{
+  uint32_t hash = 2166136261U;
+
+  for (; *name; name++)
+    hash = (hash ^ (unsigned char)*name) * 16777619U;
+  return hash;
+}
+
+const char *
+ab_dispatch_event_name (enum ab_dispatch_event_kind kind)
+{
+  static const char *const names[]
+      = { "ejected",        "refused_by_floor", "refused_by_permit",
+          "probation",      "exiled_again",     "readmitted",
+          "permit_revoked", "restarted",        "path_avoided" };
+
+  return (size_t)kind < sizeof names / sizeof names[0] ? names[kind]
+                                                       : "unknown";
+}
+
+const char *
+ab_dispatch_state_name (enum ab_dispatch_state state)
+{
+  static const char *const names[]
+      = { "active", "exile", "probation", "draining" };
+
+  return (size_t)state < sizeof names / sizeof names[0] ? names[state]
+                                                        : "unknown";
+}
--- /dev/null
+++ b/src/dispatcher_eject.c
@@ -0,0 +1,367 @@
+/* Ejection and readmission.  */
+
+#include <math.h>
+
+#include "dispatcher_impl.h"
+
+/* Exile of a target ejected for the first time; doubled each time that it is
+   bad again, up to the bound, so that a flapping target does little harm and
+   a repaired one is not lost for long.  */
+#define EXILE_MS 2000
+#define EXILE_LEVEL_MAX 5
+/* A target that served this long after its readmission starts again at the
+   first level.  */
+#define EXILE_FORGET_MS 60000
+/* Health endpoints may lie: after this many failed probes in a row a request
+   decides.  */
+#define PROBES_MAX 2
+#define PROBE_TIMEOUT_MS 1000
+#define PROBATION_REQUESTS 3
+/* A request on probation that takes so long compared with this quantile is
+   bad without waiting for its end.  */
+#define PROBATION_QUANTILE 0.99
+#define PROBATION_FACTOR 2.0
+/* A permit is asked for when a target is this suspect, as an answer from the
+   control group takes 20 ms and more.  Idle dispatchers hold none: six of
+   them would hold most of a small service's permits.  */
+#define PREFETCH_SUSPICION 0.25
+#define PERMIT_IDLE_MS 10000
+#define PERMIT_RETRY_MS 500
+#define REFUSED_EVENT_MS 1000
+
+void
+ab_dispatcher_report (struct ab_dispatcher *dispatcher,
+                      const struct ab_dtarget *target,
+                      enum ab_dispatch_event_kind kind,
+                      const struct ab_evidence *evidence, uint64_t now_ms)
+{
+  bool out = target->state == AB_DISPATCH_EXILE;
+
+  dispatcher->env->ops->event (
+      dispatcher->env, &(struct ab_dispatch_event){
+                           .kind = kind,
+                           .target = target->address,
+                           .evidence = *evidence,
+                           .exile_ms = out && target->exile_until_ms > now_ms
+                                           ? target->exile_until_ms - now_ms
+                                           : 0 });
+}
+
+/* Permits in use: one for each target out of service.  */
+static size_t
+count_out (const struct ab_dispatcher *dispatcher)
+{
+  size_t out = 0;
+
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    out += dispatcher->targets[i]->state == AB_DISPATCH_EXILE
+           || dispatcher->targets[i]->state == AB_DISPATCH_ON_PROBATION;
+  return out;
+}
+
+static void
+release_permit (struct ab_dispatcher *dispatcher)
+{
+  if (dispatcher->permits == 0)
+    return;
+  dispatcher->permits--;
+  dispatcher->env->ops->release_permit (dispatcher->env);
+}
+
+void
+ab_dispatcher_drop_exile (struct ab_dispatcher *dispatcher,
+                          struct ab_dtarget *target)
+{
+  if (target->state != AB_DISPATCH_EXILE
+      && target->state != AB_DISPATCH_ON_PROBATION)
+    return;
+  target->state = AB_DISPATCH_ACTIVE;
+  target->probing = false;
+  release_permit (dispatcher);
+}
+
+/* Whether the service keeps its floor without TARGET.  */
+static bool
+floor_allows (const struct ab_dispatcher *dispatcher,
+              const struct ab_dtarget *target)
+{
+  struct ab_dispatcher_totals totals;
+  uint64_t announced;
+  uint64_t out;
+
+  ab_dispatcher_totals (dispatcher, &totals);
+  announced = totals.announced_slots + dispatcher->elsewhere_announced;
+  out = totals.out_slots + dispatcher->elsewhere_out + target->slots;
+  return out < announced
+         && (double)(announced - out)
+                >= dispatcher->options.floor * (double)announced;
+}
+
+static void
+ask_permit (struct ab_dispatcher *dispatcher, uint64_t now_ms)
+{
+  if (dispatcher->permit_pending || now_ms < dispatcher->permit_retry_ms)
+    return;
+  dispatcher->permit_pending = true;
+  dispatcher->env->ops->acquire_permit (dispatcher->env);
+}
+
+static void
+report_refusal (struct ab_dispatcher *dispatcher, struct ab_dtarget *target,
+                enum ab_dispatch_event_kind kind,
+                const struct ab_evidence *evidence, uint64_t now_ms)
+{
+  if (target->refused_event_ms
+      && now_ms < target->refused_event_ms + REFUSED_EVENT_MS)
+    return;
+  target->refused_event_ms = now_ms;
+  ab_dispatcher_report (dispatcher, target, kind, evidence, now_ms);
+}
+
+static void
+exile (struct ab_dtarget *target, uint64_t now_ms)
+{
+  target->state = AB_DISPATCH_EXILE;
+  target->exile_until_ms
+      = now_ms + ((uint64_t)EXILE_MS << target->exile_level);
+  if (target->exile_level < EXILE_LEVEL_MAX)
+    target->exile_level++;
+  target->probes_failed = 0;
+  target->probation_good = 0;
+}
+
+static void
+eject (struct ab_dispatcher *dispatcher, struct ab_dtarget *target,
+       const struct ab_evidence *evidence, uint64_t now_ms)
+{
+  if (target->readmitted_ms
+      && now_ms > target->readmitted_ms + EXILE_FORGET_MS)
+    target->exile_level = 0;
+  target->ejected_ms = now_ms;
+  target->last_evidence = *evidence;
+  dispatcher->ejections++;
+  exile (target, now_ms);
+  ab_dispatcher_report (dispatcher, target, AB_DISPATCH_EJECTED, evidence,
+                        now_ms);
+}
+
+static void
+try_eject (struct ab_dispatcher *dispatcher, struct ab_dtarget *target,
+           const struct ab_evidence *evidence, uint64_t now_ms)
+{
+  if (!floor_allows (dispatcher, target))
+    {
+      report_refusal (dispatcher, target, AB_DISPATCH_REFUSED_BY_FLOOR,
+                      evidence, now_ms);
+      return;
+    }
+  if (dispatcher->permits > count_out (dispatcher))
+    {
+      eject (dispatcher, target, evidence, now_ms);
+      return;
+    }
+  if (now_ms < dispatcher->permit_retry_ms)
+    report_refusal (dispatcher, target, AB_DISPATCH_REFUSED_BY_PERMIT,
+                    evidence, now_ms);
+  ask_permit (dispatcher, now_ms);
+}
+
+void
+ab_dispatcher_judge (struct ab_dispatcher *dispatcher, uint64_t now_ms)
+{
+  struct ab_dtarget *worst = NULL;
+  struct ab_evidence worst_evidence = { .score = 0 };
+  double suspicion = 0;
+
+  dispatcher->impaired = ab_detector_impaired (dispatcher->detector, now_ms);
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    {
+      struct ab_dtarget *target = dispatcher->targets[i];
+      struct ab_evidence evidence;
+
+      if (target->state != AB_DISPATCH_ACTIVE)
+        continue;
+      ab_detector_assess (dispatcher->detector, target->evidence, now_ms,
+                          &evidence);
+      if (evidence.cause == AB_CAUSE_PATH)
+        ab_dispatcher_report (dispatcher, target, AB_DISPATCH_PATH_AVOIDED,
+                              &evidence, now_ms);
+      suspicion = fmax (suspicion, evidence.score / evidence.threshold);
+      if (evidence.health == AB_HEALTH_SICK
+          && (!worst || evidence.score > worst_evidence.score))
+        {
+          worst = target;
+          worst_evidence = evidence;
+        }
+    }
+  if (worst)
+    try_eject (dispatcher, worst, &worst_evidence, now_ms);
+  if (suspicion < PREFETCH_SUSPICION)
+    return;
+  dispatcher->suspect_ms = now_ms;
+  if (dispatcher->permits == count_out (dispatcher))
+    ask_permit (dispatcher, now_ms);
+}
+
+static void
+readmit (struct ab_dispatcher *dispatcher, struct ab_dtarget *target,
+         enum ab_dispatch_event_kind kind, uint64_t now_ms)
+{
+  uint64_t ramp_ms = dispatcher->options.slow_start_ms;
+
+  target->state = AB_DISPATCH_ACTIVE;
+  target->readmitted_ms = now_ms;
+  target->probing = false;
+  target->penalty = 0;
+  target->warm_since_ms = now_ms;
+  target->warm_at_ms = now_ms + ramp_ms;
+  ab_detector_reset (dispatcher->detector, target->evidence, true, 0, now_ms);
+  release_permit (dispatcher);
+  ab_dispatcher_report (dispatcher, target, kind, &target->last_evidence,
+                        now_ms);
+}
+
+void
+ab_dispatcher_judge_probation (struct ab_dispatcher *dispatcher,
+                               struct ab_dtarget *target, bool good,
+                               uint64_t now_ms)
+{
+  if (target->state != AB_DISPATCH_ON_PROBATION)
+    return;
+  if (!good)
+    {
+      exile (target, now_ms);
+      ab_dispatcher_report (dispatcher, target, AB_DISPATCH_EXILED_AGAIN,
+                            &target->last_evidence, now_ms);
+      return;
+    }
+  if (++target->probation_good >= PROBATION_REQUESTS)
+    readmit (dispatcher, target, AB_DISPATCH_READMITTED, now_ms);
+}
+
+static void
+start_probation (struct ab_dispatcher *dispatcher, struct ab_dtarget *target,
+                 uint64_t now_ms)
+{
+  target->state = AB_DISPATCH_ON_PROBATION;
+  target->probing = false;
+  target->probation_good = 0;
+  ab_detector_reset (dispatcher->detector, target->evidence, true, 0, now_ms);
+  ab_dispatcher_report (dispatcher, target, AB_DISPATCH_PROBATION,
+                        &target->last_evidence, now_ms);
+}
+
+void
+ab_dispatcher_probed (struct ab_dispatcher *dispatcher, const char *address,
+                      bool healthy, uint64_t now_ms)
+{
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    {
+      struct ab_dtarget *target = dispatcher->targets[i];
+
+      if (strcmp (target->address, address) != 0 || !target->probing)
+        continue;
+      target->probing = false;
+      if (healthy || ++target->probes_failed >= PROBES_MAX)
+        start_probation (dispatcher, target, now_ms);
+      else
+        target->exile_until_ms
+            = now_ms + ((uint64_t)EXILE_MS << (target->exile_level / 2));
+      return;
+    }
+}
+
+/* Ends a probation whose request takes too long.  */
+static void
+watch_probation (struct ab_dispatcher *dispatcher, struct ab_dtarget *target,
+                 uint64_t now_ms)
+{
+  for (size_t i = 0; i < dispatcher->grant_size; i++)
+    {
+      struct ab_dgrant *grant = &dispatcher->grants[i];
+      double usual;
+
+      if (!grant->used || grant->target != target || !grant->probation)
+        continue;
+      usual = ab_detector_service_ms (dispatcher->detector, grant->class_id,
+                                      PROBATION_QUANTILE);
+      if (usual <= 0
+          || (double)(now_ms - grant->start_ms) <= PROBATION_FACTOR * usual)
+        continue;
+      grant->probation = false;
+      ab_dispatcher_judge_probation (dispatcher, target, false, now_ms);
+    }
+}
+
+static void
+watch_exile (struct ab_dispatcher *dispatcher, struct ab_dtarget *target,
+             uint64_t now_ms)
+{
+  if (target->probing && now_ms >= target->probe_sent_ms + PROBE_TIMEOUT_MS)
+    {
+      ab_dispatcher_probed (dispatcher, target->address, false, now_ms);
+      return;
+    }
+  if (target->probing || now_ms < target->exile_until_ms)
+    return;
+  target->probing = true;
+  target->probe_sent_ms = now_ms;
+  dispatcher->env->ops->probe (dispatcher->env, target->address);
+}
+
+void
+ab_dispatcher_bring_back (struct ab_dispatcher *dispatcher, uint64_t now_ms)
+{
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    {
+      struct ab_dtarget *target = dispatcher->targets[i];
+
+      if (target->state == AB_DISPATCH_EXILE)
+        watch_exile (dispatcher, target, now_ms);
+      else if (target->state == AB_DISPATCH_ON_PROBATION)
+        watch_probation (dispatcher, target, now_ms);
+    }
+  if (dispatcher->permits > count_out (dispatcher)
+      && now_ms > dispatcher->suspect_ms + PERMIT_IDLE_MS)
+    release_permit (dispatcher);
+}
+
+void
+ab_dispatcher_permit (struct ab_dispatcher *dispatcher, bool granted,
+                      uint64_t now_ms)
+{
+  dispatcher->permit_pending = false;
+  if (granted)
+    dispatcher->permits++;
+  else
+    dispatcher->permit_retry_ms = now_ms + PERMIT_RETRY_MS;
+  ab_dispatcher_judge (dispatcher, now_ms);
+}
+
+void
+ab_dispatcher_permit_revoked (struct ab_dispatcher *dispatcher,
+                              uint64_t now_ms)
+{
+  struct ab_dtarget *best = NULL;
+
+  if (dispatcher->permits == 0)
+    return;
+  if (dispatcher->permits > count_out (dispatcher))
+    {
+      release_permit (dispatcher);
+      return;
+    }
+  /* The target that was ejected first had most time to recover.  */
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    {
+      struct ab_dtarget *target = dispatcher->targets[i];
+
+      if ((target->state == AB_DISPATCH_EXILE
+           || target->state == AB_DISPATCH_ON_PROBATION)
+          && (!best || target->ejected_ms < best->ejected_ms))
+        best = target;
+    }
+  if (best)
+    readmit (dispatcher, best, AB_DISPATCH_PERMIT_REVOKED, now_ms);
+  dispatcher->permit_retry_ms = now_ms + PERMIT_RETRY_MS;
+}
--- /dev/null
+++ b/src/dispatcher_impl.h
@@ -0,0 +1,154 @@
+/* Structures shared by the files of the dispatcher; see dispatcher.h.  */
+
+#ifndef AB_DISPATCHER_IMPL_H
+#define AB_DISPATCHER_IMPL_H
+
+#include "dispatcher.h"
+
+struct ab_dtarget
+{
+  char address[AB_DISPATCHER_NAME_BYTES];
+  uint64_t slots;
+  uint64_t incarnation;
+  bool draining;
+  enum ab_dispatch_state state;
+  int evidence; /* Number in the detector.  */
+  uint64_t in_use;
+  uint64_t warm_since_ms; /* Start of the slow start.  */
+  uint64_t warm_at_ms;    /* End of it.  */
+  uint64_t last_start_ms;
+  /* Penalty for recent failures; halves with time.  */
+  double penalty;
+  uint64_t penalty_ms;
+  /* Ejection.  */
+  unsigned exile_level;
+  uint64_t exile_until_ms;
+  uint64_t ejected_ms;
+  uint64_t readmitted_ms;
+  unsigned probes_failed;
+  bool probing;
+  uint64_t probe_sent_ms;
+  unsigned probation_good;
+  uint64_t refused_event_ms;
+  struct ab_evidence last_evidence; /* At the last ejection.  */
+};
+
+/* The lower bits of a grant's identifier are its place in the table.  */
+#define AB_DGRANT_INDEX_BITS 16
+#define AB_DGRANTS_MAX (1 << AB_DGRANT_INDEX_BITS)
+
+struct ab_dgrant
+{
+  bool used;
+  size_t next_free; /* Place of the next free one, plus 1.  */
+  uint64_t id;
+  struct ab_dtarget *target;
+  uint64_t incarnation;
+  int ticket;
+  int class_id;
+  uint64_t start_ms;
+  uint64_t expires_ms;
+  bool probation;
+  char asker[AB_DISPATCHER_NAME_BYTES];
+};
+
+struct ab_drequest
+{
+  uint64_t id;
+  char asker[AB_DISPATCHER_NAME_BYTES];
+  uint32_t path;
+  char class_name[AB_DISPATCHER_NAME_BYTES];
+  int class_id;
+  uint64_t priority;
+  uint64_t deadline_ms;
+  char excluded[AB_DISPATCHER_EXCLUDED_MAX][AB_DISPATCHER_NAME_BYTES];
+  size_t excluded_count;
+  bool spilled;
+};
+
+struct ab_dispatcher
+{
+  struct ab_dispatcher_env *env;
+  struct ab_rng *rng;
+  struct ab_dispatcher_options options;
+  struct ab_detector *detector;
+  struct ab_dtarget **targets;
+  size_t target_count;
+  struct ab_dgrant *grants;
+  size_t grant_size;
+  size_t grant_free; /* First free place, plus 1; 0 for none.  */
+  uint64_t grant_serial;
+  struct ab_drequest **queue; /* In the order of service.  */
+  size_t queued;
+  size_t queue_size;
+  /* Mean time that a grant holds its slot.  */
+  double occupancy_ms;
+  uint64_t outcome_ms; /* When the last outcome came.  */
+  uint64_t elsewhere_announced;
+  uint64_t elsewhere_out;
+  size_t permits; /* Held, in use or spare.  */
+  bool permit_pending;
+  uint64_t permit_retry_ms;
+  uint64_t suspect_ms; /* When a target was suspect last.  */
+  unsigned impaired_turn;
+  bool impaired;
+  uint64_t granted;
+  uint64_t refused;
+  uint64_t ejections;
+};
+
+/* dispatcher_targets.c  */
+
+uint64_t ab_dtarget_allowed (const struct ab_dtarget *target, uint64_t now_ms);
+
+/* The best target with a free slot for REQUEST, or null.  */
+struct ab_dtarget *ab_dispatcher_choose (struct ab_dispatcher *dispatcher,
+                                         const struct ab_drequest *request,
+                                         uint64_t now_ms);
+/* Whether a target in service, free or not, may serve REQUEST.  */
+bool ab_dispatcher_reachable (const struct ab_dispatcher *dispatcher,
+                              const struct ab_drequest *request,
+                              uint64_t now_ms);
+void ab_dtarget_punish (struct ab_dtarget *target, double penalty,
+                        uint64_t now_ms);
+
+/* dispatcher_eject.c  */
+
+void ab_dispatcher_judge (struct ab_dispatcher *dispatcher, uint64_t now_ms);
+void ab_dispatcher_judge_probation (struct ab_dispatcher *dispatcher,
+                                    struct ab_dtarget *target, bool good,
+                                    uint64_t now_ms);
+void ab_dispatcher_bring_back (struct ab_dispatcher *dispatcher,
+                               uint64_t now_ms);
+/* Gives a permit back when TARGET, which is about to leave or has restarted,
+   was ejected under one.  */
+void ab_dispatcher_drop_exile (struct ab_dispatcher *dispatcher,
+                               struct ab_dtarget *target);
+void ab_dispatcher_report (struct ab_dispatcher *dispatcher,
+                           const struct ab_dtarget *target,
+                           enum ab_dispatch_event_kind kind,
+                           const struct ab_evidence *evidence,
+                           uint64_t now_ms);
+
+/* dispatcher_queue.c  */
+
+/* Puts REQUEST into the queue or refuses it.  */
+void ab_dispatcher_enqueue (struct ab_dispatcher *dispatcher,
+                            const struct ab_drequest *request,
+                            uint64_t now_ms);
+/* Grants free slots to waiting requests and drops hopeless ones.  */
+void ab_dispatcher_serve (struct ab_dispatcher *dispatcher, uint64_t now_ms);
+void ab_dispatcher_refuse (struct ab_dispatcher *dispatcher,
+                           const struct ab_drequest *request, int rc,
+                           bool spill, const char *reason);
+void ab_dispatcher_unqueue (struct ab_dispatcher *dispatcher, size_t at);
+
+/* dispatcher.c  */
+
+/* Whether some target may take new requests at all.  */
+bool ab_dispatcher_usable (const struct ab_dispatcher *dispatcher);
+bool ab_dispatcher_try_grant (struct ab_dispatcher *dispatcher,
+                              const struct ab_drequest *request,
+                              uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/dispatcher_queue.c
@@ -0,0 +1,211 @@
+/* The dispatcher's queue.  */
+
+#include <stdlib.h>
+
+#include "dispatcher_impl.h"
+#include "error.h"
+
+/* A request is admitted when its expected wait is at most this part of the
+   time that its deadline leaves besides its service.  With the whole time,
+   small errors of the estimate make most requests late under overload.  */
+#define WAIT_SHARE 0.5
+/* Quantile of the service time that must still fit before the deadline.  */
+#define SERVICE_QUANTILE 0.9
+/* Service times say nothing when no outcome came for this long; without
+   this, a service that was slow for a while would be refused for ever.  */
+#define OUTCOME_AGE_MS 1000
+/* Of the asks that come while most targets here look bad, one in this many
+   is kept to notice a recovery; the others go elsewhere.  */
+#define IMPAIRED_KEEP 8
+
+void
+ab_dispatcher_unqueue (struct ab_dispatcher *dispatcher, size_t at)
+{
+  free (dispatcher->queue[at]);
+  dispatcher->queued--;
+  memmove (&dispatcher->queue[at], &dispatcher->queue[at + 1],
+           (dispatcher->queued - at) * sizeof (struct ab_drequest *));
+}
+
+void
+ab_dispatcher_refuse (struct ab_dispatcher *dispatcher,
+                      const struct ab_drequest *request, int rc, bool spill,
+                      const char *reason)
+{
+  dispatcher->refused++;
+  dispatcher->env->ops->refuse (dispatcher->env, request->id, request->asker,
+                                rc, spill, reason);
+}
+
+/* Where REQUEST belongs in the queue.  */
+static size_t
+find_place (const struct ab_dispatcher *dispatcher,
+            const struct ab_drequest *request)
+{
+  size_t low = 0;
+  size_t high = dispatcher->queued;
+
+  while (low < high)
+    {
+      size_t middle = (low + high) / 2;
+      const struct ab_drequest *at = dispatcher->queue[middle];
+
+      if (at->priority > request->priority
+          || (at->priority == request->priority
+              && at->deadline_ms <= request->deadline_ms))
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+static int
+insert (struct ab_dispatcher *dispatcher, const struct ab_drequest *request,
+        size_t place)
+{
+  struct ab_drequest *copy;
+
+  if (dispatcher->queued == dispatcher->queue_size)
+    {
+      size_t size = dispatcher->queue_size ? 2 * dispatcher->queue_size : 16;
+      struct ab_drequest **grown
+          = realloc (dispatcher->queue, size * sizeof (struct ab_drequest *));
+
+      if (!grown)
+        return AB_ERR_MEMORY;
+      dispatcher->queue = grown;
+      dispatcher->queue_size = size;
+    }
+  copy = malloc (sizeof *copy);
+  if (!copy)
+    return AB_ERR_MEMORY;
+  *copy = *request;
+  memmove (&dispatcher->queue[place + 1], &dispatcher->queue[place],
+           (dispatcher->queued - place) * sizeof (struct ab_drequest *));
+  dispatcher->queue[place] = copy;
+  dispatcher->queued++;
+  return 0;
+}
+
+static double
+service_ms (const struct ab_dispatcher *dispatcher, int class_id,
+            double quantile, uint64_t now_ms)
+{
+  if (now_ms > dispatcher->outcome_ms + OUTCOME_AGE_MS)
+    return 0;
+  return ab_detector_service_ms (dispatcher->detector, class_id, quantile);
+}
+
+/* Whether the request's deadline leaves time for the wait behind AHEAD
+   others.  */
+static bool
+can_wait (const struct ab_dispatcher *dispatcher,
+          const struct ab_drequest *request, size_t ahead, uint64_t now_ms)
+{
+  double left = (double)request->deadline_ms - (double)now_ms;
+  double service
+      = service_ms (dispatcher, request->class_id, SERVICE_QUANTILE, now_ms);
+  double slots = 0;
+  double wait;
+
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    if (dispatcher->targets[i]->state == AB_DISPATCH_ACTIVE)
+      slots += (double)ab_dtarget_allowed (dispatcher->targets[i], now_ms);
+  if (slots <= 0)
+    return false;
+  wait = (double)(ahead + 1) * dispatcher->occupancy_ms / slots;
+  /* Classes whose service time comes near their deadline may wait a little,
+     or they would never be queued.  */
+  if (service > left * (1 - WAIT_SHARE))
+    service = left * (1 - WAIT_SHARE);
+  return left > 0 && wait <= WAIT_SHARE * (left - service);
+}
+
+/* Whether even a request that starts now would most likely be late.  */
+static bool
+is_hopeless (const struct ab_dispatcher *dispatcher,
+             const struct ab_drequest *request, uint64_t now_ms)
+{
+  return (double)now_ms
+             + service_ms (dispatcher, request->class_id, 0.5, now_ms)
+         >= (double)request->deadline_ms;
+}
+
+static bool
+should_move (struct ab_dispatcher *dispatcher,
+             const struct ab_drequest *request)
+{
+  if (!dispatcher->impaired || request->spilled
+      || dispatcher->elsewhere_announced == 0)
+    return false;
+  return ++dispatcher->impaired_turn % IMPAIRED_KEEP != 0;
+}
+
+void
+ab_dispatcher_enqueue (struct ab_dispatcher *dispatcher,
+                       const struct ab_drequest *request, uint64_t now_ms)
+{
+  size_t place = find_place (dispatcher, request);
+
+  if (is_hopeless (dispatcher, request, now_ms))
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, false,
+                          "the deadline cannot be met");
+  else if (!ab_dispatcher_usable (dispatcher))
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_NOT_FOUND, true,
+                          "no target in this failure domain");
+  else if (!request->spilled
+           && !ab_dispatcher_reachable (dispatcher, request, now_ms))
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
+                          "this host reaches no target here");
+  else if (should_move (dispatcher, request))
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
+                          "most targets of this failure domain look bad");
+  else if (place == 0 && ab_dispatcher_try_grant (dispatcher, request, now_ms))
+    return;
+  else if (request->spilled)
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
+                          "no free slot for another failure domain");
+  else if (!can_wait (dispatcher, request, place, now_ms))
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
+                          "the wait would be too long");
+  else if (dispatcher->queued >= dispatcher->options.queue
+           && place == dispatcher->queued)
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
+                          "the queue is full");
+  else if (insert (dispatcher, request, place) < 0)
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
+                          "out of memory");
+  else if (dispatcher->queued > dispatcher->options.queue)
+    {
+      ab_dispatcher_refuse (
+          dispatcher, dispatcher->queue[dispatcher->queued - 1], AB_ERR_FULL,
+          true, "the queue is full of more urgent requests");
+      ab_dispatcher_unqueue (dispatcher, dispatcher->queued - 1);
+    }
+}
+
+void
+ab_dispatcher_serve (struct ab_dispatcher *dispatcher, uint64_t now_ms)
+{
+  size_t at = 0;
+  size_t skipped = 0;
+
+  /* A request that may not go to any free target must not hold up those
+     behind it; a few are passed over at most, to bound the work.  */
+  while (at < dispatcher->queued && skipped < 8)
+    {
+      const struct ab_drequest *request = dispatcher->queue[at];
+
+      if (is_hopeless (dispatcher, request, now_ms))
+        ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, false,
+                              "the deadline can no longer be met");
+      else if (!ab_dispatcher_try_grant (dispatcher, request, now_ms))
+        {
+          at++;
+          skipped++;
+          continue;
+        }
+      ab_dispatcher_unqueue (dispatcher, at);
+    }
+}
--- /dev/null
+++ b/src/dispatcher_targets.c
@@ -0,0 +1,149 @@
+/* Slots, slow start and the choice among targets.  */
+
+#include <math.h>
+
+#include "dispatcher_impl.h"
+
+/* Penalties halve in this time.  */
+#define PENALTY_HALF_MS 500.0
+#define PENALTY_MAX 3.0
+/* Weight of suspicion (0 to 1) against load (0 to 1): a fully suspect target
+   is used after all others are full.  */
+#define SUSPICION_WEIGHT 2.0
+/* A suspect target gets a request at least this often while it has few in
+   flight, so that the suspicion is settled instead of lasting.  */
+#define EXPLORE_MS 400
+#define EXPLORE_IN_FLIGHT 2
+#define EXPLORE_SUSPICION 0.25
+/* A request on probation must have this many times the usual service time
+   until its deadline, so that it can be tried again elsewhere.  */
+#define PROBATION_SLACK 4.0
+#define PROBATION_GAP_MS 50
+
+uint64_t
+ab_dtarget_allowed (const struct ab_dtarget *target, uint64_t now_ms)
+{
+  double part;
+  double allowed;
+
+  if (now_ms >= target->warm_at_ms)
+    return target->slots;
+  part = (double)(now_ms - target->warm_since_ms)
+         / (double)(target->warm_at_ms - target->warm_since_ms);
+  allowed = ceil (part * (double)target->slots);
+  return allowed < 1 ? 1 : (uint64_t)allowed;
+}
+
+static double
+current_penalty (const struct ab_dtarget *target, uint64_t now_ms)
+{
+  return target->penalty
+         * exp2 (-(double)(now_ms - target->penalty_ms) / PENALTY_HALF_MS);
+}
+
+void
+ab_dtarget_punish (struct ab_dtarget *target, double penalty, uint64_t now_ms)
+{
+  target->penalty
+      = fmin (PENALTY_MAX, current_penalty (target, now_ms) + penalty);
+  target->penalty_ms = now_ms;
+}
+
+static bool
+is_excluded (const struct ab_drequest *request,
+             const struct ab_dtarget *target)
+{
+  for (size_t i = 0; i < request->excluded_count; i++)
+    if (strcmp (request->excluded[i], target->address) == 0)
+      return true;
+  return false;
+}
+
+static bool
+may_serve (const struct ab_dispatcher *dispatcher,
+           const struct ab_dtarget *target, const struct ab_drequest *request,
+           uint64_t now_ms)
+{
+  return target->state == AB_DISPATCH_ACTIVE && !is_excluded (request, target)
+         && !ab_detector_path_bad (dispatcher->detector, target->evidence,
+                                   request->path, now_ms);
+}
+
+bool
+ab_dispatcher_reachable (const struct ab_dispatcher *dispatcher,
+                         const struct ab_drequest *request, uint64_t now_ms)
+{
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    if (may_serve (dispatcher, dispatcher->targets[i], request, now_ms))
+      return true;
+  return false;
+}
+
+static bool
+wants_probation (const struct ab_dispatcher *dispatcher,
+                 const struct ab_dtarget *target,
+                 const struct ab_drequest *request, uint64_t now_ms)
+{
+  double service
+      = ab_detector_service_ms (dispatcher->detector, request->class_id, 0.5);
+
+  return target->state == AB_DISPATCH_ON_PROBATION && target->in_use == 0
+         && now_ms >= target->last_start_ms + PROBATION_GAP_MS
+         && request->excluded_count == 0
+         && (double)now_ms + PROBATION_SLACK * service
+                <= (double)request->deadline_ms;
+}
+
+static bool
+wants_exploring (const struct ab_dtarget *target, double suspicion,
+                 uint64_t now_ms)
+{
+  return suspicion >= EXPLORE_SUSPICION && target->in_use < EXPLORE_IN_FLIGHT
+         && now_ms >= target->last_start_ms + EXPLORE_MS;
+}
+
+/* Lower is better.  */
+static double
+cost_of (const struct ab_dtarget *target, double suspicion, uint64_t now_ms)
+{
+  double load
+      = (double)target->in_use / (double)ab_dtarget_allowed (target, now_ms);
+
+  return load + SUSPICION_WEIGHT * suspicion
+         + current_penalty (target, now_ms);
+}
+
+struct ab_dtarget *
+ab_dispatcher_choose (struct ab_dispatcher *dispatcher,
+                      const struct ab_drequest *request, uint64_t now_ms)
+{
+  struct ab_dtarget *best = NULL;
+  double best_cost = INFINITY;
+  uint64_t ties = 0;
+
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    {
+      struct ab_dtarget *target = dispatcher->targets[i];
+      double suspicion;
+      double cost;
+
+      if (wants_probation (dispatcher, target, request, now_ms))
+        return target;
+      if (target->in_use >= ab_dtarget_allowed (target, now_ms)
+          || !may_serve (dispatcher, target, request, now_ms))
+        continue;
+      suspicion = ab_detector_suspicion (dispatcher->detector,
+                                         target->evidence, now_ms);
+      if (wants_exploring (target, suspicion, now_ms))
+        return target;
+      cost = cost_of (target, suspicion, now_ms);
+      if (cost < best_cost)
+        ties = 0;
+      if (cost <= best_cost && ab_rng_below (dispatcher->rng, ++ties) == 0)
+        {
+          best = target;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/src/path_score.c
@@ -0,0 +1,131 @@
+#include "path_score.h"
+
+/* First time that a path is avoided; doubled each time up to the bound.  */
+#define AVOID_MS 2000
+#define AVOID_LEVEL_MAX 4
+/* A path that was good for this long starts again at the first level.  */
+#define AVOID_FORGET_MS 60000
+/* Scores at most this count as good.  */
+#define GOOD_SCORE 0.5
+/* Requests, finished or overdue, that a path must have failed.  */
+#define BAD_MIN 2
+/* A score that got no evidence for this long is forgotten.  */
+#define IDLE_MS 10000
+
+struct ab_path_score *
+ab_path_find (struct ab_path_table *table, uint32_t path, uint64_t now_ms)
+{
+  struct ab_path_score *oldest = &table->paths[0];
+
+  for (size_t i = 0; i < AB_PATHS_MAX; i++)
+    {
+      struct ab_path_score *at = &table->paths[i];
+
+      if (at->used && at->path == path)
+        return at;
+      if (!at->used || (oldest->used && at->last_ms < oldest->last_ms))
+        oldest = at;
+    }
+  *oldest = (struct ab_path_score){ .path = path,
+                                    .used = true,
+                                    .last_ms = now_ms };
+  return oldest;
+}
+
+void
+ab_path_add (struct ab_path_score *path, double llr, uint64_t start_ms,
+             uint64_t now_ms)
+{
+  if (now_ms > path->last_ms + IDLE_MS)
+    path->score = 0;
+  if (path->score <= 0)
+    {
+      path->bad = 0;
+      path->bad_since_ms = start_ms;
+    }
+  path->bad += llr > 0;
+  path->score += llr;
+  if (path->score < 0)
+    path->score = 0;
+  if (llr < 0)
+    {
+      path->good_ms[1] = path->good_ms[0];
+      path->good_ms[0] = start_ms;
+    }
+  path->last_ms = now_ms;
+}
+
+/* Whether some path had two good requests that started after SINCE_MS.  */
+static bool
+other_is_good (const struct ab_path_table *table, uint64_t since_ms)
+{
+  for (size_t i = 0; i < AB_PATHS_MAX; i++)
+    {
+      const struct ab_path_score *at = &table->paths[i];
+
+      if (at->used && at->score <= GOOD_SCORE && at->overdue <= 0
+          && at->good_ms[1] > since_ms)
+        return true;
+    }
+  return false;
+}
+
+static bool
+has_mixed_path (const struct ab_path_table *table)
+{
+  for (size_t i = 0; i < AB_PATHS_MAX; i++)
+    {
+      const struct ab_path_score *at = &table->paths[i];
+
+      if (at->used && at->score > GOOD_SCORE
+          && at->good_ms[0] > at->bad_since_ms)
+        return true;
+    }
+  return false;
+}
+
+static void
+avoid (struct ab_path_score *path, uint64_t now_ms)
+{
+  if (now_ms > path->avoid_until_ms + AVOID_FORGET_MS)
+    path->avoid_level = 0;
+  path->avoid_until_ms = now_ms + ((uint64_t)AVOID_MS << path->avoid_level);
+  if (path->avoid_level < AVOID_LEVEL_MAX)
+    path->avoid_level++;
+  path->score = 0;
+}
+
+double
+ab_path_mark (struct ab_path_table *table, double limit, uint64_t now_ms)
+{
+  double sum = 0;
+
+  if (has_mixed_path (table))
+    return 0;
+  for (size_t i = 0; i < AB_PATHS_MAX; i++)
+    {
+      struct ab_path_score *at = &table->paths[i];
+      unsigned bad = at->bad + (at->overdue > 0);
+
+      if (!at->used || at->score + at->overdue < limit || bad < BAD_MIN
+          || !other_is_good (table, at->bad_since_ms))
+        continue;
+      sum += at->score;
+      avoid (at, now_ms);
+    }
+  return sum;
+}
+
+bool
+ab_path_avoided (const struct ab_path_table *table, uint32_t path,
+                 uint64_t now_ms)
+{
+  for (size_t i = 0; i < AB_PATHS_MAX; i++)
+    {
+      const struct ab_path_score *at = &table->paths[i];
+
+      if (at->used && at->path == path)
+        return now_ms < at->avoid_until_ms;
+    }
+  return false;
+}
--- /dev/null
+++ b/src/retry_budget.h
@@ -0,0 +1,33 @@
+/* Retry budget: retries as a fraction of the requests of the last
+   AB_RETRY_WINDOW_S seconds, so that retries cannot add much load to an
+   overload.  */
+
+#ifndef AB_RETRY_BUDGET_H
+#define AB_RETRY_BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define AB_RETRY_WINDOW_S 10
+/* Retries in a window that are always allowed: with little traffic the
+   fraction alone would allow none.  */
+#define AB_RETRY_FLOOR 3
+
+struct ab_retry_budget
+{
+  double fraction;
+  uint64_t second; /* The second that the newest bucket stands for.  */
+  uint32_t requests[AB_RETRY_WINDOW_S];
+  uint32_t retries[AB_RETRY_WINDOW_S];
+};
+
+void ab_retry_budget_init (struct ab_retry_budget *budget, double fraction,
+                           uint64_t now_ms);
+
+/* Counts a request; not its retries.  */
+void ab_retry_budget_request (struct ab_retry_budget *budget, uint64_t now_ms);
+
+/* Takes one retry; false when the budget is used up.  */
+bool ab_retry_budget_take (struct ab_retry_budget *budget, uint64_t now_ms);
+
+#endif
