Hold suspect targets back and spill early when other domains have room

Change: a request that would wait over 60 ms goes to another domain while that reports free slots, suspect targets are passed over for one service time, and permits are prefetched only at half the threshold (idle dispatchers held all permits of a 12-target service).

--- a/bench/policy_choice_lib.c
+++ b/bench/policy_choice_lib.c
@@ -31,7 +31,7 @@
 round_robin (struct fake_world *world, const struct fake_request *request)
 {
   struct fake_host *host = &world->hosts[request->host];
-  int count = (int)world->setup.targets;
+  int count = world->setup.targets ? (int)world->setup.targets : 1;
 
   for (int i = 0; i < count; i++)
     {
--- a/bench/policy_fake_lib.h
+++ b/bench/policy_fake_lib.h
@@ -47,6 +47,7 @@
   FAKE_CRASH,        /* Resets, refuses for 5 s, then starts cold.  */
   FAKE_COLD,         /* Restarts at once and is 5x slower for 3 s.  */
   FAKE_DEATH,        /* Every 3 s a request crashes up to 2 targets.  */
+  FAKE_DOMAIN_SLOW,  /* All targets of failure domain 0, 10x.  */
   FAKE_OVERLOAD,     /* 3 times the capacity.  */
   FAKE_TAIL,         /* Heavy tail, no sick target.  */
   FAKE_FAULT_COUNT
--- a/bench/policy_target_lib.c
+++ b/bench/policy_target_lib.c
@@ -65,6 +65,8 @@
     return false;
   if (world->setup.fault == FAKE_PARTITION)
     return fake_lost (world, host, target);
+  if (world->setup.fault == FAKE_DOMAIN_SLOW)
+    return world->targets[target].domain == 0;
   if (target != world->sick)
     return false;
   switch (world->setup.fault)
@@ -73,6 +75,8 @@
       return host / FAKE_DOMAINS < 2;
     case FAKE_LIE_BAD:
       return lie_bad_slow (world);
+    case FAKE_FLAP:
+      return flaps_now (world);
     case FAKE_CRASH:
       return world->targets[target].down;
     case FAKE_HEALTHY:
@@ -94,6 +98,8 @@
   if (at->started_us && world->now_us < at->started_us + COLD_US
       && world->setup.fault != FAKE_DEATH)
     return COLD_FACTOR;
+  if (world->setup.fault == FAKE_DOMAIN_SLOW && fake_fault_on (world))
+    return at->domain == 0 ? 10 : 1;
   if (target != world->sick || !fake_fault_on (world))
     return 1;
   switch (world->setup.fault)
--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #include "dispatcher_impl.h"
@@ -9,6 +10,11 @@
    deadline: time for the outcome to arrive from another region.  */
 #define LOST_MARGIN_MS 500
 #define OCCUPANCY_STEP 0.05
+#define GAP_STEP 0.02
+/* Of the free slots elsewhere, the part that asks from here may take until
+   the next report; the other domains may send work there as well.  */
+#define SPILL_SHARE 0.5
+#define REPORT_MS 1000
 /* Penalties in the choice among targets; 1 equals a full load.  */
 #define SHED_PENALTY 0.5
 #define BROKEN_PENALTY 1.0
@@ -220,10 +226,14 @@
 
 void
 ab_dispatcher_set_elsewhere (struct ab_dispatcher *dispatcher,
-                             uint64_t announced, uint64_t out)
+                             uint64_t announced, uint64_t out, uint64_t idle)
 {
+  double occupancy_ms = fmax (1, dispatcher->occupancy_ms);
+
   dispatcher->elsewhere_announced = announced;
   dispatcher->elsewhere_out = out;
+  dispatcher->spill_tokens
+      = SPILL_SHARE * (double)idle * REPORT_MS / occupancy_ms;
 }
 
 bool
@@ -235,6 +245,16 @@
   return false;
 }
 
+static void
+note_gap (struct ab_dispatcher *dispatcher, uint64_t now_ms)
+{
+  double gap_ms = (double)(now_ms - dispatcher->granted_ms);
+
+  if (dispatcher->granted++ > 0)
+    dispatcher->grant_gap_ms += GAP_STEP * (gap_ms - dispatcher->grant_gap_ms);
+  dispatcher->granted_ms = now_ms;
+}
+
 bool
 ab_dispatcher_try_grant (struct ab_dispatcher *dispatcher,
                          const struct ab_drequest *request, uint64_t now_ms)
@@ -259,7 +279,7 @@
                                      request->class_id, request->path, now_ms);
   target->in_use++;
   target->last_start_ms = now_ms;
-  dispatcher->granted++;
+  note_gap (dispatcher, now_ms);
   dispatcher->env->ops->grant (
       dispatcher->env,
       &(struct ab_dispatcher_grant){ .id = grant->id,
@@ -278,7 +298,8 @@
                                  .priority = ask->priority,
                                  .deadline_ms = ask->deadline_ms,
                                  .path = ab_dispatcher_hash (ask->asker),
-                                 .spilled = ask->spilled };
+                                 .spilled = ask->spilled,
+                                 .stay = ask->stay };
 
   ab_chunk_copy (ab_chunk_str (ask->asker), request.asker,
                  sizeof request.asker);
@@ -469,6 +490,8 @@
       totals->announced_slots += target->slots;
       if (target->state != AB_DISPATCH_ACTIVE)
         totals->out_slots += target->slots;
+      else if (target->slots > target->in_use)
+        totals->idle_slots += target->slots - target->in_use;
     }
 }
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -108,6 +108,7 @@
   const char *excluded[AB_DISPATCHER_EXCLUDED_MAX];
   size_t excluded_count;
   bool spilled; /* From another failure domain: granted at once or not.  */
+  bool stay;    /* Was refused elsewhere: not to be sent away again.  */
 };
 
 enum ab_dispatch_state
@@ -134,6 +135,7 @@
 {
   uint64_t announced_slots; /* Here; targets that drain are not counted.  */
   uint64_t out_slots;       /* Of targets in exile or on probation.  */
+  uint64_t idle_slots;      /* Of targets in service.  */
   uint64_t in_use;
   size_t queued;
   size_t permits_held;
@@ -164,10 +166,12 @@
 void ab_dispatcher_remove_target (struct ab_dispatcher *dispatcher,
                                   const char *address, uint64_t now_ms);
 
-/* Slots of the service in other failure domains, and those of them that are
-   out of service.  */
+/* What the dispatchers of other failure domains report, about once a
+   second: slots of the service, those of them that are out of service, and
+   those that are free.  */
 void ab_dispatcher_set_elsewhere (struct ab_dispatcher *dispatcher,
-                                  uint64_t announced, uint64_t out);
+                                  uint64_t announced, uint64_t out,
+                                  uint64_t idle);
 
 /* Answers through the environment, at once or later.  */
 void ab_dispatcher_ask (struct ab_dispatcher *dispatcher,
--- a/src/dispatcher_eject.c
+++ b/src/dispatcher_eject.c
@@ -24,8 +24,8 @@
 /* A permit is asked for when a target is this suspect, as an answer from the
    control group takes 20 ms and more.  Idle dispatchers hold none: six of
    them would hold most of a small service's permits.  */
-#define PREFETCH_SUSPICION 0.25
-#define PERMIT_IDLE_MS 10000
+#define PREFETCH_SUSPICION 0.5
+#define PERMIT_IDLE_MS 1000
 #define PERMIT_RETRY_MS 500
 #define REFUSED_EVENT_MS 1000
 
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -64,6 +64,7 @@
   char excluded[AB_DISPATCHER_EXCLUDED_MAX][AB_DISPATCHER_NAME_BYTES];
   size_t excluded_count;
   bool spilled;
+  bool stay;
 };
 
 struct ab_dispatcher
@@ -86,6 +87,11 @@
   uint64_t outcome_ms; /* When the last outcome came.  */
   uint64_t elsewhere_announced;
   uint64_t elsewhere_out;
+  /* Asks that may be sent elsewhere until the next report.  */
+  double spill_tokens;
+  /* Mean time between two grants.  */
+  double grant_gap_ms;
+  uint64_t granted_ms;
   size_t permits; /* Held, in use or spare.  */
   bool permit_pending;
   uint64_t permit_retry_ms;
--- a/src/dispatcher_queue.c
+++ b/src/dispatcher_queue.c
@@ -1,5 +1,6 @@
 /* The dispatcher's queue.  */
 
+#include <math.h>
 #include <stdlib.h>
 
 #include "dispatcher_impl.h"
@@ -7,8 +8,9 @@
 
 /* A request is admitted when its expected wait is at most this part of the
    time that its deadline leaves besides its service.  With the whole time,
-   small errors of the estimate make most requests late under overload.  */
-#define WAIT_SHARE 0.5
+   small errors of the estimate make most requests late under overload; and
+   a longer queue than keeps the slots busy only makes answers slower.  */
+#define WAIT_SHARE 0.2
 /* Quantile of the service time that must still fit before the deadline.  */
 #define SERVICE_QUANTILE 0.9
 /* Service times say nothing when no outcome came for this long; without
@@ -17,6 +19,9 @@
 /* Of the asks that come while most targets here look bad, one in this many
    is kept to notice a recovery; the others go elsewhere.  */
 #define IMPAIRED_KEEP 8
+/* With free slots elsewhere, a request that would wait longer than this here
+   is sent there: the way to another region and back takes 40 ms.  */
+#define SPILL_WAIT_MS 60
 
 void
 ab_dispatcher_unqueue (struct ab_dispatcher *dispatcher, size_t at)
@@ -97,6 +102,20 @@
   return ab_detector_service_ms (dispatcher->detector, class_id, quantile);
 }
 
+/* Expected wait behind AHEAD others.  */
+static double
+wait_ms (const struct ab_dispatcher *dispatcher, size_t ahead, uint64_t now_ms)
+{
+  double slots = 0;
+
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    if (dispatcher->targets[i]->state == AB_DISPATCH_ACTIVE)
+      slots += (double)ab_dtarget_allowed (dispatcher->targets[i], now_ms);
+  if (slots <= 0)
+    return INFINITY;
+  return (double)(ahead + 1) * dispatcher->occupancy_ms / slots;
+}
+
 /* Whether the request's deadline leaves time for the wait behind AHEAD
    others.  */
 static bool
@@ -106,19 +125,11 @@
   double left = (double)request->deadline_ms - (double)now_ms;
   double service
       = service_ms (dispatcher, request->class_id, SERVICE_QUANTILE, now_ms);
-  double slots = 0;
-  double wait;
+  double wait = wait_ms (dispatcher, ahead, now_ms);
 
-  for (size_t i = 0; i < dispatcher->target_count; i++)
-    if (dispatcher->targets[i]->state == AB_DISPATCH_ACTIVE)
-      slots += (double)ab_dtarget_allowed (dispatcher->targets[i], now_ms);
-  if (slots <= 0)
-    return false;
-  wait = (double)(ahead + 1) * dispatcher->occupancy_ms / slots;
   /* Classes whose service time comes near their deadline may wait a little,
      or they would never be queued.  */
-  if (service > left * (1 - WAIT_SHARE))
-    service = left * (1 - WAIT_SHARE);
+  service = fmin (service, left / 2);
   return left > 0 && wait <= WAIT_SHARE * (left - service);
 }
 
@@ -136,12 +147,23 @@
 should_move (struct ab_dispatcher *dispatcher,
              const struct ab_drequest *request)
 {
-  if (!dispatcher->impaired || request->spilled
+  if (!dispatcher->impaired || request->spilled || request->stay
       || dispatcher->elsewhere_announced == 0)
     return false;
   return ++dispatcher->impaired_turn % IMPAIRED_KEEP != 0;
 }
 
+static bool
+should_spill (struct ab_dispatcher *dispatcher,
+              const struct ab_drequest *request, size_t ahead, uint64_t now_ms)
+{
+  if (request->stay || dispatcher->spill_tokens < 1
+      || wait_ms (dispatcher, ahead, now_ms) <= SPILL_WAIT_MS)
+    return false;
+  dispatcher->spill_tokens -= 1;
+  return true;
+}
+
 void
 ab_dispatcher_enqueue (struct ab_dispatcher *dispatcher,
                        const struct ab_drequest *request, uint64_t now_ms)
@@ -154,7 +176,7 @@
   else if (!ab_dispatcher_usable (dispatcher))
     ab_dispatcher_refuse (dispatcher, request, AB_ERR_NOT_FOUND, true,
                           "no target in this failure domain");
-  else if (!request->spilled
+  else if (!request->spilled && !request->stay
            && !ab_dispatcher_reachable (dispatcher, request, now_ms))
     ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
                           "this host reaches no target here");
@@ -166,12 +188,15 @@
   else if (request->spilled)
     ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
                           "no free slot for another failure domain");
-  else if (!can_wait (dispatcher, request, place, now_ms))
+  else if (should_spill (dispatcher, request, place, now_ms))
     ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
+                          "no free slot near, but in other domains");
+  else if (!can_wait (dispatcher, request, place, now_ms))
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, false,
                           "the wait would be too long");
   else if (dispatcher->queued >= dispatcher->options.queue
            && place == dispatcher->queued)
-    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
+    ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, false,
                           "the queue is full");
   else if (insert (dispatcher, request, place) < 0)
     ab_dispatcher_refuse (dispatcher, request, AB_ERR_FULL, true,
@@ -180,7 +205,7 @@
     {
       ab_dispatcher_refuse (
           dispatcher, dispatcher->queue[dispatcher->queued - 1], AB_ERR_FULL,
-          true, "the queue is full of more urgent requests");
+          false, "the queue is full of more urgent requests");
       ab_dispatcher_unqueue (dispatcher, dispatcher->queued - 1);
     }
 }
--- a/src/dispatcher_targets.c
+++ b/src/dispatcher_targets.c
@@ -9,12 +9,18 @@
 #define PENALTY_MAX 3.0
 /* Weight of suspicion (0 to 1) against load (0 to 1): a fully suspect target
    is used after all others are full.  */
-#define SUSPICION_WEIGHT 2.0
-/* A suspect target gets a request at least this often while it has few in
-   flight, so that the suspicion is settled instead of lasting.  */
-#define EXPLORE_MS 400
+#define SUSPICION_WEIGHT 3.0
+/* A suspect target that load would not reach gets one in this many of its
+   usual requests, within the bounds below, so that the suspicion is settled
+   instead of lasting.  4% keep the promise that 95% of the work moves.  */
+#define EXPLORE_ONE_IN 25
+#define EXPLORE_MIN_MS 200
+#define EXPLORE_MAX_MS 5000
 #define EXPLORE_IN_FLIGHT 2
-#define EXPLORE_SUSPICION 0.25
+/* Targets with this much suspicion are passed over while others, busy or
+   free, can serve soon: waiting for one service time costs less than a
+   response that is several times slower.  */
+#define HELD_SUSPICION 0.25
 /* A request on probation must have this many times the usual service time
    until its deadline, so that it can be tried again elsewhere.  */
 #define PROBATION_SLACK 4.0
@@ -95,11 +101,16 @@
 }
 
 static bool
-wants_exploring (const struct ab_dtarget *target, double suspicion,
+wants_exploring (const struct ab_dispatcher *dispatcher,
+                 const struct ab_dtarget *target, double suspicion,
                  uint64_t now_ms)
 {
-  return suspicion >= EXPLORE_SUSPICION && target->in_use < EXPLORE_IN_FLIGHT
-         && now_ms >= target->last_start_ms + EXPLORE_MS;
+  double gap_ms = EXPLORE_ONE_IN * dispatcher->grant_gap_ms
+                  * (double)dispatcher->target_count;
+
+  gap_ms = fmin (EXPLORE_MAX_MS, fmax (EXPLORE_MIN_MS, gap_ms));
+  return suspicion >= HELD_SUSPICION && target->in_use < EXPLORE_IN_FLIGHT
+         && now_ms >= target->last_start_ms + (uint64_t)gap_ms;
 }
 
 /* Lower is better.  */
@@ -113,37 +124,53 @@
          + current_penalty (target, now_ms);
 }
 
+struct choice
+{
+  struct ab_dtarget *target;
+  double cost;
+  uint64_t ties;
+};
+
+static void
+consider (struct choice *choice, struct ab_dtarget *target, double cost,
+          struct ab_rng *rng)
+{
+  if (!choice->target || cost < choice->cost)
+    *choice = (struct choice){ .target = target, .cost = cost, .ties = 1 };
+  else if (cost <= choice->cost && ab_rng_below (rng, ++choice->ties) == 0)
+    choice->target = target;
+}
+
 struct ab_dtarget *
 ab_dispatcher_choose (struct ab_dispatcher *dispatcher,
                       const struct ab_drequest *request, uint64_t now_ms)
 {
-  struct ab_dtarget *best = NULL;
-  double best_cost = INFINITY;
-  uint64_t ties = 0;
+  struct choice trusted = { .target = NULL };
+  struct choice held = { .target = NULL };
+  uint64_t trusted_slots = 0;
 
   for (size_t i = 0; i < dispatcher->target_count; i++)
     {
       struct ab_dtarget *target = dispatcher->targets[i];
+      uint64_t allowed = ab_dtarget_allowed (target, now_ms);
       double suspicion;
-      double cost;
 
       if (wants_probation (dispatcher, target, request, now_ms))
         return target;
-      if (target->in_use >= ab_dtarget_allowed (target, now_ms)
-          || !may_serve (dispatcher, target, request, now_ms))
+      if (!may_serve (dispatcher, target, request, now_ms))
         continue;
       suspicion = ab_detector_suspicion (dispatcher->detector,
                                          target->evidence, now_ms);
-      if (wants_exploring (target, suspicion, now_ms))
+      if (suspicion < HELD_SUSPICION)
+        trusted_slots += allowed;
+      if (target->in_use >= allowed)
+        continue;
+      if (wants_exploring (dispatcher, target, suspicion, now_ms))
         return target;
-      cost = cost_of (target, suspicion, now_ms);
-      if (cost < best_cost)
-        ties = 0;
-      if (cost <= best_cost && ab_rng_below (dispatcher->rng, ++ties) == 0)
-        {
-          best = target;
-          best_cost = cost;
-        }
+      consider (suspicion < HELD_SUSPICION ? &trusted : &held, target,
+                cost_of (target, suspicion, now_ms), dispatcher->rng);
     }
-  return best;
+  if (trusted.target || dispatcher->queued <= trusted_slots)
+    return trusted.target || trusted_slots ? trusted.target : held.target;
+  return held.target;
 }
