Eject only while peers answer; lengthen probation of repeat offenders

Change: at least half of the other local targets must have answered well to requests that started after the target became suspect.

--- a/src/detector.c
+++ b/src/detector.c
@@ -116,6 +116,7 @@
   at->error_score = 0;
   at->scored_ms = now_ms;
   at->bad_end_ms = 0;
+  at->suspect_since_ms = 0;
   at->cold_until_ms = now_ms + cold_ms;
   at->wary_until_ms = wary ? now_ms + WARY_MS : 0;
   at->paths = (struct ab_path_table){ 0 };
--- a/src/detector_query.c
+++ b/src/detector_query.c
@@ -256,6 +256,39 @@
     }
 }
 
+/* Whether at least half of the other targets here answered well to requests
+   that started after TARGET became suspect.  Without this, the first of
+   several targets that slow down together would be ejected before the others
+   look bad.  */
+static bool
+peers_answer (const struct ab_detector *detector,
+              const struct ab_detector_target *target)
+{
+  size_t others = 0;
+  size_t good = 0;
+
+  for (size_t i = 0; i < detector->target_count; i++)
+    {
+      const struct ab_detector_target *at = &detector->targets[i];
+
+      if (!at->used || at == target)
+        continue;
+      others++;
+      good += at->answer_ms >= target->suspect_since_ms;
+    }
+  return 2 * good >= others;
+}
+
+static void
+note_suspect (const struct ab_detector *detector,
+              struct ab_detector_target *target, uint64_t now_ms)
+{
+  if (!is_suspect (detector, target, now_ms))
+    target->suspect_since_ms = 0;
+  else if (target->suspect_since_ms == 0)
+    target->suspect_since_ms = now_ms;
+}
+
 /* Moves evidence of bad paths away from the target's own score.  */
 static bool
 separate_paths (const struct ab_detector *detector,
@@ -294,6 +327,7 @@
   double limit = ab_detector_limit (detector, at, now_ms);
   bool path = separate_paths (detector, at, limit, now_ms);
 
+  note_suspect (detector, at, now_ms);
   *evidence = (struct ab_evidence){
     .health = AB_HEALTH_UNKNOWN,
     .threshold = limit,
@@ -313,7 +347,7 @@
         evidence->health = AB_HEALTH_HEALTHY;
       return;
     }
-  if (is_common (detector, now_ms))
+  if (is_common (detector, now_ms) || !peers_answer (detector, at))
     {
       evidence->cause = AB_CAUSE_COMMON;
       return;
--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -11,9 +11,9 @@
 #define LOST_MARGIN_MS 500
 #define OCCUPANCY_STEP 0.05
 #define GAP_STEP 0.02
-/* Of the free slots elsewhere, the part that asks from here may take until
-   the next report; the other domains may send work there as well.  */
-#define SPILL_SHARE 0.5
+/* Of the free slots elsewhere, the part that asks from here may try for until
+   the next report.  */
+#define SPILL_SHARE 1.0
 #define REPORT_MS 1000
 /* Penalties in the choice among targets; 1 equals a full load.  */
 #define SHED_PENALTY 0.5
--- a/src/dispatcher_queue.c
+++ b/src/dispatcher_queue.c
@@ -10,7 +10,7 @@
    time that its deadline leaves besides its service.  With the whole time,
    small errors of the estimate make most requests late under overload; and
    a longer queue than keeps the slots busy only makes answers slower.  */
-#define WAIT_SHARE 0.2
+#define WAIT_SHARE 0.15
 /* Quantile of the service time that must still fit before the deadline.  */
 #define SERVICE_QUANTILE 0.9
 /* Service times say nothing when no outcome came for this long; without
--- a/src/dispatcher_targets.c
+++ b/src/dispatcher_targets.c
@@ -24,6 +24,8 @@
 /* A request on probation must have this many times the usual service time
    until its deadline, so that it can be tried again elsewhere.  */
 #define PROBATION_SLACK 4.0
+/* Time between requests on probation; four times longer for each further
+   ejection, so that a target that flaps every few seconds is caught.  */
 #define PROBATION_GAP_MS 50
 
 uint64_t
@@ -92,9 +94,11 @@
 {
   double service
       = ab_detector_service_ms (dispatcher->detector, request->class_id, 0.5);
+  unsigned level = target->exile_level < 4 ? target->exile_level : 4;
+  uint64_t gap_ms = (uint64_t)PROBATION_GAP_MS << (2 * level);
 
   return target->state == AB_DISPATCH_ON_PROBATION && target->in_use == 0
-         && now_ms >= target->last_start_ms + PROBATION_GAP_MS
+         && now_ms >= target->last_start_ms + gap_ms
          && request->excluded_count == 0
          && (double)now_ms + PROBATION_SLACK * service
                 <= (double)request->deadline_ms;
