Bound scores, forget slowly once suspect, ignore requests that started cold

Change: scores end at 1.25 of the threshold and at 0.75 while most targets look bad; requests that began in the cold period give no latency evidence; good requests count half once a target is suspect.

--- a/src/detector.c
+++ b/src/detector.c
@@ -19,6 +19,13 @@
 /* One request may add at most this fraction of the threshold, so that no
    verdict rests on fewer than three requests.  */
 #define SHARE_OF_ONE (1.0 / 3)
+/* Largest score as a multiple of the threshold: a long fault must not need an
+   equally long time to be forgotten.  */
+#define SCORE_MAX 1.25
+/* Good requests count for less once a target is suspect, or one that flaps
+   every 2 s would clear itself each time.  */
+#define SLOW_FORGET_FROM (1.0 / 3)
+#define SLOW_FORGET 0.5
 /* Bad requests that overlap in time may have one cause, such as a pause for
    garbage collection; all but the first count for less.  */
 #define OVERLAP_LATENCY 0.35
@@ -255,7 +262,9 @@
     llr = limit * SHARE_OF_ONE;
   if (llr > 0 && overlaps)
     llr *= discount;
-  *score = fmax (0, *score + llr);
+  if (llr < 0 && *score > limit * SLOW_FORGET_FROM)
+    llr *= SLOW_FORGET;
+  *score = fmin (limit * SCORE_MAX, fmax (0, *score + llr));
 }
 
 /* Whether the outcome tells how long the target takes.  */
@@ -272,7 +281,7 @@
 {
   struct ab_detector_class *class = &detector->classes[entry->class_id];
   double limit = ab_detector_limit (detector, target, now_ms);
-  bool cold = now_ms < target->cold_until_ms;
+  bool cold = entry->start_ms < target->cold_until_ms;
   bool calm = ab_detector_score (detector, target, now_ms) < limit / 4;
   double x = log (fmax (1, (double)outcome->latency_us));
   double slow = 0;
--- a/src/detector_query.c
+++ b/src/detector_query.c
@@ -26,6 +26,7 @@
 /* Largest fraction of the targets that may be suspect for a verdict.  */
 #define SUSPECTS_MAX 0.5
 #define HEALTHY_OUTCOMES 10
+#define COMMON_HOLD 0.75
 
 static bool
 view_counts (const struct ab_class_view *view, uint64_t now_ms)
@@ -139,14 +140,14 @@
   double sum = 0;
 
   *count = 0;
-  if (now_ms < target->cold_until_ms)
-    return 0;
   for (size_t i = 0; i < target->in_flight_size; i++)
     {
       const struct ab_in_flight *at = &target->in_flight[i];
       double llr;
 
-      if (!at->used || ab_path_avoided (&target->paths, at->path, now_ms))
+      /* What started cold may take long.  */
+      if (!at->used || at->start_ms < target->cold_until_ms
+          || ab_path_avoided (&target->paths, at->path, now_ms))
         continue;
       llr = overdue_llr (detector, target, at, limit, now_ms);
       if (llr <= 0)
@@ -244,7 +245,7 @@
       struct ab_path_score *path;
       double llr;
 
-      if (!at->used || now_ms < target->cold_until_ms)
+      if (!at->used || at->start_ms < target->cold_until_ms)
         continue;
       llr = overdue_llr (detector, target, at, limit, now_ms);
       if (llr <= 0)
@@ -289,6 +290,15 @@
     target->suspect_since_ms = now_ms;
 }
 
+/* Lowers scores from a time when most targets looked bad, so that a verdict
+   needs new evidence once the others are well again.  */
+static void
+hold_scores (struct ab_detector_target *target, double limit)
+{
+  target->latency_score = fmin (target->latency_score, limit * COMMON_HOLD);
+  target->error_score = fmin (target->error_score, limit * COMMON_HOLD);
+}
+
 /* Moves evidence of bad paths away from the target's own score.  */
 static bool
 separate_paths (const struct ab_detector *detector,
@@ -350,6 +360,7 @@
   if (is_common (detector, now_ms) || !peers_answer (detector, at))
     {
       evidence->cause = AB_CAUSE_COMMON;
+      hold_scores (at, limit);
       return;
     }
   evidence->health = AB_HEALTH_SICK;
