--- /dev/null
+++ b/standins/address_lib.c
@@ -0,0 +1,113 @@
+#include "address_lib.h"
+
+#include <stdio.h>
+
+#define RETRY_MS 100
+#define TIMEOUT_MS 1000
+#define DEFAULT_TTL_MS 1000
+
+static void ask (struct address_cache *cache);
+
+static void
+arm (struct address_cache *cache, uint64_t ms)
+{
+  struct timeval tv = { .tv_sec = (time_t)(ms / 1000),
+                        .tv_usec = (suseconds_t)(ms % 1000 * 1000) };
+
+  event_add (cache->timer, &tv);
+}
+
+/* Takes a list of strings or of objects with an "address".  */
+static size_t
+read_addresses (struct address_cache *cache, const json_t *list)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < json_array_size (list) && count < ADDRESS_MAX; i++)
+    {
+      const json_t *item = json_array_get (list, i);
+      const char *text = json_string_value (
+          json_is_string (item) ? item : json_object_get (item, "address"));
+
+      if (text && ab_address_valid (ab_chunk_str (text)))
+        snprintf (cache->addresses[count++], AB_ADDRESS_BYTES, "%s", text);
+    }
+  return count;
+}
+
+static void
+on_answer (void *ctx, int status, json_t *body)
+{
+  struct address_cache *cache = ctx;
+  const json_t *list = json_object_get (body, "addresses");
+  json_int_t ttl = json_integer_value (json_object_get (body, "ttl_ms"));
+
+  cache->asking = false;
+  if (status == 200 && json_array_size (list) > 0)
+    {
+      cache->address_count = read_addresses (cache, list);
+      cache->preferred = 0;
+      cache->answers++;
+      arm (cache, ttl > 0 ? (uint64_t)ttl : DEFAULT_TTL_MS);
+      return;
+    }
+  cache->failures++;
+  cache->entry = (cache->entry + 1) % cache->entry_count;
+  arm (cache, RETRY_MS);
+}
+
+static void
+ask (struct address_cache *cache)
+{
+  char path[256];
+
+  if (cache->asking || cache->entry_count == 0)
+    return;
+  cache->asking = true;
+  snprintf (path, sizeof path, "/v1/addresses?service=%s&failure_domain=%s",
+            cache->service, cache->failure_domain);
+  standin_request (cache->base, cache->entries[cache->entry], EVHTTP_REQ_GET,
+                   path, NULL, NULL, TIMEOUT_MS, on_answer, cache);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  ask (arg);
+}
+
+void
+address_cache_start (struct address_cache *cache)
+{
+  cache->timer = evtimer_new (cache->base, on_timer, cache);
+  ask (cache);
+}
+
+void
+address_cache_stop (struct address_cache *cache)
+{
+  event_free (cache->timer);
+}
+
+const char *
+address_cache_get (const struct address_cache *cache)
+{
+  return cache->address_count > 0 ? cache->addresses[cache->preferred] : NULL;
+}
+
+void
+address_cache_failed (struct address_cache *cache, const char *address)
+{
+  const char *current = address_cache_get (cache);
+
+  if (!current || strcmp (current, address) != 0)
+    return;
+  cache->preferred = (cache->preferred + 1) % cache->address_count;
+  if (cache->entry_count == 0)
+    return;
+  /* The host that gave the answer may be the one that failed.  */
+  cache->entry = (cache->entry + 1) % cache->entry_count;
+  ask (cache);
+}
--- /dev/null
+++ b/standins/load.c
@@ -0,0 +1,667 @@
+/* Load tool: asks entry hosts for addresses, sends requests there at a rate
+   or with a concurrency, checks every answer, and prints one JSON line.  */
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <getopt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/queue.h>
+#include <sys/resource.h>
+
+#include "address_lib.h"
+#include "clock.h"
+#include "digest.h"
+#include "load_report_lib.h"
+
+#define CLASSES_MAX 8
+#define BODY_BYTES_MAX (1024 * 1024)
+#define RESPONSE_BYTES_MAX (16 * 1024 * 1024)
+#define RESEND_PAUSE_MS 100
+#define TICK_US 1000
+#define US_PER_S 1000000.0
+
+struct load_class
+{
+  char method[8];
+  char path[256];
+  bool keyed;
+  double weight;
+  struct load_counts counts;
+};
+
+/* A connection, used by one request at a time.  */
+struct lane
+{
+  TAILQ_ENTRY (lane) next;
+  struct evhttp_connection *connection;
+  struct event *reap;
+  char address[AB_ADDRESS_BYTES];
+};
+
+TAILQ_HEAD (lane_list, lane);
+
+struct call
+{
+  struct load_class *load_class;
+  struct lane *lane;
+  struct event *timer; /* For sending it again.  */
+  char id[STANDIN_UUID_BYTES];
+  char key[STANDIN_UUID_BYTES];
+  char digest[2 * AB_DIGEST_BYTES + 1];
+  char *body;
+  uint64_t scheduled_us;
+  unsigned attempt;
+};
+
+struct load
+{
+  struct event_base *base;
+  struct event *ticker;
+  struct address_cache cache;
+  struct load_class classes[CLASSES_MAX];
+  size_t class_count;
+  struct load_counts total;
+  struct lane_list idle;
+  size_t lanes;
+  size_t lanes_max;
+  size_t active; /* Calls that have not ended.  */
+  uint64_t started;
+  uint64_t count; /* Calls to start at most; 0: no bound.  */
+  double rate;
+  unsigned concurrency;
+  uint64_t duration_us;
+  uint64_t begin_us;
+  uint64_t timeout_ms;
+  unsigned resend;
+  size_t body_bytes;
+  const char *fixed_body;
+  const char *token;
+  FILE *journal;
+  struct ab_rng rng;
+};
+
+static struct load load = { .timeout_ms = 2000,
+                            .duration_us = 10 * 1000000ULL,
+                            .lanes_max = 1024,
+                            .body_bytes = 64 };
+
+static void send_call (struct call *call);
+
+static void
+reap_lane (evutil_socket_t fd, short what, void *arg)
+{
+  struct lane *lane = arg;
+
+  (void)fd;
+  (void)what;
+  evhttp_connection_free (lane->connection);
+  event_free (lane->reap);
+  free (lane);
+  load.lanes--;
+}
+
+/* Answers with "Connection: close" free the lane: evhttp would connect again
+   to a host that asked callers to go elsewhere.  */
+static void
+return_lane (struct lane *lane, bool keep)
+{
+  const char *address = address_cache_get (&load.cache);
+
+  if (keep && address && strcmp (address, lane->address) == 0)
+    TAILQ_INSERT_HEAD (&load.idle, lane, next);
+  else
+    event_active (lane->reap, EV_TIMEOUT, 0);
+}
+
+static struct lane *
+new_lane (const char *address)
+{
+  struct lane *lane;
+  char host[AB_ADDRESS_BYTES];
+  uint16_t port;
+  struct timeval timeout = { .tv_sec = (time_t)(load.timeout_ms / 1000 + 1) };
+
+  if (load.lanes >= load.lanes_max
+      || ab_address_split (address, host, sizeof host, &port) < 0)
+    return NULL;
+  lane = calloc (1, sizeof *lane);
+  snprintf (lane->address, sizeof lane->address, "%s", address);
+  lane->reap = event_new (load.base, -1, 0, reap_lane, lane);
+  lane->connection = evhttp_connection_base_new (load.base, NULL, host, port);
+  evhttp_connection_set_timeout_tv (lane->connection, &timeout);
+  evhttp_connection_set_max_body_size (lane->connection, RESPONSE_BYTES_MAX);
+  load.lanes++;
+  return lane;
+}
+
+static struct lane *
+take_lane (void)
+{
+  const char *address = address_cache_get (&load.cache);
+  struct lane *lane;
+
+  while ((lane = TAILQ_FIRST (&load.idle)))
+    {
+      TAILQ_REMOVE (&load.idle, lane, next);
+      if (address && strcmp (address, lane->address) == 0)
+        return lane;
+      event_active (lane->reap, EV_TIMEOUT, 0);
+    }
+  return address ? new_lane (address) : NULL;
+}
+
+static void
+free_call (struct call *call)
+{
+  event_free (call->timer);
+  free (call->body);
+  free (call);
+  load.active--;
+}
+
+static void
+count_failure (struct load_counts *counts, enum load_verdict verdict,
+               int status, bool cut)
+{
+  counts->failed[verdict]++;
+  if (cut)
+    counts->cut++;
+  if (status > 0 && status < LOAD_STATUS_MAX)
+    counts->statuses[status]++;
+}
+
+static void
+journal (const struct call *call, enum load_verdict verdict, int status)
+{
+  if (load.journal && call->load_class->keyed)
+    fprintf (load.journal, "%s %u %s %d\n", call->key, call->attempt,
+             load_verdict_name (verdict), status);
+}
+
+static void
+succeed (struct call *call, bool replayed)
+{
+  struct load_counts *counts[] = { &load.total, &call->load_class->counts };
+  uint64_t latency = ab_clock_monotonic_us () - call->scheduled_us;
+
+  journal (call, LOAD_RAN, 200);
+  for (int i = 0; i < 2; i++)
+    {
+      counts[i]->ok++;
+      counts[i]->replayed += replayed;
+      ab_histogram_add (counts[i]->latency, latency);
+    }
+  free_call (call);
+}
+
+static void
+fail (struct call *call, enum load_verdict verdict, int status, bool cut)
+{
+  struct timeval pause = { .tv_usec = RESEND_PAUSE_MS * 1000L };
+
+  journal (call, verdict, status);
+  if (call->load_class->keyed && verdict != LOAD_RAN
+      && call->attempt < load.resend)
+    {
+      call->attempt++;
+      load.total.resent++;
+      call->load_class->counts.resent++;
+      event_add (call->timer, &pause);
+      return;
+    }
+  count_failure (&load.total, verdict, status, cut);
+  count_failure (&call->load_class->counts, verdict, status, cut);
+  free_call (call);
+}
+
+static bool
+belongs (const json_t *object, const char *key, const char *value)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+
+  return text && strcmp (text, value) == 0;
+}
+
+/* Whether the target's echo is whole and answers CALL.  A recorded response
+   carries the request identifier of the attempt that ran.  */
+static bool
+check_echo (const struct call *call, struct evhttp_request *req, bool replayed)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (req);
+  size_t len = evbuffer_get_length (input);
+  json_t *object = NULL;
+  bool good;
+
+  if (strcmp (call->load_class->method, "HEAD") == 0)
+    return true;
+  if (len > 0)
+    object = json_loadb ((char *)evbuffer_pullup (input, -1), len, 0, NULL);
+  good = object && belongs (object, "digest", call->digest)
+         && belongs (object, "key", call->load_class->keyed ? call->key : "")
+         && (replayed || call->attempt > 0
+             || belongs (object, "request_id", call->id));
+  json_decref (object);
+  return good;
+}
+
+static bool
+wants_close (struct evkeyvalq *headers)
+{
+  const char *value = evhttp_find_header (headers, "Connection");
+
+  return value && evutil_ascii_strcasecmp (value, "close") == 0;
+}
+
+static void
+on_answer (struct call *call, struct evhttp_request *req, int status)
+{
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (req);
+  enum load_verdict verdict
+      = load_verdict_parse (evhttp_find_header (headers, "Almond-Verdict"));
+  bool replayed = evhttp_find_header (headers, "Idempotent-Replayed");
+
+  return_lane (call->lane, !wants_close (headers));
+  if (status != 200)
+    {
+      fail (call, verdict, status, false);
+      return;
+    }
+  if (!check_echo (call, req, replayed))
+    {
+      load.total.wrong++;
+      call->load_class->counts.wrong++;
+      fprintf (stderr, "wrong answer to request %s key %s\n", call->id,
+               call->key);
+      fail (call, LOAD_RAN, status, false);
+      return;
+    }
+  succeed (call, replayed);
+}
+
+/* evhttp passes null after a lost connection and a request without status
+   when it could not connect.  */
+static void
+on_response (struct evhttp_request *req, void *arg)
+{
+  struct call *call = arg;
+  int status = req ? evhttp_request_get_response_code (req) : 0;
+
+  if (status > 0)
+    {
+      on_answer (call, req, status);
+      return;
+    }
+  address_cache_failed (&load.cache, call->lane->address);
+  return_lane (call->lane, false);
+  fail (call, req ? LOAD_NOT_RUN : LOAD_NO_VERDICT, 0, !req);
+}
+
+static void
+add_headers (const struct call *call, struct evkeyvalq *headers)
+{
+  char text[512];
+
+  evhttp_add_header (headers, "Host", call->lane->address);
+  evhttp_add_header (headers, "X-Request-Id", call->id);
+  snprintf (text, sizeof text, "%llu", (unsigned long long)load.timeout_ms);
+  evhttp_add_header (headers, "Request-Timeout-Ms", text);
+  if (call->load_class->keyed)
+    evhttp_add_header (headers, "Idempotency-Key", call->key);
+  if (!load.token)
+    return;
+  snprintf (text, sizeof text, "Bearer %s", load.token);
+  evhttp_add_header (headers, "Authorization", text);
+}
+
+static enum evhttp_cmd_type
+command (const char *method)
+{
+  static const struct
+  {
+    const char *name;
+    enum evhttp_cmd_type type;
+  } types[]
+      = { { "GET", EVHTTP_REQ_GET },       { "HEAD", EVHTTP_REQ_HEAD },
+          { "POST", EVHTTP_REQ_POST },     { "PUT", EVHTTP_REQ_PUT },
+          { "DELETE", EVHTTP_REQ_DELETE }, { "PATCH", EVHTTP_REQ_PATCH } };
+
+  for (size_t i = 0; i < sizeof types / sizeof types[0]; i++)
+    if (strcmp (types[i].name, method) == 0)
+      return types[i].type;
+  return EVHTTP_REQ_GET;
+}
+
+static void
+send_call (struct call *call)
+{
+  struct evhttp_request *req;
+
+  call->lane = take_lane ();
+  if (!call->lane)
+    {
+      load.total.skipped++;
+      call->load_class->counts.skipped++;
+      fail (call, LOAD_NOT_RUN, 0, false);
+      return;
+    }
+  req = evhttp_request_new (on_response, call);
+  add_headers (call, evhttp_request_get_output_headers (req));
+  if (call->body[0])
+    evbuffer_add (evhttp_request_get_output_buffer (req), call->body,
+                  strlen (call->body));
+  if (evhttp_make_request (call->lane->connection, req,
+                           command (call->load_class->method),
+                           call->load_class->path)
+      < 0)
+    {
+      return_lane (call->lane, false);
+      fail (call, LOAD_NOT_RUN, 0, false);
+    }
+}
+
+static void
+on_resend (evutil_socket_t fd, short what, void *arg)
+{
+  struct call *call = arg;
+
+  (void)fd;
+  (void)what;
+  /* A new identifier for each attempt lets explanations tell them apart.  */
+  standin_uuid7 (&load.rng, call->id);
+  send_call (call);
+}
+
+static struct load_class *
+pick_class (void)
+{
+  double total = 0;
+  double draw;
+
+  for (size_t i = 0; i < load.class_count; i++)
+    total += load.classes[i].weight;
+  draw = ab_rng_unit (&load.rng) * total;
+  for (size_t i = 0; i + 1 < load.class_count; i++)
+    if ((draw -= load.classes[i].weight) < 0)
+      return &load.classes[i];
+  return &load.classes[load.class_count - 1];
+}
+
+static char *
+make_body (const struct call *call)
+{
+  const char *method = call->load_class->method;
+  size_t len = load.body_bytes > STANDIN_UUID_BYTES ? load.body_bytes
+                                                    : STANDIN_UUID_BYTES;
+  char *body;
+
+  if (strcmp (method, "GET") == 0 || strcmp (method, "HEAD") == 0
+      || strcmp (method, "DELETE") == 0)
+    return calloc (1, 1);
+  if (load.fixed_body)
+    return strdup (load.fixed_body);
+  body = malloc (len + 1);
+  memset (body, '.', len);
+  memcpy (body, call->id, STANDIN_UUID_BYTES - 1);
+  body[len] = '\0';
+  return body;
+}
+
+static void
+start_call (uint64_t scheduled_us)
+{
+  struct call *call = calloc (1, sizeof *call);
+  struct ab_digest digest;
+
+  call->load_class = pick_class ();
+  call->scheduled_us = scheduled_us;
+  call->timer = evtimer_new (load.base, on_resend, call);
+  standin_uuid7 (&load.rng, call->id);
+  standin_uuid7 (&load.rng, call->key);
+  call->body = make_body (call);
+  digest = ab_digest_of (ab_chunk_str (call->body));
+  ab_hex_encode (digest.bytes, sizeof digest.bytes, call->digest);
+  load.started++;
+  load.active++;
+  load.total.sent++;
+  call->load_class->counts.sent++;
+  send_call (call);
+}
+
+static bool
+sending (uint64_t now)
+{
+  return now - load.begin_us < load.duration_us
+         && (load.count == 0 || load.started < load.count);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  uint64_t now = ab_clock_monotonic_us ();
+
+  (void)fd;
+  (void)what;
+  (void)arg;
+  if (!address_cache_get (&load.cache) && load.started == 0)
+    {
+      /* The run begins with the first answer, but is not waited for
+         forever.  */
+      if (now - load.begin_us > load.duration_us)
+        event_base_loopbreak (load.base);
+      return;
+    }
+  if (load.started == 0)
+    load.begin_us = now;
+  while (sending (now))
+    {
+      uint64_t due = load.begin_us;
+
+      if (load.rate > 0)
+        due += (uint64_t)((double)load.started * US_PER_S / load.rate);
+      if (due > now || (load.rate <= 0 && load.active >= load.concurrency))
+        break;
+      start_call (load.rate > 0 ? due : now);
+    }
+  if (!sending (now) && load.active == 0)
+    event_base_loopbreak (load.base);
+}
+
+static void
+usage (void)
+{
+  fputs (
+      "usage: load --entry IP:PORT... --service NAME | --address IP:PORT...\n"
+      "  [--failure-domain NAME] [--class NAME:METHOD:PATH:KIND:WEIGHT]...\n"
+      "  [--rate PER_SECOND | --concurrency N] [--duration-ms MS]\n"
+      "  [--count N] [--timeout-ms MS] [--token TEXT] [--resend TIMES]\n"
+      "  [--body-bytes N] [--fixed-body TEXT] [--connections N]\n"
+      "  [--journal FILE] [--seed N]\n"
+      "  KIND is idempotent or keyed\n",
+      stderr);
+  exit (2);
+}
+
+static void
+add_class (const char *text)
+{
+  struct load_class *class = &load.classes[load.class_count];
+  char name[LOAD_NAME_BYTES];
+  char kind[16];
+
+  if (load.class_count == CLASSES_MAX
+      || sscanf (text, "%63[^:]:%7[^:]:%255[^:]:%15[^:]:%lf", name,
+                 class->method, class->path, kind, &class->weight)
+             != 5)
+    usage ();
+  class->keyed = strcmp (kind, "keyed") == 0;
+  load_counts_init (&class->counts, name);
+  load.class_count++;
+}
+
+static void
+set_text (char *dst, size_t size, const char *src)
+{
+  if (!ab_chunk_copy (ab_chunk_str (src), dst, size))
+    usage ();
+}
+
+static void
+set_number (int option, unsigned long long value)
+{
+  switch (option)
+    {
+    case 'n':
+      load.concurrency = (unsigned)value;
+      break;
+    case 'D':
+      load.duration_us = value * 1000;
+      break;
+    case 'N':
+      load.count = value;
+      break;
+    case 'm':
+      load.timeout_ms = value;
+      break;
+    case 'a':
+      load.resend = (unsigned)value;
+      break;
+    case 'b':
+      load.body_bytes = value < BODY_BYTES_MAX ? value : BODY_BYTES_MAX;
+      break;
+    case 'x':
+      load.lanes_max = value;
+      break;
+    case 'S':
+      ab_rng_init_seeded (&load.rng, value);
+      break;
+    default:
+      usage ();
+    }
+}
+
+static void
+set_option (int option)
+{
+  struct address_cache *cache = &load.cache;
+
+  switch (option)
+    {
+    case 'e':
+      if (cache->entry_count == ADDRESS_ENTRIES_MAX)
+        usage ();
+      set_text (cache->entries[cache->entry_count++], AB_ADDRESS_BYTES,
+                optarg);
+      break;
+    case 'A':
+      if (cache->address_count == ADDRESS_MAX)
+        usage ();
+      set_text (cache->addresses[cache->address_count++], AB_ADDRESS_BYTES,
+                optarg);
+      break;
+    case 's':
+      set_text (cache->service, sizeof cache->service, optarg);
+      break;
+    case 'd':
+      set_text (cache->failure_domain, sizeof cache->failure_domain, optarg);
+      break;
+    case 'c':
+      add_class (optarg);
+      break;
+    case 'r':
+      load.rate = strtod (optarg, NULL);
+      break;
+    case 't':
+      load.token = optarg;
+      break;
+    case 'f':
+      load.fixed_body = optarg;
+      break;
+    case 'j':
+      load.journal = fopen (optarg, "ae");
+      break;
+    default:
+      set_number (option, option == '?' ? 0 : strtoull (optarg, NULL, 10));
+    }
+}
+
+static void
+parse_options (int argc, char **argv)
+{
+  static const struct option names[]
+      = { { "entry", required_argument, NULL, 'e' },
+          { "address", required_argument, NULL, 'A' },
+          { "service", required_argument, NULL, 's' },
+          { "failure-domain", required_argument, NULL, 'd' },
+          { "class", required_argument, NULL, 'c' },
+          { "rate", required_argument, NULL, 'r' },
+          { "concurrency", required_argument, NULL, 'n' },
+          { "duration-ms", required_argument, NULL, 'D' },
+          { "count", required_argument, NULL, 'N' },
+          { "timeout-ms", required_argument, NULL, 'm' },
+          { "token", required_argument, NULL, 't' },
+          { "resend", required_argument, NULL, 'a' },
+          { "body-bytes", required_argument, NULL, 'b' },
+          { "fixed-body", required_argument, NULL, 'f' },
+          { "connections", required_argument, NULL, 'x' },
+          { "journal", required_argument, NULL, 'j' },
+          { "seed", required_argument, NULL, 'S' },
+          { NULL, 0, NULL, 0 } };
+  int option;
+
+  while ((option = getopt_long (argc, argv, "", names, NULL)) != -1)
+    set_option (option);
+  if (load.cache.entry_count == 0 ? load.cache.address_count == 0
+                                  : !load.cache.service[0])
+    usage ();
+  if (load.class_count == 0)
+    add_class ("default:GET:/:idempotent:1");
+  if (load.rate <= 0 && load.concurrency == 0)
+    load.concurrency = 1;
+}
+
+static void
+print_report (void)
+{
+  uint64_t duration = ab_clock_monotonic_us () - load.begin_us;
+  json_t *report = load_counts_json (&load.total, duration);
+  json_t *classes = json_object ();
+
+  for (size_t i = 0; i < load.class_count; i++)
+    json_object_set_new (classes, load.classes[i].counts.name,
+                         load_counts_json (&load.classes[i].counts, duration));
+  json_object_set_new (report, "duration_ms",
+                       json_integer ((json_int_t)(duration / 1000)));
+  json_object_set_new (report, "address_answers",
+                       json_integer ((json_int_t)load.cache.answers));
+  json_object_set_new (report, "classes", classes);
+  json_dumpf (report, stdout, JSON_COMPACT);
+  putchar ('\n');
+  json_decref (report);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct timeval tick = { .tv_usec = TICK_US };
+
+  ab_rng_init_system (&load.rng);
+  TAILQ_INIT (&load.idle);
+  load_counts_init (&load.total, "total");
+  parse_options (argc, argv);
+  load.base = standin_base_new ();
+  if (!load.base || ab_crypto_init () < 0)
+    return EXIT_FAILURE;
+  load.cache.base = load.base;
+  load.begin_us = ab_clock_monotonic_us ();
+  address_cache_start (&load.cache);
+  load.ticker = event_new (load.base, -1, EV_PERSIST, on_tick, NULL);
+  event_add (load.ticker, &tick);
+  event_base_dispatch (load.base);
+  print_report ();
+  if (load.journal)
+    fclose (load.journal);
+  return load.total.wrong > 0 || load.started == 0 ? EXIT_FAILURE
+                                                   : EXIT_SUCCESS;
+}
