--- /dev/null
+++ b/src/http_rules.c
@@ -0,0 +1,216 @@
+#include "http_rules.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <strings.h>
+#include <sys/queue.h>
+
+#include "dispatch_task.h"
+#include "error.h"
+
+#define HEADER_NAME_BYTES 128
+
+static const char *const hop_by_hop[] = { "Connection",
+                                          "Keep-Alive",
+                                          "Proxy-Authenticate",
+                                          "Proxy-Authorization",
+                                          "Proxy-Connection",
+                                          "TE",
+                                          "Trailer",
+                                          "Transfer-Encoding",
+                                          "Upgrade" };
+
+/* Set by the proxy, or meant for it.  */
+static const char *const not_forwarded[]
+    = { "Authorization", "Content-Length", "Expect", "Request-Timeout-Ms",
+        "X-Request-Id" };
+
+static const char *const not_returned[] = { "X-Request-Id", "Date" };
+
+static const struct
+{
+  enum ab_method method;
+  enum evhttp_cmd_type type;
+} methods[] = { { AB_METHOD_GET, EVHTTP_REQ_GET },
+                { AB_METHOD_HEAD, EVHTTP_REQ_HEAD },
+                { AB_METHOD_POST, EVHTTP_REQ_POST },
+                { AB_METHOD_PUT, EVHTTP_REQ_PUT },
+                { AB_METHOD_DELETE, EVHTTP_REQ_DELETE },
+                { AB_METHOD_PATCH, EVHTTP_REQ_PATCH } };
+
+#define COUNT(a) (sizeof (a) / sizeof (a)[0])
+
+static bool
+listed (const char *const *names, size_t count, const char *name)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcasecmp (names[i], name) == 0)
+      return true;
+  return false;
+}
+
+/* Whether the comma-separated LIST has the item NAME.  */
+static bool
+list_has (const char *list, const char *name)
+{
+  size_t len = strlen (name);
+
+  while (*list)
+    {
+      size_t item;
+
+      list += strspn (list, ", \t");
+      item = strcspn (list, ", \t");
+      if (item == len && strncasecmp (list, name, len) == 0)
+        return true;
+      list += item;
+    }
+  return false;
+}
+
+bool
+ab_http_hop_by_hop (const struct evkeyvalq *headers, const char *name)
+{
+  const struct evkeyval *header;
+
+  if (listed (hop_by_hop, COUNT (hop_by_hop), name))
+    return true;
+  TAILQ_FOREACH (header, headers, next)
+  if (strcasecmp (header->key, "Connection") == 0
+      && list_has (header->value, name))
+    return true;
+  return false;
+}
+
+int
+ab_http_framing (const struct evkeyvalq *headers, enum ab_framing *framing,
+                 uint64_t *length)
+{
+  const struct evkeyval *header;
+  unsigned long long number = 0;
+  unsigned lengths = 0;
+  unsigned encodings = 0;
+
+  TAILQ_FOREACH (header, headers, next)
+  {
+    if (strcasecmp (header->key, "Content-Length") == 0)
+      {
+        lengths++;
+        if (!ab_chunk_to_u64 (ab_chunk_str (header->value), &number))
+          return AB_ERR_INVALID;
+      }
+    else if (strcasecmp (header->key, "Transfer-Encoding") == 0)
+      {
+        encodings++;
+        if (strcasecmp (header->value, "chunked") != 0)
+          return AB_ERR_INVALID;
+      }
+  }
+  if (lengths + encodings > 1)
+    return AB_ERR_INVALID;
+  *length = number;
+  *framing = lengths     ? AB_FRAMING_LENGTH
+             : encodings ? AB_FRAMING_CHUNKED
+                         : AB_FRAMING_NONE;
+  return 0;
+}
+
+static bool
+is_ours (const char *name)
+{
+  return strncasecmp (name, "Almond-", sizeof "Almond-" - 1) == 0;
+}
+
+int
+ab_http_copy_request_headers (const struct evkeyvalq *from,
+                              struct evkeyvalq *to)
+{
+  const struct evkeyval *header;
+
+  TAILQ_FOREACH (header, from, next)
+  {
+    if (ab_http_hop_by_hop (from, header->key) || is_ours (header->key)
+        || listed (not_forwarded, COUNT (not_forwarded), header->key))
+      continue;
+    if (evhttp_add_header (to, header->key, header->value) < 0)
+      return AB_ERR_INVALID;
+  }
+  return 0;
+}
+
+int
+ab_http_print_response_headers (const struct evkeyvalq *from, bool keep_length,
+                                struct ab_buf *lines)
+{
+  const struct evkeyval *header;
+
+  TAILQ_FOREACH (header, from, next)
+  {
+    if (ab_http_hop_by_hop (from, header->key) || is_ours (header->key)
+        || listed (not_returned, COUNT (not_returned), header->key)
+        || (!keep_length && strcasecmp (header->key, "Content-Length") == 0))
+      continue;
+    ab_buf_printf (lines, "%s: %s\r\n", header->key, header->value);
+  }
+  return lines->error;
+}
+
+int
+ab_http_add_header_lines (struct ab_chunk lines, struct evkeyvalq *headers)
+{
+  char name[HEADER_NAME_BYTES];
+  struct ab_buf value = AB_BUF_INIT;
+  int rc = 0;
+
+  while (lines.len > 0 && rc == 0)
+    {
+      const char *end = memmem (lines.data, lines.len, "\r\n", 2);
+      size_t len = end ? (size_t)(end - lines.data) : 0;
+      const char *colon = end ? memmem (lines.data, len, ": ", 2) : NULL;
+      size_t name_len = colon ? (size_t)(colon - lines.data) : 0;
+
+      rc = AB_ERR_INVALID;
+      if (!colon
+          || !ab_chunk_copy (ab_chunk (lines.data, name_len), name,
+                             sizeof name))
+        break;
+      ab_buf_clear (&value);
+      rc = ab_buf_append (&value, colon + 2, len - name_len - 2);
+      if (rc == 0 && evhttp_add_header (headers, name, value.data) < 0)
+        rc = AB_ERR_INVALID;
+      lines.data += len + 2;
+      lines.len -= len + 2;
+    }
+  ab_buf_free (&value);
+  return rc;
+}
+
+bool
+ab_http_request_id_valid (struct ab_chunk text)
+{
+  if (text.len == 0 || text.len >= AB_REQUEST_ID_BYTES)
+    return false;
+  for (size_t i = 0; i < text.len; i++)
+    if (!isalnum ((unsigned char)text.data[i])
+        && !strchr ("._:-", text.data[i]))
+      return false;
+  return true;
+}
+
+unsigned
+ab_http_method_from_evhttp (enum evhttp_cmd_type type)
+{
+  for (size_t i = 0; i < COUNT (methods); i++)
+    if (methods[i].type == type)
+      return methods[i].method;
+  return 0;
+}
+
+enum evhttp_cmd_type
+ab_http_method_to_evhttp (enum ab_method method)
+{
+  for (size_t i = 0; i < COUNT (methods); i++)
+    if (methods[i].method == method)
+      return methods[i].type;
+  return EVHTTP_REQ_GET;
+}
--- /dev/null
+++ b/src/quarantine.c
@@ -0,0 +1,303 @@
+#include "quarantine.h"
+
+#include <stdlib.h>
+#include <utlist.h>
+#include <uthash.h>
+
+/* The host's own losses on one connection after another arrive within a few
+   milliseconds of the crash; one that arrives after the refusal that confirmed
+   the crash still belongs to it.  */
+#define LATE_LOSS_MS 250
+
+/* A content that was lost with a target, not yet confirmed as a crash.  */
+struct suspect
+{
+  struct suspect *prev;
+  struct suspect *next;
+  struct ab_digest content;
+  char target[AB_ADDRESS_BYTES];
+  uint64_t incarnation;
+  uint64_t lost_ms;
+};
+
+/* A content that crashed one target.  */
+struct mark
+{
+  struct ab_digest content;
+  char target[AB_ADDRESS_BYTES];
+  uint64_t since_ms;
+  UT_hash_handle hh;
+};
+
+/* When a target was last known to be down after a loss.  */
+struct crash
+{
+  char target[AB_ADDRESS_BYTES];
+  uint64_t since_ms;
+  UT_hash_handle hh;
+};
+
+struct ab_quarantine
+{
+  const struct ab_quarantine_ops *ops;
+  void *ctx;
+  struct suspect *suspects;
+  size_t suspect_count;
+  struct mark *marks;
+  struct crash *crashes;
+};
+
+struct ab_quarantine *
+ab_quarantine_new (const struct ab_quarantine_ops *ops, void *ctx)
+{
+  struct ab_quarantine *quarantine = calloc (1, sizeof *quarantine);
+
+  if (!quarantine)
+    return NULL;
+  quarantine->ops = ops;
+  quarantine->ctx = ctx;
+  return quarantine;
+}
+
+static void
+drop_suspect (struct ab_quarantine *quarantine, struct suspect *suspect)
+{
+  DL_DELETE (quarantine->suspects, suspect);
+  quarantine->suspect_count--;
+  free (suspect);
+}
+
+static void
+drop_mark (struct ab_quarantine *quarantine, struct mark *mark)
+{
+  HASH_DEL (quarantine->marks, mark);
+  free (mark);
+}
+
+static void
+drop_crash (struct ab_quarantine *quarantine, struct crash *crash)
+{
+  HASH_DEL (quarantine->crashes, crash);
+  free (crash);
+}
+
+void
+ab_quarantine_free (struct ab_quarantine *quarantine)
+{
+  struct suspect *suspect;
+  struct suspect *next_suspect;
+  struct mark *mark;
+  struct mark *next_mark;
+  struct crash *crash;
+  struct crash *next_crash;
+
+  if (!quarantine)
+    return;
+  DL_FOREACH_SAFE (quarantine->suspects, suspect, next_suspect)
+  drop_suspect (quarantine, suspect);
+  HASH_ITER (hh, quarantine->marks, mark, next_mark)
+  drop_mark (quarantine, mark);
+  HASH_ITER (hh, quarantine->crashes, crash, next_crash)
+  drop_crash (quarantine, crash);
+  free (quarantine);
+}
+
+static struct mark *
+find_mark (struct ab_quarantine *quarantine, const struct ab_digest *content)
+{
+  struct mark *mark = NULL;
+
+  HASH_FIND (hh, quarantine->marks, content, sizeof *content, mark);
+  return mark;
+}
+
+/* Adds the mark of TARGET to CONTENT; a mark of another target makes it a
+   block.  Returns whether the content had no mark before.  */
+static bool
+add_mark (struct ab_quarantine *quarantine, const struct ab_digest *content,
+          const char *target, uint64_t now_ms)
+{
+  struct mark *mark = find_mark (quarantine, content);
+  char first[AB_ADDRESS_BYTES];
+
+  if (mark && now_ms - mark->since_ms > AB_QUARANTINE_MARK_MS)
+    {
+      drop_mark (quarantine, mark);
+      mark = NULL;
+    }
+  if (mark && strcmp (mark->target, target) != 0)
+    {
+      memcpy (first, mark->target, sizeof first);
+      drop_mark (quarantine, mark);
+      quarantine->ops->block (quarantine->ctx, content, first, target);
+      return false;
+    }
+  if (mark || HASH_COUNT (quarantine->marks) >= AB_QUARANTINE_ITEMS_MAX)
+    return false;
+  mark = calloc (1, sizeof *mark);
+  if (!mark)
+    return false;
+  mark->content = *content;
+  ab_chunk_copy (ab_chunk_str (target), mark->target, sizeof mark->target);
+  mark->since_ms = now_ms;
+  HASH_ADD (hh, quarantine->marks, content, sizeof mark->content, mark);
+  return true;
+}
+
+static void
+count_crash (struct ab_quarantine *quarantine, const struct ab_digest *content,
+             const char *target, uint64_t now_ms)
+{
+  if (add_mark (quarantine, content, target, now_ms))
+    quarantine->ops->mark (quarantine->ctx, content, target);
+}
+
+static struct crash *
+find_crash (struct ab_quarantine *quarantine, const char *target)
+{
+  struct crash *crash = NULL;
+
+  HASH_FIND_STR (quarantine->crashes, target, crash);
+  return crash;
+}
+
+static void
+note_crash (struct ab_quarantine *quarantine, const char *target,
+            uint64_t now_ms)
+{
+  struct crash *crash = find_crash (quarantine, target);
+
+  if (!crash)
+    {
+      crash = calloc (1, sizeof *crash);
+      if (!crash)
+        return;
+      ab_chunk_copy (ab_chunk_str (target), crash->target,
+                     sizeof crash->target);
+      HASH_ADD_STR (quarantine->crashes, target, crash);
+    }
+  crash->since_ms = now_ms;
+}
+
+void
+ab_quarantine_lost (struct ab_quarantine *quarantine, const char *target,
+                    uint64_t incarnation, const struct ab_digest *content,
+                    uint64_t now_ms)
+{
+  const struct crash *crash = find_crash (quarantine, target);
+  struct suspect *suspect;
+
+  if (crash && now_ms - crash->since_ms <= LATE_LOSS_MS)
+    {
+      count_crash (quarantine, content, target, now_ms);
+      return;
+    }
+  if (quarantine->suspect_count >= AB_QUARANTINE_ITEMS_MAX)
+    drop_suspect (quarantine, quarantine->suspects);
+  suspect = calloc (1, sizeof *suspect);
+  if (!suspect)
+    return;
+  suspect->content = *content;
+  ab_chunk_copy (ab_chunk_str (target), suspect->target,
+                 sizeof suspect->target);
+  suspect->incarnation = incarnation;
+  suspect->lost_ms = now_ms;
+  DL_APPEND (quarantine->suspects, suspect);
+  quarantine->suspect_count++;
+}
+
+/* Turns the suspects of TARGET into marks.  INCARNATION, unless 0, confirms
+   only losses of earlier incarnations.  */
+static void
+confirm (struct ab_quarantine *quarantine, const char *target,
+         uint64_t incarnation, uint64_t now_ms)
+{
+  struct suspect *suspect;
+  struct suspect *next;
+  struct ab_digest content;
+
+  DL_FOREACH_SAFE (quarantine->suspects, suspect, next)
+  {
+    if (strcmp (suspect->target, target) != 0
+        || now_ms - suspect->lost_ms > AB_QUARANTINE_CONFIRM_MS
+        || (incarnation > 0 && incarnation <= suspect->incarnation))
+      continue;
+    note_crash (quarantine, target, now_ms);
+    content = suspect->content;
+    drop_suspect (quarantine, suspect);
+    count_crash (quarantine, &content, target, now_ms);
+  }
+}
+
+void
+ab_quarantine_refused (struct ab_quarantine *quarantine, const char *target,
+                       uint64_t now_ms)
+{
+  confirm (quarantine, target, 0, now_ms);
+}
+
+void
+ab_quarantine_announced (struct ab_quarantine *quarantine, const char *target,
+                         uint64_t incarnation, uint64_t now_ms)
+{
+  confirm (quarantine, target, incarnation, now_ms);
+}
+
+void
+ab_quarantine_answered (struct ab_quarantine *quarantine,
+                        const struct ab_digest *content)
+{
+  struct mark *mark;
+  struct suspect *suspect;
+  struct suspect *next;
+
+  if (quarantine->marks)
+    {
+      mark = find_mark (quarantine, content);
+      if (mark)
+        drop_mark (quarantine, mark);
+    }
+  DL_FOREACH_SAFE (quarantine->suspects, suspect, next)
+  if (ab_digest_equal (&suspect->content, content))
+    drop_suspect (quarantine, suspect);
+}
+
+void
+ab_quarantine_heard (struct ab_quarantine *quarantine, const char *target,
+                     const struct ab_digest *content, uint64_t now_ms)
+{
+  add_mark (quarantine, content, target, now_ms);
+}
+
+void
+ab_quarantine_tick (struct ab_quarantine *quarantine, uint64_t now_ms)
+{
+  struct suspect *suspect;
+  struct suspect *next_suspect;
+  struct mark *mark;
+  struct mark *next_mark;
+  struct crash *crash;
+  struct crash *next_crash;
+
+  DL_FOREACH_SAFE (quarantine->suspects, suspect, next_suspect)
+  if (now_ms - suspect->lost_ms > AB_QUARANTINE_CONFIRM_MS)
+    drop_suspect (quarantine, suspect);
+  HASH_ITER (hh, quarantine->marks, mark, next_mark)
+  if (now_ms - mark->since_ms > AB_QUARANTINE_MARK_MS)
+    drop_mark (quarantine, mark);
+  HASH_ITER (hh, quarantine->crashes, crash, next_crash)
+  if (now_ms - crash->since_ms > LATE_LOSS_MS)
+    drop_crash (quarantine, crash);
+}
+
+size_t
+ab_quarantine_suspects (const struct ab_quarantine *quarantine)
+{
+  return quarantine->suspect_count;
+}
+
+size_t
+ab_quarantine_marks (const struct ab_quarantine *quarantine)
+{
+  return HASH_COUNT (quarantine->marks);
+}
