--- /dev/null
+++ b/src/caller_conns_task.c
@@ -0,0 +1,323 @@
+#include "caller_conns_task.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/bufferevent_ssl.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <uthash.h>
+
+#include "clock.h"
+#include "error.h"
+#include "log.h"
+
+#define SWEEP_MS 100
+/* A caller that is about to send on an idle connection usually does so at
+   once after its last answer; closing later meets fewer requests.  */
+#define DRAIN_IDLE_MS 1000
+
+struct conn
+{
+  struct bufferevent *bev; /* Holds a reference of its own.  */
+  SSL *ssl;
+  bool busy;
+  uint64_t receiving_ms; /* First byte of the next request; 0: none.  */
+  uint64_t idle_ms;      /* Since when nothing happens.  */
+  UT_hash_handle hh;
+};
+
+struct ab_caller_conns
+{
+  struct ab_daemon *daemon;
+  struct evhttp_bound_socket *bound;
+  struct event *sweep;
+  struct conn *conns;
+  SSL_CTX *tls;
+  bool draining;
+  bool full;
+  uint64_t *gauge;
+  uint64_t *slow;
+};
+
+static uint64_t
+now_ms (void)
+{
+  return ab_clock_monotonic_ms (ab_clock_system ());
+}
+
+static void
+on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+          void *arg)
+{
+  struct conn *conn = arg;
+
+  (void)buffer;
+  if (info->n_added > 0 && !conn->busy && conn->receiving_ms == 0)
+    conn->receiving_ms = now_ms ();
+}
+
+/* A reply, of whichever handler, ends the wait for a request.  */
+static void
+on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+           void *arg)
+{
+  struct conn *conn = arg;
+
+  (void)buffer;
+  conn->idle_ms = now_ms ();
+  if (info->n_added > 0)
+    conn->receiving_ms = 0;
+}
+
+/* evhttp clears the callbacks when it gives a connection up.  */
+static bool
+released (const struct conn *conn)
+{
+  bufferevent_data_cb read_cb;
+  bufferevent_data_cb write_cb;
+  bufferevent_event_cb event_cb;
+  void *arg;
+
+  bufferevent_getcb (conn->bev, &read_cb, &write_cb, &event_cb, &arg);
+  return !event_cb;
+}
+
+static void
+free_conn (struct ab_caller_conns *conns, struct conn *conn)
+{
+  HASH_DEL (conns->conns, conn);
+  evbuffer_remove_cb (bufferevent_get_input (conn->bev), on_input, conn);
+  evbuffer_remove_cb (bufferevent_get_output (conn->bev), on_output, conn);
+  bufferevent_decref (conn->bev);
+  if (conn->ssl)
+    SSL_free (conn->ssl);
+  free (conn);
+}
+
+/* Ends a connection whose evhttp side is alive: evhttp reads the end of the
+   stream and cleans up.  */
+static void
+end_conn (const struct conn *conn)
+{
+  int fd = bufferevent_getfd (conn->bev);
+
+  if (fd >= 0)
+    shutdown (fd, SHUT_RDWR);
+}
+
+static void
+check_conn (struct ab_caller_conns *conns, struct conn *conn, uint64_t now)
+{
+  const struct ab_http_settings *http = &conns->daemon->settings->http;
+
+  if (conn->busy
+      || evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+    return;
+  if (conn->receiving_ms > 0)
+    {
+      if (now - conn->receiving_ms <= http->header_time_ms)
+        return;
+      ++*conns->slow;
+      AB_LOG (AB_LOG_INFO, "caller_too_slow",
+              ab_log_int ("limit_ms", (int64_t)http->header_time_ms));
+      end_conn (conn);
+    }
+  else if (now - conn->idle_ms > http->idle_time_ms
+           || (conns->draining && now - conn->idle_ms > DRAIN_IDLE_MS))
+    end_conn (conn);
+}
+
+static void
+update_listener (struct ab_caller_conns *conns)
+{
+  struct evconnlistener *listener
+      = evhttp_bound_socket_get_listener (conns->bound);
+  size_t count = HASH_COUNT (conns->conns);
+  bool full = count >= conns->daemon->settings->http.connections;
+
+  *conns->gauge = count;
+  if (full == conns->full)
+    return;
+  conns->full = full;
+  if (full)
+    {
+      AB_LOG (AB_LOG_WARN, "caller_connections_full",
+              ab_log_int ("connections", (int64_t)count));
+      evconnlistener_disable (listener);
+    }
+  else
+    evconnlistener_enable (listener);
+}
+
+static void
+on_sweep (evutil_socket_t fd, short what, void *arg)
+{
+  struct ab_caller_conns *conns = arg;
+  struct conn *conn;
+  struct conn *next;
+  uint64_t now = now_ms ();
+
+  (void)fd;
+  (void)what;
+  HASH_ITER (hh, conns->conns, conn, next)
+  if (released (conn))
+    free_conn (conns, conn);
+  else
+    check_conn (conns, conn, now);
+  update_listener (conns);
+}
+
+static struct bufferevent *
+new_bufferevent (struct ab_caller_conns *conns, SSL **ssl)
+{
+  struct event_base *base = conns->daemon->base;
+
+  *ssl = NULL;
+  /* Without BEV_OPT_CLOSE_ON_FREE evhttp closes the socket itself, at once
+     and not when the last reference goes.  */
+  if (!conns->tls)
+    return bufferevent_socket_new (base, -1, 0);
+  *ssl = SSL_new (conns->tls);
+  return *ssl ? bufferevent_openssl_socket_new (base, -1, *ssl,
+                                                BUFFEREVENT_SSL_ACCEPTING, 0)
+              : NULL;
+}
+
+static struct bufferevent *
+on_connection (struct event_base *base, void *arg)
+{
+  struct ab_caller_conns *conns = arg;
+  struct conn *conn = calloc (1, sizeof *conn);
+
+  (void)base;
+  if (!conn)
+    return NULL;
+  conn->bev = new_bufferevent (conns, &conn->ssl);
+  if (!conn->bev)
+    {
+      if (conn->ssl)
+        SSL_free (conn->ssl);
+      free (conn);
+      return NULL;
+    }
+  conn->idle_ms = now_ms ();
+  bufferevent_incref (conn->bev);
+  evbuffer_add_cb (bufferevent_get_input (conn->bev), on_input, conn);
+  evbuffer_add_cb (bufferevent_get_output (conn->bev), on_output, conn);
+  HASH_ADD_PTR (conns->conns, bev, conn);
+  if (HASH_COUNT (conns->conns) >= conns->daemon->settings->http.connections)
+    event_active (conns->sweep, EV_TIMEOUT, 0);
+  return conn->bev;
+}
+
+int
+ab_caller_conns_new (struct ab_daemon *daemon, struct evhttp *http,
+                     struct evhttp_bound_socket *bound,
+                     struct ab_caller_conns **conns)
+{
+  struct ab_caller_conns *result = calloc (1, sizeof *result);
+  struct timeval tv = { .tv_usec = SWEEP_MS * 1000 };
+
+  *conns = NULL;
+  if (!result)
+    return AB_ERR_MEMORY;
+  result->daemon = daemon;
+  result->bound = bound;
+  result->gauge = ab_counter (daemon->counters, "ab_caller_connections");
+  result->slow = ab_counter (daemon->counters, "ab_caller_slow_total");
+  result->sweep = event_new (daemon->base, -1, EV_PERSIST, on_sweep, result);
+  if (!result->sweep || event_add (result->sweep, &tv) < 0)
+    {
+      ab_caller_conns_free (result);
+      return AB_ERR_MEMORY;
+    }
+  evhttp_set_bevcb (http, on_connection, result);
+  *conns = result;
+  return 0;
+}
+
+void
+ab_caller_conns_free (struct ab_caller_conns *conns)
+{
+  struct conn *conn;
+  struct conn *next;
+
+  if (!conns)
+    return;
+  HASH_ITER (hh, conns->conns, conn, next)
+  free_conn (conns, conn);
+  if (conns->sweep)
+    event_free (conns->sweep);
+  if (conns->tls)
+    SSL_CTX_free (conns->tls);
+  free (conns);
+}
+
+void
+ab_caller_conns_set_tls (struct ab_caller_conns *conns, SSL_CTX *ctx)
+{
+  if (conns->tls)
+    SSL_CTX_free (conns->tls);
+  conns->tls = ctx;
+}
+
+static struct conn *
+find_conn (struct ab_caller_conns *conns, struct evhttp_connection *connection)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  struct conn *conn = NULL;
+
+  HASH_FIND_PTR (conns->conns, &bev, conn);
+  return conn;
+}
+
+void
+ab_caller_conns_begin (struct ab_caller_conns *conns,
+                       struct evhttp_request *req)
+{
+  struct conn *conn = find_conn (conns, evhttp_request_get_connection (req));
+
+  if (!conn)
+    return;
+  conn->busy = true;
+  conn->receiving_ms = 0;
+}
+
+void
+ab_caller_conns_end (struct ab_caller_conns *conns,
+                     struct evhttp_connection *connection)
+{
+  struct conn *conn = find_conn (conns, connection);
+
+  if (!conn)
+    return;
+  conn->busy = false;
+  conn->idle_ms = now_ms ();
+}
+
+void
+ab_caller_conns_drain (struct ab_caller_conns *conns, bool draining)
+{
+  conns->draining = draining;
+}
+
+size_t
+ab_caller_conns_count (const struct ab_caller_conns *conns)
+{
+  return HASH_COUNT (conns->conns);
+}
+
+size_t
+ab_caller_conns_writing (const struct ab_caller_conns *conns)
+{
+  const struct conn *conn;
+  size_t count = 0;
+
+  for (conn = conns->conns; conn; conn = conn->hh.next)
+    if (!released (conn)
+        && evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+      count++;
+  return count;
+}
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -1,7 +1,6 @@
 #include "quarantine.h"
 
 #include <stdlib.h>
-#include <utlist.h>
 #include <uthash.h>
 
 /* The host's own losses on one connection after another arrive within a few
@@ -12,20 +11,20 @@
 /* A content that was lost with a target, not yet confirmed as a crash.  */
 struct suspect
 {
-  struct suspect *prev;
-  struct suspect *next;
   struct ab_digest content;
   char target[AB_ADDRESS_BYTES];
   uint64_t incarnation;
   uint64_t lost_ms;
 };
 
-/* A content that crashed one target.  */
+/* A content that crashed a target.  */
 struct mark
 {
   struct ab_digest content;
   char target[AB_ADDRESS_BYTES];
   uint64_t since_ms;
+  unsigned blocks; /* How often it was blocked.  */
+  uint64_t blocked_until_ms;
   UT_hash_handle hh;
 };
 
@@ -41,7 +40,7 @@
 {
   const struct ab_quarantine_ops *ops;
   void *ctx;
-  struct suspect *suspects;
+  struct suspect suspects[AB_QUARANTINE_SUSPECTS_MAX];
   size_t suspect_count;
   struct mark *marks;
   struct crash *crashes;
@@ -59,12 +58,11 @@
   return quarantine;
 }
 
+/* Moves the last suspect to place I.  */
 static void
-drop_suspect (struct ab_quarantine *quarantine, struct suspect *suspect)
+drop_suspect (struct ab_quarantine *quarantine, size_t i)
 {
-  DL_DELETE (quarantine->suspects, suspect);
-  quarantine->suspect_count--;
-  free (suspect);
+  quarantine->suspects[i] = quarantine->suspects[--quarantine->suspect_count];
 }
 
 static void
@@ -84,8 +82,6 @@
 void
 ab_quarantine_free (struct ab_quarantine *quarantine)
 {
-  struct suspect *suspect;
-  struct suspect *next_suspect;
   struct mark *mark;
   struct mark *next_mark;
   struct crash *crash;
@@ -93,8 +89,6 @@
 
   if (!quarantine)
     return;
-  DL_FOREACH_SAFE (quarantine->suspects, suspect, next_suspect)
-  drop_suspect (quarantine, suspect);
   HASH_ITER (hh, quarantine->marks, mark, next_mark)
   drop_mark (quarantine, mark);
   HASH_ITER (hh, quarantine->crashes, crash, next_crash)
@@ -111,37 +105,67 @@
   return mark;
 }
 
-/* Adds the mark of TARGET to CONTENT; a mark of another target makes it a
-   block.  Returns whether the content had no mark before.  */
+static bool
+lapsed (const struct mark *mark, uint64_t now_ms)
+{
+  uint64_t from = mark->blocks ? mark->blocked_until_ms : mark->since_ms;
+
+  return now_ms > from && now_ms - from > AB_QUARANTINE_MARK_MS;
+}
+
+static void
+block (struct ab_quarantine *quarantine, struct mark *mark, const char *target,
+       uint64_t now_ms)
+{
+  unsigned shift = mark->blocks < AB_QUARANTINE_DOUBLINGS
+                       ? mark->blocks
+                       : AB_QUARANTINE_DOUBLINGS;
+  uint64_t duration = (uint64_t)AB_QUARANTINE_BLOCK_MS << shift;
+
+  mark->blocks++;
+  mark->blocked_until_ms = now_ms + duration;
+  quarantine->ops->block (quarantine->ctx, &mark->content, mark->target,
+                          target, duration);
+}
+
+static struct mark *
+new_mark (struct ab_quarantine *quarantine, const struct ab_digest *content,
+          const char *target, uint64_t now_ms)
+{
+  struct mark *mark;
+
+  if (HASH_COUNT (quarantine->marks) >= AB_QUARANTINE_ITEMS_MAX)
+    return NULL;
+  mark = calloc (1, sizeof *mark);
+  if (!mark)
+    return NULL;
+  mark->content = *content;
+  ab_chunk_copy (ab_chunk_str (target), mark->target, sizeof mark->target);
+  mark->since_ms = now_ms;
+  HASH_ADD (hh, quarantine->marks, content, sizeof mark->content, mark);
+  return mark;
+}
+
+/* Adds the mark of TARGET to CONTENT; with a mark of another target, or after
+   an earlier block, it is blocked.  Returns whether the content had no mark
+   before.  */
 static bool
 add_mark (struct ab_quarantine *quarantine, const struct ab_digest *content,
           const char *target, uint64_t now_ms)
 {
   struct mark *mark = find_mark (quarantine, content);
-  char first[AB_ADDRESS_BYTES];
 
-  if (mark && now_ms - mark->since_ms > AB_QUARANTINE_MARK_MS)
+  if (mark && lapsed (mark, now_ms))
     {
       drop_mark (quarantine, mark);
       mark = NULL;
     }
-  if (mark && strcmp (mark->target, target) != 0)
-    {
-      memcpy (first, mark->target, sizeof first);
-      drop_mark (quarantine, mark);
-      quarantine->ops->block (quarantine->ctx, content, first, target);
-      return false;
-    }
-  if (mark || HASH_COUNT (quarantine->marks) >= AB_QUARANTINE_ITEMS_MAX)
-    return false;
-  mark = calloc (1, sizeof *mark);
   if (!mark)
-    return false;
-  mark->content = *content;
-  ab_chunk_copy (ab_chunk_str (target), mark->target, sizeof mark->target);
-  mark->since_ms = now_ms;
-  HASH_ADD (hh, quarantine->marks, content, sizeof mark->content, mark);
-  return true;
+    return new_mark (quarantine, content, target, now_ms) != NULL;
+  if (now_ms >= mark->blocked_until_ms
+      && (mark->blocks > 0 || strcmp (mark->target, target) != 0))
+    block (quarantine, mark, target, now_ms);
+  return false;
 }
 
 static void
@@ -192,18 +216,16 @@
       count_crash (quarantine, content, target, now_ms);
       return;
     }
-  if (quarantine->suspect_count >= AB_QUARANTINE_ITEMS_MAX)
-    drop_suspect (quarantine, quarantine->suspects);
-  suspect = calloc (1, sizeof *suspect);
-  if (!suspect)
-    return;
-  suspect->content = *content;
+  /* The oldest place is used again when all are taken: losses in such
+     numbers have another cause than one request.  */
+  suspect = quarantine->suspect_count < AB_QUARANTINE_SUSPECTS_MAX
+                ? &quarantine->suspects[quarantine->suspect_count++]
+                : &quarantine->suspects[0];
+  *suspect = (struct suspect){ .content = *content,
+                               .incarnation = incarnation,
+                               .lost_ms = now_ms };
   ab_chunk_copy (ab_chunk_str (target), suspect->target,
                  sizeof suspect->target);
-  suspect->incarnation = incarnation;
-  suspect->lost_ms = now_ms;
-  DL_APPEND (quarantine->suspects, suspect);
-  quarantine->suspect_count++;
 }
 
 /* Turns the suspects of TARGET into marks.  INCARNATION, unless 0, confirms
@@ -212,21 +234,18 @@
 confirm (struct ab_quarantine *quarantine, const char *target,
          uint64_t incarnation, uint64_t now_ms)
 {
-  struct suspect *suspect;
-  struct suspect *next;
-  struct ab_digest content;
-
-  DL_FOREACH_SAFE (quarantine->suspects, suspect, next)
-  {
-    if (strcmp (suspect->target, target) != 0
-        || now_ms - suspect->lost_ms > AB_QUARANTINE_CONFIRM_MS
-        || (incarnation > 0 && incarnation <= suspect->incarnation))
-      continue;
-    note_crash (quarantine, target, now_ms);
-    content = suspect->content;
-    drop_suspect (quarantine, suspect);
-    count_crash (quarantine, &content, target, now_ms);
-  }
+  for (size_t i = quarantine->suspect_count; i-- > 0;)
+    {
+      struct suspect suspect = quarantine->suspects[i];
+
+      if (strcmp (suspect.target, target) != 0
+          || now_ms - suspect.lost_ms > AB_QUARANTINE_CONFIRM_MS
+          || (incarnation > 0 && incarnation <= suspect.incarnation))
+        continue;
+      note_crash (quarantine, target, now_ms);
+      drop_suspect (quarantine, i);
+      count_crash (quarantine, &suspect.content, target, now_ms);
+    }
 }
 
 void
@@ -248,8 +267,6 @@
                         const struct ab_digest *content)
 {
   struct mark *mark;
-  struct suspect *suspect;
-  struct suspect *next;
 
   if (quarantine->marks)
     {
@@ -257,9 +274,9 @@
       if (mark)
         drop_mark (quarantine, mark);
     }
-  DL_FOREACH_SAFE (quarantine->suspects, suspect, next)
-  if (ab_digest_equal (&suspect->content, content))
-    drop_suspect (quarantine, suspect);
+  for (size_t i = quarantine->suspect_count; i-- > 0;)
+    if (ab_digest_equal (&quarantine->suspects[i].content, content))
+      drop_suspect (quarantine, i);
 }
 
 void
@@ -272,18 +289,16 @@
 void
 ab_quarantine_tick (struct ab_quarantine *quarantine, uint64_t now_ms)
 {
-  struct suspect *suspect;
-  struct suspect *next_suspect;
   struct mark *mark;
   struct mark *next_mark;
   struct crash *crash;
   struct crash *next_crash;
 
-  DL_FOREACH_SAFE (quarantine->suspects, suspect, next_suspect)
-  if (now_ms - suspect->lost_ms > AB_QUARANTINE_CONFIRM_MS)
-    drop_suspect (quarantine, suspect);
+  for (size_t i = quarantine->suspect_count; i-- > 0;)
+    if (now_ms - quarantine->suspects[i].lost_ms > AB_QUARANTINE_CONFIRM_MS)
+      drop_suspect (quarantine, i);
   HASH_ITER (hh, quarantine->marks, mark, next_mark)
-  if (now_ms - mark->since_ms > AB_QUARANTINE_MARK_MS)
+  if (lapsed (mark, now_ms))
     drop_mark (quarantine, mark);
   HASH_ITER (hh, quarantine->crashes, crash, next_crash)
   if (now_ms - crash->since_ms > LATE_LOSS_MS)
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -9,8 +9,10 @@
 
    A content that gets a whole response loses its marks: a request that
    crashes targets never gets one, a request that was in flight beside it
-   does.  Marks lapse after AB_QUARANTINE_MARK_MS and blocks after
-   AB_QUARANTINE_BLOCK_MS; times are monotonic milliseconds.  */
+   does.  Marks lapse after AB_QUARANTINE_MARK_MS.  The first block is short,
+   because it may meet a content that was near both crashes by chance; one
+   more crash after it blocks again, for twice as long.  Times are monotonic
+   milliseconds.  */
 
 #ifndef AB_QUARANTINE_H
 #define AB_QUARANTINE_H
@@ -23,8 +25,10 @@
 
 #define AB_QUARANTINE_CONFIRM_MS 2000
 #define AB_QUARANTINE_MARK_MS (10 * 60 * 1000)
-#define AB_QUARANTINE_BLOCK_MS (10 * 60 * 1000)
-#define AB_QUARANTINE_ITEMS_MAX 4096 /* Suspects and marks, each.  */
+#define AB_QUARANTINE_BLOCK_MS (2 * 60 * 1000)
+#define AB_QUARANTINE_DOUBLINGS 5
+#define AB_QUARANTINE_ITEMS_MAX 4096 /* Marks.  */
+#define AB_QUARANTINE_SUSPECTS_MAX 1024
 
 struct ab_quarantine;
 
@@ -34,9 +38,10 @@
   /* CONTENT crashed one TARGET; other hosts should hear of it.  */
   void (*mark) (void *ctx, const struct ab_digest *content,
                 const char *target);
-  /* CONTENT crashed FIRST and SECOND and is to be refused.  */
+  /* CONTENT crashed FIRST and SECOND and is to be refused for
+     DURATION_MS.  */
   void (*block) (void *ctx, const struct ab_digest *content, const char *first,
-                 const char *second);
+                 const char *second, uint64_t duration_ms);
 };
 
 struct ab_quarantine *ab_quarantine_new (const struct ab_quarantine_ops *ops,
