--- /dev/null
+++ b/src/crash_watch_task.c
@@ -0,0 +1,269 @@
+#include "crash_watch_task.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <uthash.h>
+
+#include "clock.h"
+#include "error.h"
+#include "log.h"
+#include "member_task.h"
+#include "quarantine.h"
+
+#define PROBE_MS 100
+
+/* A target as it was announced last.  */
+struct place
+{
+  char address[AB_ADDRESS_BYTES];
+  char service[AB_NAME_BYTES];
+  char region[AB_NAME_BYTES];
+  uint64_t incarnation;
+  uint64_t probe_until_ms; /* 0: not probed.  */
+  UT_hash_handle hh;
+};
+
+struct ab_crash_watch
+{
+  struct ab_daemon *daemon;
+  struct ab_upstream *upstream;
+  struct ab_quarantine *quarantine;
+  struct event *tick;
+  struct place *places;
+  uint64_t *blocked;
+};
+
+static uint64_t
+now_ms (void)
+{
+  return ab_clock_monotonic_ms (ab_clock_system ());
+}
+
+static struct place *
+find_place (const struct ab_crash_watch *watch, const char *address)
+{
+  struct place *place = NULL;
+
+  HASH_FIND_STR (watch->places, address, place);
+  return place;
+}
+
+static struct place *
+add_place (struct ab_crash_watch *watch, const char *address)
+{
+  struct place *place = find_place (watch, address);
+
+  if (place)
+    return place;
+  place = calloc (1, sizeof *place);
+  if (!place)
+    return NULL;
+  ab_chunk_copy (ab_chunk_str (address), place->address,
+                 sizeof place->address);
+  HASH_ADD_STR (watch->places, address, place);
+  return place;
+}
+
+static void
+on_mark (void *ctx, const struct ab_digest *content, const char *target)
+{
+  char hex[2 * AB_DIGEST_BYTES + 1];
+
+  (void)ctx;
+  ab_hex_encode (content->bytes, sizeof content->bytes, hex);
+  AB_LOG (AB_LOG_WARN, "request_crashed_target", ab_log_str ("content", hex),
+          ab_log_str ("target", target));
+}
+
+static void
+on_block (void *ctx, const struct ab_digest *content, const char *first,
+          const char *second, uint64_t duration_ms)
+{
+  struct ab_crash_watch *watch = ctx;
+  const struct place *place = find_place (watch, second);
+  struct ab_quarantine_view item
+      = { .content = *content,
+          .until_wall_ms
+          = ab_clock_wall_ms (ab_clock_system ()) + duration_ms };
+  char hex[2 * AB_DIGEST_BYTES + 1];
+
+  if (place)
+    ab_chunk_copy (ab_chunk_str (place->service), item.reason,
+                   sizeof item.reason);
+  ab_hex_encode (content->bytes, sizeof content->bytes, hex);
+  AB_LOG (AB_LOG_ERROR, "request_quarantined", ab_log_str ("content", hex),
+          ab_log_str ("first", first), ab_log_str ("second", second),
+          ab_log_int ("duration_ms", (int64_t)duration_ms));
+  AB_EXPLAIN (watch->daemon->explain, ab_chunk_str (second),
+              "request_quarantined", ab_log_str ("content", hex),
+              ab_log_str ("first", first));
+  ++*watch->blocked;
+  ab_member_task_quarantine (watch->daemon->member, &item);
+}
+
+static void
+on_target (void *ctx, const struct ab_target_view *target)
+{
+  struct ab_crash_watch *watch = ctx;
+  struct place *place;
+
+  if (target->state == AB_TARGET_GONE)
+    {
+      place = find_place (watch, target->address);
+      if (place && place->incarnation <= target->incarnation)
+        {
+          HASH_DEL (watch->places, place);
+          free (place);
+        }
+      return;
+    }
+  place = add_place (watch, target->address);
+  if (!place)
+    return;
+  ab_chunk_copy (ab_chunk_str (target->service), place->service,
+                 sizeof place->service);
+  ab_chunk_copy (ab_chunk_str (target->region), place->region,
+                 sizeof place->region);
+  if (place->incarnation < target->incarnation)
+    {
+      place->incarnation = target->incarnation;
+      ab_quarantine_announced (watch->quarantine, target->address,
+                               target->incarnation, now_ms ());
+    }
+}
+
+static bool
+visit_target (void *ctx, const struct ab_target_view *target)
+{
+  on_target (ctx, target);
+  return true;
+}
+
+static void
+on_probed (void *ctx, const char *address, bool accepts)
+{
+  struct ab_crash_watch *watch = ctx;
+
+  if (!accepts)
+    ab_quarantine_refused (watch->quarantine, address, now_ms ());
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  struct ab_crash_watch *watch = arg;
+  struct place *place;
+  uint64_t now = now_ms ();
+
+  (void)fd;
+  (void)what;
+  ab_quarantine_tick (watch->quarantine, now);
+  if (ab_quarantine_suspects (watch->quarantine) == 0)
+    return;
+  for (place = watch->places; place; place = place->hh.next)
+    if (now < place->probe_until_ms)
+      ab_upstream_probe (watch->upstream, place->address, on_probed, watch);
+}
+
+int
+ab_crash_watch_new (struct ab_daemon *daemon, struct ab_upstream *upstream,
+                    struct ab_crash_watch **watch)
+{
+  static const struct ab_quarantine_ops ops
+      = { .mark = on_mark, .block = on_block };
+  struct ab_crash_watch *result = calloc (1, sizeof *result);
+  struct timeval tv = { .tv_usec = PROBE_MS * 1000 };
+
+  *watch = NULL;
+  if (!result)
+    return AB_ERR_MEMORY;
+  result->daemon = daemon;
+  result->upstream = upstream;
+  result->quarantine = ab_quarantine_new (&ops, result);
+  result->blocked = ab_counter (daemon->counters, "ab_quarantined_total");
+  result->tick = event_new (daemon->base, -1, EV_PERSIST, on_tick, result);
+  if (!result->quarantine || !result->tick
+      || event_add (result->tick, &tv) < 0)
+    {
+      ab_crash_watch_free (result);
+      return AB_ERR_MEMORY;
+    }
+  ab_member_task_listen_targets (daemon->member, on_target, result);
+  ab_member_task_targets (daemon->member, visit_target, result);
+  *watch = result;
+  return 0;
+}
+
+void
+ab_crash_watch_free (struct ab_crash_watch *watch)
+{
+  struct place *place;
+  struct place *next;
+
+  if (!watch)
+    return;
+  HASH_ITER (hh, watch->places, place, next)
+  {
+    HASH_DEL (watch->places, place);
+    free (place);
+  }
+  if (watch->tick)
+    event_free (watch->tick);
+  ab_quarantine_free (watch->quarantine);
+  free (watch);
+}
+
+const char *
+ab_crash_watch_region (const struct ab_crash_watch *watch, const char *address)
+{
+  const struct place *place = find_place (watch, address);
+
+  return place ? place->region : NULL;
+}
+
+uint64_t
+ab_crash_watch_incarnation (const struct ab_crash_watch *watch,
+                            const char *address)
+{
+  const struct place *place = find_place (watch, address);
+
+  return place ? place->incarnation : 0;
+}
+
+void
+ab_crash_watch_lost (struct ab_crash_watch *watch, const char *target,
+                     uint64_t incarnation, const struct ab_digest *content)
+{
+  struct place *place = add_place (watch, target);
+  uint64_t now = now_ms ();
+
+  ab_quarantine_lost (watch->quarantine, target, incarnation, content, now);
+  if (!place)
+    return;
+  /* The first probe goes out at once: a crashed process refuses at once.  */
+  if (now >= place->probe_until_ms)
+    ab_upstream_probe (watch->upstream, target, on_probed, watch);
+  place->probe_until_ms = now + AB_QUARANTINE_CONFIRM_MS;
+}
+
+void
+ab_crash_watch_refused (struct ab_crash_watch *watch, const char *target)
+{
+  ab_quarantine_refused (watch->quarantine, target, now_ms ());
+}
+
+void
+ab_crash_watch_answered (struct ab_crash_watch *watch,
+                         const struct ab_digest *content)
+{
+  ab_quarantine_answered (watch->quarantine, content);
+}
+
+json_t *
+ab_crash_watch_state (const struct ab_crash_watch *watch)
+{
+  return json_pack ("{s:I, s:I}", "suspects",
+                    (json_int_t)ab_quarantine_suspects (watch->quarantine),
+                    "marks",
+                    (json_int_t)ab_quarantine_marks (watch->quarantine));
+}
--- /dev/null
+++ b/src/request_account_task.c
@@ -0,0 +1,157 @@
+#include <stdio.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "request_flow_task.h"
+
+#define BUDGET_WINDOW_MS 10000
+/* With little traffic the fraction alone would allow no retry.  */
+#define BUDGET_FLOOR 3
+
+static uint64_t *
+counter (const struct ab_flow *flow, const char *name)
+{
+  return ab_counter (flow->env->daemon->counters, name);
+}
+
+/* The budget halves its counts after each window, so that it forgets.  */
+static void
+budget_age (struct ab_flow_budget *budget)
+{
+  uint64_t now = ab_clock_monotonic_ms (ab_clock_system ());
+
+  if (now - budget->since_ms < BUDGET_WINDOW_MS)
+    return;
+  budget->since_ms = now;
+  budget->requests /= 2;
+  budget->retries /= 2;
+}
+
+void
+ab_flow_budget_request (struct ab_flow_budget *budget)
+{
+  budget_age (budget);
+  budget->requests++;
+}
+
+bool
+ab_flow_budget_take (struct ab_flow_budget *budget, double fraction)
+{
+  budget_age (budget);
+  if (budget->retries + 1 > budget->requests * fraction + BUDGET_FLOOR)
+    return false;
+  budget->retries++;
+  return true;
+}
+
+void
+ab_flow_note_end (struct ab_flow *flow, int status, const char *code,
+                  enum ab_verdict verdict)
+{
+  struct ab_counters *counters = flow->env->daemon->counters;
+  uint64_t whole_us = ab_clock_monotonic_us () - flow->begin_us;
+  char name[128];
+
+  snprintf (name, sizeof name, "ab_requests_total{verdict=\"%s\",code=\"%s\"}",
+            ab_verdict_name (verdict), code);
+  ++*ab_counter (counters, name);
+  ab_histogram_add (ab_counter_histogram (counters, "ab_request_us"),
+                    whole_us);
+  if (flow->attempts > 0 && whole_us >= flow->upstream_us)
+    ab_histogram_add (ab_counter_histogram (counters, "ab_request_added_us"),
+                      whole_us - flow->upstream_us);
+  AB_FLOW_EXPLAIN (flow, "answered", ab_log_int ("status", status),
+                   ab_log_str ("code", code),
+                   ab_log_str ("verdict", ab_verdict_name (verdict)),
+                   ab_log_int ("attempts", (int64_t)flow->attempts),
+                   ab_log_int ("whole_us", (int64_t)whole_us),
+                   ab_log_int ("dispatch_us", (int64_t)flow->dispatch_us),
+                   ab_log_int ("upstream_us", (int64_t)flow->upstream_us));
+}
+
+void
+ab_flow_note_sent (struct ab_flow *flow)
+{
+  const char *region
+      = ab_crash_watch_region (flow->env->crashes, flow->grant.target);
+
+  *counter (flow, "ab_request_bytes_total") += flow->request_bytes;
+  if (region && region[0]
+      && strcmp (region, flow->env->daemon->settings->region) != 0)
+    {
+      ++*counter (flow, "ab_cross_region_requests_total");
+      *counter (flow, "ab_cross_region_bytes_total") += flow->request_bytes;
+    }
+}
+
+static void
+watch_crash (struct ab_flow *flow, const struct ab_attempt *attempt)
+{
+  struct ab_crash_watch *crashes = flow->env->crashes;
+
+  switch (attempt->end)
+    {
+    case AB_ATTEMPT_RESPONSE:
+      if (!attempt->shed)
+        ab_crash_watch_answered (crashes, &flow->content);
+      break;
+    case AB_ATTEMPT_REFUSED:
+      ab_crash_watch_refused (crashes, flow->grant.target);
+      break;
+    case AB_ATTEMPT_LOST:
+      if (!attempt->written || attempt->answered)
+        break;
+      flow->losses++;
+      ab_crash_watch_lost (crashes, flow->grant.target, flow->incarnation,
+                           &flow->content);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+ab_flow_note_attempt (struct ab_flow *flow, const struct ab_attempt *attempt,
+                      uint64_t latency_us)
+{
+  AB_FLOW_EXPLAIN (
+      flow, "attempt_ended", ab_log_str ("target", flow->grant.target),
+      ab_log_str ("end", ab_attempt_name (attempt->end)),
+      ab_log_int ("status", attempt->status),
+      ab_log_int ("shed", attempt->shed),
+      ab_log_int ("written", attempt->written),
+      ab_log_str ("verdict", ab_verdict_name (ab_attempt_verdict (attempt))),
+      ab_log_int ("latency_us", (int64_t)latency_us));
+  watch_crash (flow, attempt);
+}
+
+const char *
+ab_flow_claim_name (enum ab_claim_result result)
+{
+  static const char *const names[]
+      = { "granted", "recorded", "may-have-run", "mismatch",
+          "expired", "future",   "unavailable" };
+
+  return names[result];
+}
+
+json_t *
+ab_flow_state (const struct ab_flow_env *env)
+{
+  static const char *const stages[]
+      = { "received", "claiming", "asking", "sending" };
+  json_t *list = json_array ();
+  const struct ab_flow *flow;
+
+  for (flow = env->flows; flow; flow = flow->next)
+    json_array_append_new (
+        list,
+        json_pack (
+            "{s:s, s:s, s:I, s:s, s:s, s:b}", "request_id", flow->id, "stage",
+            stages[flow->stage], "age_ms",
+            (json_int_t)((ab_clock_monotonic_us () - flow->begin_us) / 1000),
+            "service", flow->route ? flow->route->service_name : "", "target",
+            flow->call ? flow->grant.target : "", "waited_for",
+            flow->req != NULL));
+  return list;
+}
