--- a/src/http_rules.c
+++ b/src/http_rules.c
@@ -49,13 +49,12 @@
   return false;
 }
 
-/* Whether the comma-separated LIST has the item NAME.  */
-static bool
-list_has (const char *list, const char *name)
+bool
+ab_http_list_has (const char *list, const char *name)
 {
   size_t len = strlen (name);
 
-  while (*list)
+  while (list && *list)
     {
       size_t item;
 
@@ -77,7 +76,7 @@
     return true;
   TAILQ_FOREACH (header, headers, next)
   if (strcasecmp (header->key, "Connection") == 0
-      && list_has (header->value, name))
+      && ab_http_list_has (header->value, name))
     return true;
   return false;
 }
--- a/src/http_rules.h
+++ b/src/http_rules.h
@@ -27,6 +27,10 @@
 int ab_http_framing (const struct evkeyvalq *headers, enum ab_framing *framing,
                      uint64_t *length);
 
+/* Whether the comma-separated LIST, which may be null, has the item NAME in
+   any case of letters.  evhttp only knows lists of one item.  */
+bool ab_http_list_has (const char *list, const char *name);
+
 /* Whether the header NAME concerns one connection only, by its own meaning or
    because HEADERS' Connection header names it.  */
 bool ab_http_hop_by_hop (const struct evkeyvalq *headers, const char *name);
--- a/src/request_parse_task.c
+++ b/src/request_parse_task.c
@@ -228,6 +228,7 @@
   uint64_t length;
 
   take_id (flow);
+  flow->close = ab_http_list_has (header (flow, "Connection"), "close");
   if (ab_http_framing (evhttp_request_get_input_headers (flow->req), &framing,
                        &length)
       < 0)
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,164 @@
+/* Recognition of requests that crash targets.  */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "quarantine.h"
+#include "suite_lib.h"
+
+static unsigned marks;
+static unsigned blocks;
+static struct ab_digest blocked;
+static uint64_t blocked_ms;
+
+static void
+on_mark (void *ctx, const struct ab_digest *content, const char *target)
+{
+  (void)ctx;
+  (void)content;
+  (void)target;
+  marks++;
+}
+
+static void
+on_block (void *ctx, const struct ab_digest *content, const char *first,
+          const char *second, uint64_t duration_ms)
+{
+  (void)ctx;
+  ck_assert_str_ne (first, second);
+  blocks++;
+  blocked = *content;
+  blocked_ms = duration_ms;
+}
+
+static const struct ab_quarantine_ops ops
+    = { .mark = on_mark, .block = on_block };
+static struct ab_quarantine *quarantine;
+static struct ab_digest poison;
+static struct ab_digest innocent;
+
+static void
+start (void)
+{
+  marks = 0;
+  blocks = 0;
+  ck_assert_int_eq (ab_crypto_init (), 0);
+  poison = ab_digest_of (AB_CHUNK ("poison"));
+  innocent = ab_digest_of (AB_CHUNK ("innocent"));
+  quarantine = ab_quarantine_new (&ops, NULL);
+}
+
+/* Loses CONTENT with TARGET, which then refuses.  */
+static void
+crash (const char *target, const struct ab_digest *content, uint64_t now)
+{
+  ab_quarantine_lost (quarantine, target, 1, content, now);
+  ab_quarantine_refused (quarantine, target, now + 50);
+}
+
+/* Guards against letting a request crash a third target.  */
+START_TEST (two_targets_block)
+{
+  start ();
+  crash ("t1", &poison, 1000);
+  ck_assert_uint_eq (blocks, 0);
+  crash ("t2", &poison, 2000);
+  ck_assert_uint_eq (blocks, 1);
+  ck_assert (ab_digest_equal (&blocked, &poison));
+  ck_assert_uint_eq (blocked_ms, AB_QUARANTINE_BLOCK_MS);
+  ab_quarantine_free (quarantine);
+}
+END_TEST
+
+/* Guards against blocking for one target that crashes again and again by
+   itself, for lost connections to targets that stay up, and for crashes that
+   come too long after the loss.  */
+START_TEST (no_block)
+{
+  start ();
+  crash ("t1", &poison, 1000);
+  crash ("t1", &poison, 5000);
+  ab_quarantine_lost (quarantine, "t2", 1, &poison, 6000);
+  ab_quarantine_announced (quarantine, "t2", 1, 6100);
+  ab_quarantine_refused (quarantine, "t2", 6001 + AB_QUARANTINE_CONFIRM_MS);
+  ck_assert_uint_eq (blocks, 0);
+  ck_assert_uint_eq (marks, 1);
+  ab_quarantine_free (quarantine);
+}
+END_TEST
+
+/* Guards against missing a crash of a target that is back before it is
+   probed, and a loss that is seen only after the refusal.  */
+START_TEST (restart_and_late_loss)
+{
+  start ();
+  ab_quarantine_lost (quarantine, "t1", 1, &poison, 1000);
+  ab_quarantine_announced (quarantine, "t1", 2, 1500);
+  ck_assert_uint_eq (marks, 1);
+  crash ("t2", &innocent, 3000);
+  ab_quarantine_lost (quarantine, "t2", 1, &poison, 3100);
+  ck_assert_uint_eq (blocks, 1);
+  ck_assert (ab_digest_equal (&blocked, &poison));
+  ab_quarantine_free (quarantine);
+}
+END_TEST
+
+/* Guards against blocking what was in flight beside the crashing request: it
+   was there at one crash only, or was answered in between.  */
+START_TEST (innocent_passes)
+{
+  struct ab_digest other = ab_digest_of (AB_CHUNK ("other"));
+
+  start ();
+  ab_quarantine_lost (quarantine, "t1", 1, &innocent, 1000);
+  ab_quarantine_lost (quarantine, "t1", 1, &other, 1000);
+  crash ("t1", &poison, 1001);
+  ck_assert_uint_eq (marks, 3);
+  ab_quarantine_answered (quarantine, &innocent);
+  ab_quarantine_lost (quarantine, "t2", 1, &innocent, 2000);
+  crash ("t2", &poison, 2001);
+  ck_assert_uint_eq (blocks, 1);
+  ck_assert (ab_digest_equal (&blocked, &poison));
+  ab_quarantine_free (quarantine);
+}
+END_TEST
+
+/* Guards against missing a request whose crashes two hosts saw.  */
+START_TEST (hosts_joined)
+{
+  start ();
+  ab_quarantine_heard (quarantine, "t1", &poison, 1000);
+  ck_assert_uint_eq (marks + blocks, 0);
+  crash ("t2", &poison, 2000);
+  ck_assert_uint_eq (blocks, 1);
+  ab_quarantine_free (quarantine);
+}
+END_TEST
+
+/* Guards against marks and blocks that last forever, and against letting a
+   known offender crash two targets after each block.  */
+START_TEST (lapse_and_repeat)
+{
+  uint64_t now = 1000;
+
+  start ();
+  crash ("t1", &poison, now);
+  now += AB_QUARANTINE_MARK_MS + 100;
+  ab_quarantine_tick (quarantine, now);
+  ck_assert_uint_eq (ab_quarantine_marks (quarantine), 0);
+  crash ("t2", &poison, now);
+  ck_assert_uint_eq (blocks, 0);
+  crash ("t3", &poison, now + 1000);
+  ck_assert_uint_eq (blocks, 1);
+  crash ("t4", &poison, now + 2000);
+  ck_assert_uint_eq (blocks, 1);
+  crash ("t4", &poison, now + AB_QUARANTINE_BLOCK_MS + 2000);
+  ck_assert_uint_eq (blocks, 2);
+  ck_assert_uint_eq (blocked_ms, 2 * AB_QUARANTINE_BLOCK_MS);
+  ab_quarantine_free (quarantine);
+}
+END_TEST
+
+SUITE_MAIN ("quarantine", 10, two_targets_block, no_block,
+            restart_and_late_loss, innocent_passes, hosts_joined,
+            lapse_and_repeat)
