Serve targets' renewals on the callers' listener; space the demo's signals

Cause: /v1/targets/ID/... has no handler of its own in evhttp, so the proxy must ask the member task first; every renewal and drain got 404 and targets announced themselves anew. In the demo, two SIGTERM sent at once were merged by the kernel, so the last control host never saw the third. Change: the proxy asks ab_member_task_serve_http before the request flow; the demo sends its signals 400 ms apart.

--- a/src/daemon_main.c
+++ b/src/daemon_main.c
@@ -4,8 +4,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "daemon_run.h"
 #include "digest.h"
 #include "error.h"
+#include "log.h"
 #include "settings.h"
 
 #define EXIT_USAGE 2
@@ -19,8 +21,15 @@
          out);
 }
 
-static int
-check_settings (const char *path)
+static void
+print_error (const char *error, int rc)
+{
+  fprintf (stderr, "almondbridged: %s\n", error[0] ? error : ab_strerror (rc));
+}
+
+/* Reads and checks a settings file; on failure the error is printed.  */
+static struct ab_settings *
+load_settings (const char *path)
 {
   struct ab_settings *settings = NULL;
   char error[AB_CONF_ERROR_BYTES] = "";
@@ -28,12 +37,44 @@
 
   if (rc == 0)
     rc = ab_settings_check_files (settings, error);
+  if (rc == 0)
+    return settings;
+  print_error (error, rc);
+  ab_settings_free (settings);
+  return NULL;
+}
+
+static int
+check_settings (const char *path)
+{
+  struct ab_settings *settings = load_settings (path);
+
+  if (!settings)
+    return EXIT_FAILURE;
+  printf ("%s: settings are valid (host %s, role %s)\n", path, settings->host,
+          ab_role_name (settings->role));
+  ab_settings_free (settings);
+  return EXIT_SUCCESS;
+}
+
+static int
+run (const char *path)
+{
+  struct ab_settings *settings = load_settings (path);
+  char error[AB_CONF_ERROR_BYTES] = "";
+  int rc;
+
+  if (!settings)
+    return EXIT_FAILURE;
+  rc = ab_log_open (settings->log_file[0] ? settings->log_file : NULL,
+                    settings->log_level, settings->host);
   if (rc < 0)
-    fprintf (stderr, "almondbridged: %s\n",
-             error[0] ? error : ab_strerror (rc));
+    snprintf (error, sizeof error, "%s: cannot open the log file",
+              settings->log_file);
   else
-    printf ("%s: settings are valid (host %s, role %s)\n", path,
-            settings->host, ab_role_name (settings->role));
+    rc = ab_daemon_run (settings, error);
+  if (rc < 0)
+    print_error (error, rc);
   ab_settings_free (settings);
   return rc < 0 ? EXIT_FAILURE : EXIT_SUCCESS;
 }
@@ -50,9 +91,14 @@
   int option = getopt_long (argc, argv, "s:c:hv", options, NULL);
 
   if (ab_crypto_init () < 0)
-    return EXIT_FAILURE;
+    {
+      fputs ("almondbridged: cannot initialise the crypto library\n", stderr);
+      return EXIT_FAILURE;
+    }
   switch (option)
     {
+    case 's':
+      return run (optarg);
     case 'c':
       return check_settings (optarg);
     case 'h':
--- a/src/proxy_task.c
+++ b/src/proxy_task.c
@@ -33,7 +33,8 @@
 {
   struct ab_proxy_task *task = arg;
 
-  ab_flow_start (&task->env, req);
+  if (!ab_member_task_serve_http (task->daemon->member, req))
+    ab_flow_start (&task->env, req);
 }
 
 static int
--- a/standins/demo.c
+++ b/standins/demo.c
@@ -238,14 +238,14 @@
   for (int i = CONTROLS + 1; i <= CONTROLS + ENTRIES; i++)
     if (i != STOPPED_HOST)
       good = fleet_wait_host (fleet, i, 15000) == 0 && good;
-  for (int i = CONTROLS; i >= 1; i--)
-    fleet_signal_host (fleet, i, SIGTERM);
-  fleet_sleep_ms (500);
-  /* The last control hosts are the majority; a forced stop is theirs.  */
-  for (int i = CONTROLS; i >= 1; i--)
-    fleet_signal_host (fleet, i, SIGTERM);
-  for (int i = CONTROLS; i >= 1; i--)
-    fleet_signal_host (fleet, i, SIGTERM);
+  /* The last control hosts are the group's majority and finish their stop only
+     when it is forced, by a third signal.  */
+  for (int signals = 0; signals < 3; signals++)
+    {
+      for (int i = CONTROLS; i >= 1; i--)
+        fleet_signal_host (fleet, i, SIGTERM);
+      fleet_sleep_ms (400);
+    }
   for (int i = CONTROLS; i >= 1; i--)
     good = fleet_wait_host (fleet, i, 10000) == 0 && good;
   report (demo, good, "everything stopped with exit status 0");
