--- /dev/null
+++ b/src/dispatch_choose_task.c
@@ -0,0 +1,197 @@
+/* Which dispatchers are asked, and the choice of a target when none
+   answers.  */
+
+#include "dispatch_parts.h"
+
+#define HOSTS_PER_DOMAIN 2
+#define SPILL_DOMAINS 2
+
+struct domain
+{
+  const char *name;
+  int distance; /* 0: own; 1: same region; 2: another region.  */
+};
+
+/* The failure domains with active targets of SERVICE, the nearest first.  */
+static size_t
+list_domains (const struct ab_dispatch_service *service,
+              struct domain *domains)
+{
+  const struct ab_settings *own = service->task->daemon->settings;
+  size_t count = 0;
+
+  for (size_t i = 0; i < service->target_count; i++)
+    {
+      const struct ab_target_view *view = &service->targets[i].view;
+      size_t at = 0;
+      int distance = 2;
+
+      while (at < count
+             && strcmp (domains[at].name, view->failure_domain) != 0)
+        at++;
+      if (at < count || count == AB_DISPATCH_DOMAINS_MAX
+          || view->state != AB_TARGET_ACTIVE)
+        continue;
+      if (strcmp (view->failure_domain, own->failure_domain) == 0)
+        distance = 0;
+      else if (strcmp (view->region, own->region) == 0)
+        distance = 1;
+      for (at = count++; at > 0 && domains[at - 1].distance > distance; at--)
+        domains[at] = domains[at - 1];
+      domains[at] = (struct domain){ .name = view->failure_domain,
+                                     .distance = distance };
+    }
+  return count;
+}
+
+static void
+add_steps (struct ab_dispatch_ask *ask, const char *domain, size_t max,
+           bool spilled, bool stay)
+{
+  const struct ab_host_view *hosts[HOSTS_PER_DOMAIN];
+  size_t count = ab_member_task_dispatchers (
+      ask->task->daemon->member, ab_chunk_str (ask->request.service),
+      ab_chunk_str (domain), hosts, max);
+
+  for (size_t i = 0; i < count && ask->step_count < AB_DISPATCH_STEPS_MAX; i++)
+    {
+      struct ab_dispatch_step *step = &ask->steps[ask->step_count++];
+
+      *step = (struct ab_dispatch_step){ .spilled = spilled, .stay = stay };
+      ab_chunk_copy (ab_chunk_str (hosts[i]->name), step->host,
+                     sizeof step->host);
+    }
+}
+
+void
+ab_dispatch_plan (struct ab_dispatch_ask *ask)
+{
+  struct ab_dispatch_service *service
+      = ab_dispatch_find_service (ask->task, ask->request.service);
+  struct domain domains[AB_DISPATCH_DOMAINS_MAX];
+
+  ask->step = 0;
+  ask->step_count = 0;
+  if (service && list_domains (service, domains) > 0)
+    add_steps (ask, domains[0].name, HOSTS_PER_DOMAIN, false, false);
+}
+
+void
+ab_dispatch_plan_spill (struct ab_dispatch_ask *ask)
+{
+  struct ab_dispatch_service *service
+      = ab_dispatch_find_service (ask->task, ask->request.service);
+  struct domain domains[AB_DISPATCH_DOMAINS_MAX];
+  size_t count = service ? list_domains (service, domains) : 0;
+  size_t far = 1;
+
+  ask->step = 0;
+  ask->step_count = 0;
+  ask->spilling = true;
+  if (count == 0)
+    return;
+  /* Of the domains at equal distance, hosts start at different ones.  */
+  for (size_t i = 0; i < SPILL_DOMAINS && far < count; i++)
+    {
+      size_t end = far;
+      size_t pick;
+      struct domain chosen;
+
+      while (end < count && domains[end].distance == domains[far].distance)
+        end++;
+      pick = far + ab_rng_below (&ask->task->rng, end - far);
+      chosen = domains[pick];
+      domains[pick] = domains[far];
+      domains[far++] = chosen;
+      add_steps (ask, chosen.name, 1, true, false);
+    }
+  add_steps (ask, domains[0].name, 1, false, true);
+}
+
+static bool
+is_excluded (const struct ab_dispatch_request *request, const char *address)
+{
+  for (size_t i = 0; i < request->excluded_count; i++)
+    if (strcmp (request->excluded[i], address) == 0)
+      return true;
+  return false;
+}
+
+/* Two random targets without a request of this host, of the nearest domain
+   that has one; the better is the one with more slots.  */
+static struct ab_known_target *
+choose_target (struct ab_dispatch_service *service,
+               const struct ab_dispatch_request *request)
+{
+  struct domain domains[AB_DISPATCH_DOMAINS_MAX];
+  size_t count = list_domains (service, domains);
+
+  for (size_t d = 0; d < count; d++)
+    {
+      struct ab_known_target *picks[2] = { NULL, NULL };
+      uint64_t seen = 0;
+
+      for (size_t i = 0; i < service->target_count; i++)
+        {
+          struct ab_known_target *at = &service->targets[i];
+
+          if (at->view.state != AB_TARGET_ACTIVE || at->chosen > 0
+              || strcmp (at->view.failure_domain, domains[d].name) != 0
+              || is_excluded (request, at->view.address))
+            continue;
+          seen++;
+          for (size_t p = 0; p < 2; p++)
+            if (ab_rng_below (&service->task->rng, seen) == 0)
+              picks[p] = at;
+        }
+      if (picks[0] && picks[1])
+        return picks[1]->view.slots > picks[0]->view.slots ? picks[1]
+                                                           : picks[0];
+    }
+  return NULL;
+}
+
+bool
+ab_dispatch_choose_alone (struct ab_dispatch_task *task,
+                          const struct ab_dispatch_request *request,
+                          struct ab_dispatch_grant *grant)
+{
+  struct ab_dispatch_service *service
+      = ab_dispatch_find_service (task, request->service);
+  struct ab_known_target *target
+      = service ? choose_target (service, request) : NULL;
+
+  if (!target)
+    return false;
+  target->chosen++;
+  *grant = (struct ab_dispatch_grant){
+    .id = task->next_id++,
+    .max_connections = ab_dispatch_connections (task, service)
+  };
+  memcpy (grant->service, request->service, sizeof grant->service);
+  memcpy (grant->class_name, request->class_name, sizeof grant->class_name);
+  memcpy (grant->target, target->view.address, sizeof grant->target);
+  return true;
+}
+
+static bool
+count_host (void *ctx, const struct ab_host_view *host)
+{
+  uint64_t *count = ctx;
+
+  if (host->role == AB_ROLE_ENTRY && host->state != AB_HOST_GONE)
+    *count += 1;
+  return true;
+}
+
+uint64_t
+ab_dispatch_connections (struct ab_dispatch_task *task,
+                         const struct ab_dispatch_service *service)
+{
+  uint64_t hosts = 0;
+  uint64_t share;
+
+  ab_member_task_hosts (task->daemon->member, count_host, &hosts);
+  share = service->connections / (hosts ? hosts : 1);
+  return share ? share : 1;
+}
--- /dev/null
+++ b/src/dispatch_parts.h
@@ -0,0 +1,136 @@
+/* Structures shared by the files of the dispatch task; see
+   dispatch_task.h.  */
+
+#ifndef AB_DISPATCH_PARTS_H
+#define AB_DISPATCH_PARTS_H
+
+#include <uthash.h>
+
+#include "bundle.h"
+#include "dispatch_frame.h"
+#include "dispatch_task.h"
+#include "dispatcher.h"
+#include "member_task.h"
+
+struct event;
+
+#define AB_DISPATCH_DOMAINS_MAX 32
+/* Hosts and domains that one ask may try.  */
+#define AB_DISPATCH_STEPS_MAX 8
+
+/* A target of a service, in any failure domain.  */
+struct ab_known_target
+{
+  struct ab_target_view view;
+  uint64_t chosen; /* Requests that this host sent by its own choice.  */
+};
+
+/* What the dispatcher of another failure domain reported.  */
+struct ab_domain_report
+{
+  char failure_domain[AB_NAME_BYTES];
+  uint64_t out_slots;
+  uint64_t idle_slots;
+  uint64_t at_ms;
+};
+
+struct ab_dispatch_service
+{
+  /* First, so that the environment's callbacks find the service.  */
+  struct ab_dispatcher_env env;
+  struct ab_dispatch_task *task;
+  char name[AB_NAME_BYTES];
+  struct ab_known_target *targets;
+  size_t target_count;
+  struct ab_domain_report reports[AB_DISPATCH_DOMAINS_MAX];
+  size_t report_count;
+  /* This host's dispatcher; null until asked or first in order.  */
+  struct ab_dispatcher *dispatcher;
+  uint64_t asked_ms;
+  uint64_t connections;
+  bool answered; /* Whether the ask in progress was answered at once.  */
+  UT_hash_handle hh;
+};
+
+struct ab_dispatch_step
+{
+  char host[AB_NAME_BYTES];
+  bool spilled;
+  bool stay;
+};
+
+struct ab_dispatch_ask
+{
+  struct ab_dispatch_task *task;
+  uint64_t id;
+  struct ab_dispatch_request request;
+  ab_dispatch_callback callback;
+  void *ctx;
+  struct event *timer;
+  struct ab_dispatch_step steps[AB_DISPATCH_STEPS_MAX];
+  size_t step_count;
+  size_t step;    /* The one asked now.  */
+  bool queued;    /* The host asked said that the ask waits.  */
+  bool spilling;  /* The steps lead to other failure domains.  */
+  int refused_rc; /* Of the last refusal; 0 when there was none.  */
+  char reason[AB_REASON_BYTES];
+  UT_hash_handle hh;
+};
+
+struct ab_dispatch_probe;
+
+struct ab_dispatch_task
+{
+  struct ab_daemon *daemon;
+  struct ab_rng rng;
+  struct ab_bundle *bundle;
+  struct ab_dispatch_service *services; /* By name.  */
+  struct ab_dispatch_ask *asks;         /* By identifier.  */
+  struct ab_dispatch_probe *probes;
+  uint64_t next_id;
+  struct event *tick;
+  struct event *second;
+};
+
+uint64_t ab_dispatch_now (void);
+
+/* dispatch_task.c  */
+struct ab_dispatch_service *
+ab_dispatch_find_service (struct ab_dispatch_task *task, const char *name);
+void ab_dispatch_send (struct ab_dispatch_task *task, const char *host,
+                       enum ab_frame_type type, struct ab_buf *body);
+
+/* dispatch_ask_task.c: the side of the host that asks.  */
+void ab_dispatch_on_grant (void *ctx, const struct ab_frame *frame);
+void ab_dispatch_on_refuse (void *ctx, const struct ab_frame *frame);
+void ab_dispatch_host_gone (struct ab_dispatch_task *task, const char *host);
+void ab_dispatch_free_asks (struct ab_dispatch_task *task);
+
+/* dispatch_choose_task.c: the order of dispatchers, and the choice of a target
+   without one.  */
+void ab_dispatch_plan (struct ab_dispatch_ask *ask);
+void ab_dispatch_plan_spill (struct ab_dispatch_ask *ask);
+bool ab_dispatch_choose_alone (struct ab_dispatch_task *task,
+                               const struct ab_dispatch_request *request,
+                               struct ab_dispatch_grant *grant);
+/* Connections of this host to one target of SERVICE.  */
+uint64_t ab_dispatch_connections (struct ab_dispatch_task *task,
+                                  const struct ab_dispatch_service *service);
+
+/* dispatch_serve_task.c: the side of the dispatchers.  */
+void ab_dispatch_on_ask (void *ctx, const struct ab_frame *frame);
+void ab_dispatch_on_outcome (void *ctx, const struct ab_frame *frame);
+void ab_dispatch_on_evidence (void *ctx, const struct ab_frame *frame);
+void ab_dispatch_on_revoke (void *ctx, struct ab_chunk service);
+void ab_dispatch_configure (struct ab_dispatch_service *service);
+void ab_dispatch_update_target (struct ab_dispatch_service *service,
+                                const struct ab_target_view *view);
+void ab_dispatch_each_second (struct ab_dispatch_service *service);
+void ab_dispatch_drop (struct ab_dispatch_service *service);
+
+/* dispatch_probe_task.c  */
+void ab_dispatch_probe (struct ab_dispatch_service *service,
+                        const char *target);
+void ab_dispatch_free_probes (struct ab_dispatch_task *task);
+
+#endif
--- /dev/null
+++ b/src/dispatch_serve_task.c
@@ -0,0 +1,497 @@
+/* The dispatchers that this host runs, for its own failure domain.  */
+
+#include <stdlib.h>
+
+#include "clock.h"
+#include "control_client.h"
+#include "dispatch_parts.h"
+#include "error.h"
+
+/* A dispatcher that was not asked for this long is dropped.  */
+#define IDLE_MS 60000
+/* Reports of other dispatchers count for this long.  */
+#define REPORT_AGE_MS 3000
+#define PERMIT_MS 2000
+#define SERVICE_QUEUE_DEFAULT 200
+#define FLOOR_DEFAULT 0.7
+
+static struct ab_dispatch_service *
+service_of (struct ab_dispatcher_env *env)
+{
+  return (struct ab_dispatch_service *)env;
+}
+
+static void
+on_grant (struct ab_dispatcher_env *env,
+          const struct ab_dispatcher_grant *grant)
+{
+  struct ab_dispatch_service *service = service_of (env);
+  struct ab_grant_frame frame
+      = { .ask = grant->ask,
+          .grant = { .id = grant->id,
+                     .max_connections
+                     = ab_dispatch_connections (service->task, service) } };
+  struct ab_buf body = AB_BUF_INIT;
+
+  service->answered = true;
+  memcpy (frame.grant.service, service->name, sizeof frame.grant.service);
+  ab_chunk_copy (ab_chunk_str (grant->class_name), frame.grant.class_name,
+                 sizeof frame.grant.class_name);
+  ab_chunk_copy (ab_chunk_str (grant->target), frame.grant.target,
+                 sizeof frame.grant.target);
+  ab_grant_encode (&frame, &body);
+  ab_dispatch_send (service->task, grant->asker, AB_FRAME_DISPATCH_GRANT,
+                    &body);
+}
+
+static void
+send_refusal (struct ab_dispatch_task *task, const char *asker, uint64_t ask,
+              int rc, bool spill, const char *reason)
+{
+  struct ab_refuse_frame frame = { .ask = ask, .rc = rc, .spill = spill };
+  struct ab_buf body = AB_BUF_INIT;
+
+  ab_chunk_copy (ab_chunk_str (reason), frame.reason, sizeof frame.reason);
+  ab_refuse_encode (&frame, &body);
+  ab_dispatch_send (task, asker, AB_FRAME_DISPATCH_REFUSE, &body);
+}
+
+static void
+on_refuse (struct ab_dispatcher_env *env, uint64_t ask, const char *asker,
+           int rc, bool spill, const char *reason)
+{
+  struct ab_dispatch_service *service = service_of (env);
+
+  service->answered = true;
+  send_refusal (service->task, asker, ask, rc, spill, reason);
+}
+
+/* The dispatcher may be dropped before the control group answers, so the
+   answer finds it by name.  */
+struct permit_wait
+{
+  struct ab_dispatch_task *task;
+  char service[AB_NAME_BYTES];
+};
+
+static void
+on_permit (void *ctx, int rc)
+{
+  struct permit_wait *wait = ctx;
+  struct ab_dispatch_service *service
+      = ab_dispatch_find_service (wait->task, wait->service);
+
+  if (service && service->dispatcher)
+    ab_dispatcher_permit (service->dispatcher, rc == 0, ab_dispatch_now ());
+  else if (rc == 0)
+    ab_control_client_permit_release (wait->task->daemon->control_client,
+                                      ab_chunk_str (wait->service));
+  free (wait);
+}
+
+static void
+on_acquire (struct ab_dispatcher_env *env)
+{
+  struct ab_dispatch_service *service = service_of (env);
+  struct permit_wait *wait = calloc (1, sizeof *wait);
+
+  if (!wait)
+    return;
+  wait->task = service->task;
+  memcpy (wait->service, service->name, sizeof wait->service);
+  ab_control_client_permit_acquire (
+      service->task->daemon->control_client, ab_chunk_str (wait->service),
+      ab_dispatch_now () + PERMIT_MS, on_permit, wait);
+}
+
+static void
+on_release (struct ab_dispatcher_env *env)
+{
+  struct ab_dispatch_service *service = service_of (env);
+
+  ab_control_client_permit_release (service->task->daemon->control_client,
+                                    ab_chunk_str (service->name));
+}
+
+static void
+on_probe (struct ab_dispatcher_env *env, const char *target)
+{
+  ab_dispatch_probe (service_of (env), target);
+}
+
+static void
+on_event (struct ab_dispatcher_env *env, const struct ab_dispatch_event *event)
+{
+  struct ab_dispatch_service *service = service_of (env);
+  const struct ab_evidence *evidence = &event->evidence;
+
+  AB_EXPLAIN (service->task->daemon->explain, ab_chunk_str (event->target),
+              ab_dispatch_event_name (event->kind),
+              ab_log_str ("service", service->name),
+              ab_log_str ("cause", ab_cause_name (evidence->cause)),
+              ab_log_real ("score", evidence->score),
+              ab_log_real ("threshold", evidence->threshold),
+              ab_log_real ("slowdown", evidence->slowdown),
+              ab_log_int ("outcomes", (int64_t)evidence->outcomes),
+              ab_log_int ("bad", (int64_t)evidence->bad),
+              ab_log_int ("overdue", (int64_t)evidence->overdue),
+              ab_log_int ("exile_ms", (int64_t)event->exile_ms));
+  AB_LOG (AB_LOG_INFO, "target_state", ab_log_str ("target", event->target),
+          ab_log_str ("service", service->name),
+          ab_log_str ("change", ab_dispatch_event_name (event->kind)),
+          ab_log_str ("cause", ab_cause_name (evidence->cause)),
+          ab_log_real ("score", evidence->score),
+          ab_log_real ("threshold", evidence->threshold));
+  if (event->kind == AB_DISPATCH_EJECTED)
+    *ab_counter (service->task->daemon->counters, "ab_ejections_total") += 1;
+}
+
+static const struct ab_dispatcher_ops ops = { .grant = on_grant,
+                                              .refuse = on_refuse,
+                                              .acquire_permit = on_acquire,
+                                              .release_permit = on_release,
+                                              .probe = on_probe,
+                                              .event = on_event };
+
+static void
+read_options (struct ab_dispatch_service *service,
+              struct ab_dispatcher_options *options)
+{
+  const struct ab_service *rules
+      = service->task->bundle ? ab_bundle_find_service (
+            service->task->bundle, ab_chunk_str (service->name))
+                              : NULL;
+
+  *options = (struct ab_dispatcher_options){ .floor = FLOOR_DEFAULT,
+                                             .queue = SERVICE_QUEUE_DEFAULT };
+  service->connections = 0;
+  if (!rules)
+    return;
+  options->detection_weight = rules->detection_weight;
+  options->floor = rules->floor;
+  options->queue = rules->queue;
+  options->slow_start_ms = rules->slow_start_ms;
+  service->connections = rules->connections;
+}
+
+void
+ab_dispatch_configure (struct ab_dispatch_service *service)
+{
+  struct ab_dispatcher_options options;
+
+  read_options (service, &options);
+  if (service->dispatcher)
+    ab_dispatcher_configure (service->dispatcher, &options);
+}
+
+static bool
+is_near (const struct ab_dispatch_service *service,
+         const struct ab_target_view *view)
+{
+  return strcmp (view->failure_domain,
+                 service->task->daemon->settings->failure_domain)
+         == 0;
+}
+
+/* A target that this host has known for its whole slow start is warm; a new
+   dispatcher must not ramp up a fleet that already runs.  */
+static void
+pass_target (struct ab_dispatch_service *service,
+             const struct ab_target_view *view, uint64_t slow_start_ms)
+{
+  uint64_t now_ms = ab_dispatch_now ();
+  struct ab_dispatcher_target target
+      = { .address = view->address,
+          .slots = view->slots ? view->slots : 1,
+          .incarnation = view->incarnation,
+          .draining = view->state == AB_TARGET_DRAINING };
+
+  if (view->state == AB_TARGET_GONE)
+    ab_dispatcher_remove_target (service->dispatcher, view->address, now_ms);
+  else
+    ab_dispatcher_set_target (service->dispatcher, &target,
+                              now_ms >= view->since_ms + slow_start_ms,
+                              now_ms);
+}
+
+void
+ab_dispatch_update_target (struct ab_dispatch_service *service,
+                           const struct ab_target_view *view)
+{
+  struct ab_dispatcher_options options;
+
+  if (!service->dispatcher || !is_near (service, view))
+    return;
+  read_options (service, &options);
+  pass_target (service, view, options.slow_start_ms);
+}
+
+/* What other domains announce comes from the view of targets, what they have
+   out of service and free from their reports.  */
+static void
+update_elsewhere (struct ab_dispatch_service *service)
+{
+  uint64_t now_ms = ab_dispatch_now ();
+  uint64_t announced = 0;
+  uint64_t out = 0;
+  uint64_t idle = 0;
+
+  for (size_t i = 0; i < service->target_count; i++)
+    if (!is_near (service, &service->targets[i].view)
+        && service->targets[i].view.state == AB_TARGET_ACTIVE)
+      announced += service->targets[i].view.slots;
+  for (size_t i = 0; i < service->report_count; i++)
+    if (now_ms < service->reports[i].at_ms + REPORT_AGE_MS)
+      {
+        out += service->reports[i].out_slots;
+        idle += service->reports[i].idle_slots;
+      }
+  ab_dispatcher_set_elsewhere (service->dispatcher, announced,
+                               out < announced ? out : announced, idle);
+}
+
+static void
+start_dispatcher (struct ab_dispatch_service *service)
+{
+  struct ab_dispatcher_options options;
+
+  read_options (service, &options);
+  service->env.ops = &ops;
+  service->dispatcher
+      = ab_dispatcher_new (&service->env, &options, &service->task->rng);
+  if (!service->dispatcher)
+    return;
+  for (size_t i = 0; i < service->target_count; i++)
+    if (is_near (service, &service->targets[i].view))
+      pass_target (service, &service->targets[i].view, options.slow_start_ms);
+  update_elsewhere (service);
+}
+
+void
+ab_dispatch_drop (struct ab_dispatch_service *service)
+{
+  struct ab_dispatcher_totals totals;
+
+  if (!service->dispatcher)
+    return;
+  ab_dispatcher_totals (service->dispatcher, &totals);
+  for (size_t i = 0; i < totals.permits_held; i++)
+    on_release (&service->env);
+  ab_dispatcher_free (service->dispatcher);
+  service->dispatcher = NULL;
+}
+
+static void
+pass_ask (struct ab_dispatch_service *service, const char *asker,
+          const struct ab_ask_frame *frame)
+{
+  const struct ab_dispatch_request *request = &frame->request;
+  uint64_t now_ms = ab_dispatch_now ();
+  struct ab_dispatcher_ask ask
+      = { .id = frame->id,
+          .asker = asker,
+          .class_name = ab_chunk_str (request->class_name),
+          .priority = request->priority,
+          .deadline_ms = now_ms + frame->left_ms,
+          .excluded_count = request->excluded_count,
+          .spilled = frame->spilled,
+          .stay = frame->stay };
+
+  for (size_t i = 0; i < request->excluded_count; i++)
+    ask.excluded[i] = request->excluded[i];
+  service->asked_ms = now_ms;
+  service->answered = false;
+  ab_dispatcher_ask (service->dispatcher, &ask, now_ms);
+  if (!service->answered)
+    send_refusal (service->task, asker, frame->id, AB_ERR_BUSY, false,
+                  "waits for a slot");
+}
+
+void
+ab_dispatch_on_ask (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_dispatch_task *task = ctx;
+  struct ab_dispatch_service *service;
+  struct ab_ask_frame ask;
+  char asker[AB_NAME_BYTES];
+
+  if (ab_ask_decode (frame->body, &ask) < 0
+      || !ab_chunk_copy (frame->sender, asker, sizeof asker))
+    return;
+  service = ab_dispatch_find_service (task, ask.request.service);
+  if (service && !service->dispatcher)
+    start_dispatcher (service);
+  if (service && service->dispatcher)
+    pass_ask (service, asker, &ask);
+  else
+    send_refusal (task, asker, ask.id, AB_ERR_NOT_FOUND, true,
+                  "the dispatcher knows no target of the service");
+}
+
+void
+ab_dispatch_on_outcome (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_dispatch_task *task = ctx;
+  struct ab_dispatch_service *service;
+  struct ab_outcome_frame outcome;
+  char asker[AB_NAME_BYTES];
+
+  if (ab_outcome_decode (frame->body, &outcome) < 0
+      || !ab_chunk_copy (frame->sender, asker, sizeof asker))
+    return;
+  service = ab_dispatch_find_service (task, outcome.service);
+  if (!service || !service->dispatcher)
+    return;
+  if (outcome.grant)
+    ab_dispatcher_outcome (service->dispatcher, outcome.grant,
+                           &outcome.outcome, ab_dispatch_now ());
+  else if (outcome.ask)
+    ab_dispatcher_cancel (service->dispatcher, asker, outcome.ask);
+  else
+    ab_dispatcher_observe (service->dispatcher, outcome.target,
+                           ab_chunk_str (outcome.class_name), asker,
+                           &outcome.outcome, ab_dispatch_now ());
+}
+
+void
+ab_dispatch_on_revoke (void *ctx, struct ab_chunk name)
+{
+  struct ab_dispatch_task *task = ctx;
+  struct ab_dispatch_service *service;
+  char text[AB_NAME_BYTES];
+
+  if (!ab_chunk_copy (name, text, sizeof text))
+    return;
+  service = ab_dispatch_find_service (task, text);
+  if (service && service->dispatcher)
+    ab_dispatcher_permit_revoked (service->dispatcher, ab_dispatch_now ());
+}
+
+static void
+keep_report (struct ab_dispatch_service *service, const char *failure_domain,
+             const struct ab_evidence_frame *evidence)
+{
+  struct ab_domain_report *report = service->reports;
+  struct ab_domain_report *end = report + service->report_count;
+
+  while (report < end && strcmp (report->failure_domain, failure_domain) != 0)
+    report++;
+  if (report == end && service->report_count == AB_DISPATCH_DOMAINS_MAX)
+    return;
+  if (report == end)
+    service->report_count++;
+  *report = (struct ab_domain_report){ .out_slots = evidence->out_slots,
+                                       .idle_slots = evidence->idle_slots,
+                                       .at_ms = ab_dispatch_now () };
+  ab_chunk_copy (ab_chunk_str (failure_domain), report->failure_domain,
+                 sizeof report->failure_domain);
+}
+
+struct collected
+{
+  size_t count;
+  struct ab_peer_evidence reports[AB_EVIDENCE_MAX];
+};
+
+static void
+collect (void *ctx, const struct ab_peer_evidence *report)
+{
+  struct collected *collected = ctx;
+
+  if (collected->count < AB_EVIDENCE_MAX)
+    collected->reports[collected->count++] = *report;
+}
+
+void
+ab_dispatch_on_evidence (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_dispatch_task *task = ctx;
+  const struct ab_host_view *sender
+      = ab_member_task_find_host (task->daemon->member, frame->sender);
+  struct ab_evidence_frame *evidence = calloc (1, sizeof *evidence);
+  struct collected *collected = calloc (1, sizeof *collected);
+  struct ab_dispatch_service *service;
+
+  if (!sender || !evidence || !collected
+      || ab_evidence_decode (frame->body, evidence, collect, collected) < 0)
+    goto out;
+  service = ab_dispatch_find_service (task, evidence->service);
+  /* A former dispatcher of the own domain is no peer.  */
+  if (!service || !service->dispatcher
+      || strcmp (sender->failure_domain,
+                 task->daemon->settings->failure_domain)
+             == 0)
+    goto out;
+  keep_report (service, sender->failure_domain, evidence);
+  for (size_t i = 0; i < collected->count; i++)
+    ab_detector_import (ab_dispatcher_detector (service->dispatcher),
+                        &collected->reports[i], ab_dispatch_now ());
+out:
+  free (collected);
+  free (evidence);
+}
+
+static void
+send_evidence_to (struct ab_dispatch_service *service, const char *domain,
+                  const struct ab_evidence_frame *evidence)
+{
+  const struct ab_host_view *host;
+  struct ab_buf body = AB_BUF_INIT;
+
+  if (ab_member_task_dispatchers (service->task->daemon->member,
+                                  ab_chunk_str (service->name),
+                                  ab_chunk_str (domain), &host, 1)
+      == 0)
+    return;
+  ab_evidence_encode (evidence, &body);
+  ab_dispatch_send (service->task, host->name, AB_FRAME_EVIDENCE, &body);
+}
+
+/* Sends a report to the dispatcher of each other domain with targets.  */
+static void
+send_evidence (struct ab_dispatch_service *service)
+{
+  struct ab_evidence_frame *evidence = calloc (1, sizeof *evidence);
+  struct collected *collected = calloc (1, sizeof *collected);
+  struct ab_dispatcher_totals totals;
+
+  if (!evidence || !collected)
+    goto out;
+  ab_detector_export (ab_dispatcher_detector (service->dispatcher),
+                      ab_dispatch_now (), collect, collected);
+  ab_dispatcher_totals (service->dispatcher, &totals);
+  memcpy (evidence->service, service->name, sizeof evidence->service);
+  evidence->out_slots = totals.out_slots;
+  evidence->idle_slots = totals.idle_slots > totals.queued
+                             ? totals.idle_slots - totals.queued
+                             : 0;
+  evidence->count = collected->count;
+  memcpy (evidence->reports, collected->reports, sizeof evidence->reports);
+  for (size_t i = 0; i < service->target_count; i++)
+    {
+      const char *domain = service->targets[i].view.failure_domain;
+      size_t first = 0;
+
+      while (strcmp (service->targets[first].view.failure_domain, domain) != 0)
+        first++;
+      if (first == i && !is_near (service, &service->targets[i].view))
+        send_evidence_to (service, domain, evidence);
+    }
+out:
+  free (collected);
+  free (evidence);
+}
+
+void
+ab_dispatch_each_second (struct ab_dispatch_service *service)
+{
+  if (!service->dispatcher)
+    return;
+  if (ab_dispatch_now () > service->asked_ms + IDLE_MS)
+    {
+      ab_dispatch_drop (service);
+      return;
+    }
+  update_elsewhere (service);
+  send_evidence (service);
+}
--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -6,21 +6,10 @@
 #include "dispatcher_impl.h"
 #include "error.h"
 
-/* A slot whose outcome never comes is freed this long after the request's
-   deadline: time for the outcome to arrive from another region.  */
-#define LOST_MARGIN_MS 500
-#define OCCUPANCY_STEP 0.05
-#define GAP_STEP 0.02
 /* Of the free slots elsewhere, the part that asks from here may try for until
    the next report.  */
 #define SPILL_SHARE 1.0
 #define REPORT_MS 1000
-/* Penalties in the choice among targets; 1 equals a full load.  */
-#define SHED_PENALTY 0.5
-#define BROKEN_PENALTY 1.0
-#define ERROR_PENALTY 0.3
-/* Log likelihood ratio up to which a request on probation was good.  */
-#define PROBATION_LLR_MAX 0.5
 
 struct ab_dispatcher *
 ab_dispatcher_new (struct ab_dispatcher_env *env,
@@ -43,44 +32,6 @@
   return dispatcher;
 }
 
-/* A free place in the table of grants, or null.  */
-static struct ab_dgrant *
-take_grant (struct ab_dispatcher *dispatcher)
-{
-  struct ab_dgrant *grant;
-  size_t at;
-
-  if (dispatcher->grant_free == 0)
-    {
-      at = dispatcher->grant_size;
-      if (at == AB_DGRANTS_MAX)
-        return NULL;
-      grant = realloc (dispatcher->grants, (at + 1) * sizeof *grant);
-      if (!grant)
-        return NULL;
-      dispatcher->grants = grant;
-      dispatcher->grants[at] = (struct ab_dgrant){ .next_free = 0 };
-      dispatcher->grant_size++;
-      dispatcher->grant_free = at + 1;
-    }
-  at = dispatcher->grant_free - 1;
-  grant = &dispatcher->grants[at];
-  dispatcher->grant_free = grant->next_free;
-  *grant = (struct ab_dgrant){
-    .used = true,
-    .id = (++dispatcher->grant_serial << AB_DGRANT_INDEX_BITS) | at
-  };
-  return grant;
-}
-
-static void
-drop_grant (struct ab_dispatcher *dispatcher, struct ab_dgrant *grant)
-{
-  grant->used = false;
-  grant->next_free = dispatcher->grant_free;
-  dispatcher->grant_free = (size_t)(grant - dispatcher->grants) + 1;
-}
-
 void
 ab_dispatcher_free (struct ab_dispatcher *dispatcher)
 {
@@ -214,7 +165,7 @@
     return;
   for (size_t i = 0; i < dispatcher->grant_size; i++)
     if (dispatcher->grants[i].used && dispatcher->grants[i].target == target)
-      drop_grant (dispatcher, &dispatcher->grants[i]);
+      ab_dispatcher_drop_grant (dispatcher, &dispatcher->grants[i]);
   ab_dispatcher_drop_exile (dispatcher, target);
   ab_detector_remove (dispatcher->detector, target->evidence);
   while (dispatcher->targets[at] != target)
@@ -245,51 +196,6 @@
   return false;
 }
 
-static void
-note_gap (struct ab_dispatcher *dispatcher, uint64_t now_ms)
-{
-  double gap_ms = (double)(now_ms - dispatcher->granted_ms);
-
-  if (dispatcher->granted++ > 0)
-    dispatcher->grant_gap_ms += GAP_STEP * (gap_ms - dispatcher->grant_gap_ms);
-  dispatcher->granted_ms = now_ms;
-}
-
-bool
-ab_dispatcher_try_grant (struct ab_dispatcher *dispatcher,
-                         const struct ab_drequest *request, uint64_t now_ms)
-{
-  struct ab_dtarget *target
-      = ab_dispatcher_choose (dispatcher, request, now_ms);
-  struct ab_dgrant *grant;
-
-  if (!target)
-    return false;
-  grant = take_grant (dispatcher);
-  if (!grant)
-    return false;
-  grant->target = target;
-  grant->incarnation = target->incarnation;
-  grant->class_id = request->class_id;
-  grant->start_ms = now_ms;
-  grant->expires_ms = request->deadline_ms + LOST_MARGIN_MS;
-  grant->probation = target->state == AB_DISPATCH_ON_PROBATION;
-  memcpy (grant->asker, request->asker, sizeof grant->asker);
-  grant->ticket = ab_detector_start (dispatcher->detector, target->evidence,
-                                     request->class_id, request->path, now_ms);
-  target->in_use++;
-  target->last_start_ms = now_ms;
-  note_gap (dispatcher, now_ms);
-  dispatcher->env->ops->grant (
-      dispatcher->env,
-      &(struct ab_dispatcher_grant){ .id = grant->id,
-                                     .ask = request->id,
-                                     .asker = request->asker,
-                                     .target = target->address,
-                                     .class_name = request->class_name });
-  return true;
-}
-
 void
 ab_dispatcher_ask (struct ab_dispatcher *dispatcher,
                    const struct ab_dispatcher_ask *ask, uint64_t now_ms)
@@ -328,83 +234,6 @@
       }
 }
 
-static double
-penalty_of (enum ab_outcome_kind kind)
-{
-  switch (kind)
-    {
-    case AB_OUTCOME_SHED:
-      return SHED_PENALTY;
-    case AB_OUTCOME_REFUSED:
-    case AB_OUTCOME_RESET:
-    case AB_OUTCOME_TIMEOUT:
-      return BROKEN_PENALTY;
-    case AB_OUTCOME_ERROR:
-      return ERROR_PENALTY;
-    default:
-      return 0;
-    }
-}
-
-static bool
-says_nothing (enum ab_outcome_kind kind)
-{
-  return kind == AB_OUTCOME_UNUSED || kind == AB_OUTCOME_CANCELLED;
-}
-
-static void
-note_occupancy (struct ab_dispatcher *dispatcher,
-                const struct ab_dgrant *grant, uint64_t now_ms)
-{
-  double held_ms = (double)(now_ms - grant->start_ms);
-
-  if (dispatcher->occupancy_ms <= 0)
-    dispatcher->occupancy_ms = held_ms;
-  dispatcher->occupancy_ms
-      += OCCUPANCY_STEP * (held_ms - dispatcher->occupancy_ms);
-  dispatcher->outcome_ms = now_ms;
-}
-
-/* Ends GRANT, of a target process that still runs, with OUTCOME.  */
-static void
-settle (struct ab_dispatcher *dispatcher, const struct ab_dgrant *grant,
-        const struct ab_outcome *outcome, uint64_t now_ms)
-{
-  struct ab_dtarget *target = grant->target;
-  double llr = ab_detector_finish (dispatcher->detector, target->evidence,
-                                   grant->ticket, outcome, now_ms);
-  bool good = outcome->kind == AB_OUTCOME_OK && llr <= PROBATION_LLR_MAX;
-
-  if (target->in_use > 0)
-    target->in_use--;
-  if (says_nothing (outcome->kind))
-    return;
-  note_occupancy (dispatcher, grant, now_ms);
-  ab_dtarget_punish (target, penalty_of (outcome->kind), now_ms);
-  if (grant->probation)
-    ab_dispatcher_judge_probation (dispatcher, target, good, now_ms);
-  else if (llr > 0)
-    ab_dispatcher_judge (dispatcher, now_ms);
-}
-
-int
-ab_dispatcher_outcome (struct ab_dispatcher *dispatcher, uint64_t id,
-                       const struct ab_outcome *outcome, uint64_t now_ms)
-{
-  size_t at = id & (AB_DGRANTS_MAX - 1);
-  struct ab_dgrant grant;
-
-  if (at >= dispatcher->grant_size || !dispatcher->grants[at].used
-      || dispatcher->grants[at].id != id)
-    return AB_ERR_NOT_FOUND;
-  grant = dispatcher->grants[at];
-  drop_grant (dispatcher, &dispatcher->grants[at]);
-  if (grant.incarnation == grant.target->incarnation)
-    settle (dispatcher, &grant, outcome, now_ms);
-  ab_dispatcher_serve (dispatcher, now_ms);
-  return 0;
-}
-
 void
 ab_dispatcher_observe (struct ab_dispatcher *dispatcher, const char *address,
                        struct ab_chunk class_name, const char *path,
@@ -425,39 +254,13 @@
                       now_ms);
 }
 
-/* Frees the slot of a grant whose outcome will not come.  */
-static void
-lose_grant (struct ab_dispatcher *dispatcher, struct ab_dgrant *grant,
-            uint64_t now_ms)
-{
-  static const struct ab_outcome lost = { .kind = AB_OUTCOME_UNUSED };
-
-  if (grant->incarnation == grant->target->incarnation)
-    settle (dispatcher, grant, &lost, now_ms);
-  drop_grant (dispatcher, grant);
-}
-
-void
-ab_dispatcher_asker_gone (struct ab_dispatcher *dispatcher, const char *asker,
-                          uint64_t now_ms)
-{
-  for (size_t i = dispatcher->queued; i > 0; i--)
-    if (strcmp (dispatcher->queue[i - 1]->asker, asker) == 0)
-      ab_dispatcher_unqueue (dispatcher, i - 1);
-  for (size_t i = 0; i < dispatcher->grant_size; i++)
-    if (dispatcher->grants[i].used
-        && strcmp (dispatcher->grants[i].asker, asker) == 0)
-      lose_grant (dispatcher, &dispatcher->grants[i], now_ms);
-  ab_dispatcher_serve (dispatcher, now_ms);
-}
-
 void
 ab_dispatcher_tick (struct ab_dispatcher *dispatcher, uint64_t now_ms)
 {
   for (size_t i = 0; i < dispatcher->grant_size; i++)
     if (dispatcher->grants[i].used
         && now_ms >= dispatcher->grants[i].expires_ms)
-      lose_grant (dispatcher, &dispatcher->grants[i], now_ms);
+      ab_dispatcher_lose_grant (dispatcher, &dispatcher->grants[i], now_ms);
   ab_dispatcher_judge (dispatcher, now_ms);
   ab_dispatcher_bring_back (dispatcher, now_ms);
   ab_dispatcher_serve (dispatcher, now_ms);
--- a/src/dispatcher_impl.h
+++ b/src/dispatcher_impl.h
@@ -153,8 +153,16 @@
 
 /* Whether some target may take new requests at all.  */
 bool ab_dispatcher_usable (const struct ab_dispatcher *dispatcher);
+
+/* dispatcher_grant.c  */
+
 bool ab_dispatcher_try_grant (struct ab_dispatcher *dispatcher,
                               const struct ab_drequest *request,
                               uint64_t now_ms);
+void ab_dispatcher_drop_grant (struct ab_dispatcher *dispatcher,
+                               struct ab_dgrant *grant);
+/* Frees the slot of a grant whose outcome will not come.  */
+void ab_dispatcher_lose_grant (struct ab_dispatcher *dispatcher,
+                               struct ab_dgrant *grant, uint64_t now_ms);
 
 #endif
