--- a/tests/test_request_flow.c
+++ b/tests/test_request_flow.c
@@ -232,6 +232,15 @@
   return fake.bundle;
 }
 
+bool
+ab_member_task_serve_http (struct ab_member_task *task,
+                           struct evhttp_request *req)
+{
+  (void)task;
+  (void)req;
+  return false;
+}
+
 int
 ab_member_task_bind_http (struct ab_member_task *task, struct evhttp *http)
 {
