Count the slots of domains without a dispatcher as idle

Cause: a dispatcher spills to another failure domain only as far as its reports show idle slots, but a domain that nobody asked has no dispatcher and reports nothing. In the demo a target that turned 20 times slower was the only one with work, kept 20 of 198 requests, and 136 to 168 of 900 requests were shed. Ruled out: the detector (slowdown was measured as 20.6; it had no peer to compare with, since no other target got work) and permits (one was held). Change: a domain without a fresh report counts with its announced slots.

--- a/src/dispatch_serve_task.c
+++ b/src/dispatch_serve_task.c
@@ -226,8 +226,20 @@
   pass_target (service, view, options.slow_start_ms);
 }
 
+static bool
+has_fresh_report (const struct ab_dispatch_service *service,
+                  const char *domain, uint64_t now_ms)
+{
+  for (size_t i = 0; i < service->report_count; i++)
+    if (strcmp (service->reports[i].failure_domain, domain) == 0
+        && now_ms < service->reports[i].at_ms + REPORT_AGE_MS)
+      return true;
+  return false;
+}
+
 /* What other domains announce comes from the view of targets, what they have
-   out of service and free from their reports.  */
+   out of service and free from their reports.  A domain without a report has
+   no dispatcher, because nobody asked for one: its slots are idle.  */
 static void
 update_elsewhere (struct ab_dispatch_service *service)
 {
@@ -237,9 +249,14 @@
   uint64_t idle = 0;
 
   for (size_t i = 0; i < service->target_count; i++)
-    if (!is_near (service, &service->targets[i].view)
-        && service->targets[i].view.state == AB_TARGET_ACTIVE)
-      announced += service->targets[i].view.slots;
+    {
+      const struct ab_target_view *view = &service->targets[i].view;
+      if (is_near (service, view) || view->state != AB_TARGET_ACTIVE)
+        continue;
+      announced += view->slots;
+      if (!has_fresh_report (service, view->failure_domain, now_ms))
+        idle += view->slots;
+    }
   for (size_t i = 0; i < service->report_count; i++)
     if (now_ms < service->reports[i].at_ms + REPORT_AGE_MS)
       {
