Test consensus and storage; keep a replaced log until its reset

The bound of a segment is an argument of ab_storage_open_with, so that tests have many segments. A missing vote file is reported as such.

--- a/src/storage.c
+++ b/src/storage.c
@@ -14,6 +14,7 @@
 {
   struct ab_files *files;
   char folder[PATH_MAX];
+  uint64_t segment_bytes;
   int lock;
   int failed; /* The error after which the files are not used any more.  */
   struct ab_wal *wal;
@@ -103,10 +104,20 @@
   struct ab_storage_loaded *loaded = content->loaded;
   struct ab_raft_start *start = &content->start;
   struct ab_snapshot snapshot;
+  struct ab_wal_options options = { .files = storage->files,
+                                    .folder = storage->folder,
+                                    .segment_bytes = storage->segment_bytes,
+                                    .create = fresh };
   int rc = ab_vote_read (storage->files, storage->folder, &start->hard_state,
                          error);
 
-  if (rc < 0 && !(fresh && rc == AB_ERR_NOT_FOUND))
+  if (rc == AB_ERR_NOT_FOUND && !fresh)
+    {
+      snprintf (error, AB_CONF_ERROR_BYTES, "%.300s/vote: missing",
+                storage->folder);
+      return AB_ERR_CORRUPT;
+    }
+  if (rc < 0 && rc != AB_ERR_NOT_FOUND)
     return rc;
   rc = ab_snapshot_read (storage->files, storage->folder, &snapshot,
                          &content->snapshot_data, error);
@@ -121,9 +132,9 @@
     return rc;
   storage->snapshot_index = start->snapshot_index;
   storage->snapshot_term = start->snapshot_term;
-  rc = ab_wal_open (storage->files, storage->folder, fresh,
-                    start->snapshot_index, start->snapshot_term, &storage->wal,
-                    &loaded->log, error);
+  options.snapshot_index = start->snapshot_index;
+  options.snapshot_term = start->snapshot_term;
+  rc = ab_wal_open (&options, &storage->wal, &loaded->log, error);
   start->members = loaded->members;
   start->entries = loaded->log.entries;
   start->entry_count = loaded->log.count;
@@ -162,8 +173,8 @@
 }
 
 int
-ab_storage_open_with (struct ab_files *files, const char *folder,
-                      const struct ab_raft_member *members,
+ab_storage_open_with (struct ab_files *files, uint64_t segment_bytes,
+                      const char *folder, const struct ab_raft_member *members,
                       size_t member_count, struct ab_storage **out,
                       struct ab_storage_content *content,
                       char error[AB_CONF_ERROR_BYTES])
@@ -177,6 +188,7 @@
   if (!storage)
     goto out;
   storage->files = files;
+  storage->segment_bytes = segment_bytes;
   storage->lock = -1;
   if (!content->loaded)
     goto out;
@@ -206,8 +218,9 @@
                  struct ab_storage_content *content,
                  char error[AB_CONF_ERROR_BYTES])
 {
-  return ab_storage_open_with (ab_files_system (), folder, members,
-                               member_count, storage, content, error);
+  return ab_storage_open_with (ab_files_system (), AB_WAL_SEGMENT_BYTES,
+                               folder, members, member_count, storage, content,
+                               error);
 }
 
 void
@@ -287,7 +300,7 @@
     return result (storage, rc);
   storage->snapshot_index = index;
   storage->snapshot_term = term;
-  return result (storage, ab_wal_drop_covered (storage->wal, index));
+  return result (storage, ab_wal_drop_covered (storage->wal, index, term));
 }
 
 int
--- a/src/storage.h
+++ b/src/storage.h
@@ -36,8 +36,10 @@
                      struct ab_storage_content *content,
                      char error[AB_CONF_ERROR_BYTES]);
 
-/* The same on other file operations than the system's.  */
-int ab_storage_open_with (struct ab_files *files, const char *folder,
+/* The same on other file operations than the system's, with segments of the
+   log closed at SEGMENT_BYTES.  */
+int ab_storage_open_with (struct ab_files *files, uint64_t segment_bytes,
+                          const char *folder,
                           const struct ab_raft_member *members,
                           size_t member_count, struct ab_storage **storage,
                           struct ab_storage_content *content,
--- a/src/wal.c
+++ b/src/wal.c
@@ -193,7 +193,7 @@
   uint64_t offset;
   int rc = 0;
 
-  if (wal->size >= AB_WAL_SEGMENT_BYTES)
+  if (wal->size >= wal->segment_bytes)
     rc = roll (wal);
   if (rc == 0)
     rc = encode_batch (wal, entries, count);
@@ -282,11 +282,14 @@
 }
 
 int
-ab_wal_drop_covered (struct ab_wal *wal, uint64_t index)
+ab_wal_drop_covered (struct ab_wal *wal, uint64_t index, uint64_t term)
 {
   size_t drop = 0;
   size_t places;
 
+  if (index < wal->first_index || index >= ab_wal_next_index (wal)
+      || wal->places[index - wal->first_index].term != term)
+    return 0;
   while (drop + 1 < wal->segment_count && wal->segments[drop + 1] <= index + 1)
     {
       int rc = ab_wal_remove_segment (wal, wal->segments[drop]);
--- a/src/wal.h
+++ b/src/wal.h
@@ -11,8 +11,9 @@
 #include "file_ops.h"
 #include "raft.h"
 
-/* A segment over this size is closed before the next append.  It bounds what
-   a start reads beyond the snapshot and what a snapshot cannot free.  */
+/* Usual bound of a segment: over it, the segment is closed before the next
+   append.  It bounds what a start reads beyond the snapshot and what a
+   snapshot cannot free.  */
 #define AB_WAL_SEGMENT_BYTES ((uint64_t)4 * 1024 * 1024)
 
 /* Of a whole segment: one batch may go over the bound above.  */
@@ -30,13 +31,21 @@
   size_t buffer_count;
 };
 
-/* Opens the log in FOLDER; the entries after the snapshot at SNAPSHOT_INDEX
-   go to CONTENT.  A log that the snapshot replaced is dropped.  With CREATE a
-   missing log is made; otherwise it is AB_ERR_CORRUPT.  ERROR tells file and
-   offset.  */
-int ab_wal_open (struct ab_files *files, const char *folder, bool create,
-                 uint64_t snapshot_index, uint64_t snapshot_term,
-                 struct ab_wal **wal, struct ab_wal_content *content,
+struct ab_wal_options
+{
+  struct ab_files *files;
+  const char *folder;
+  uint64_t segment_bytes;
+  bool create;
+  uint64_t snapshot_index;
+  uint64_t snapshot_term;
+};
+
+/* Opens the log in the folder; the entries after the snapshot go to CONTENT.
+   A log that the snapshot replaced is dropped.  With CREATE a missing log is
+   made; otherwise it is AB_ERR_CORRUPT.  ERROR tells file and offset.  */
+int ab_wal_open (const struct ab_wal_options *options, struct ab_wal **wal,
+                 struct ab_wal_content *content,
                  char error[AB_CONF_ERROR_BYTES]);
 void ab_wal_content_free (struct ab_wal_content *content);
 void ab_wal_close (struct ab_wal *wal);
@@ -46,8 +55,11 @@
 int ab_wal_truncate (struct ab_wal *wal, uint64_t first_index);
 int ab_wal_sync (struct ab_wal *wal);
 
-/* Removes the segments whose records are all at or before INDEX.  */
-int ab_wal_drop_covered (struct ab_wal *wal, uint64_t index);
+/* Removes the segments whose records are all at or before INDEX, where a
+   snapshot of TERM ends.  Removes nothing when the log has no such entry: then
+   the snapshot replaces the log, and its start must show that until
+   ab_wal_reset.  */
+int ab_wal_drop_covered (struct ab_wal *wal, uint64_t index, uint64_t term);
 
 /* Drops everything; the next record is NEXT_INDEX, after an entry of
    PREVIOUS_TERM.  */
--- a/src/wal_internal.h
+++ b/src/wal_internal.h
@@ -18,6 +18,7 @@
 {
   struct ab_files *files;
   char folder[PATH_MAX];
+  uint64_t segment_bytes;
   uint64_t *segments; /* First indexes, rising; the last one is open.  */
   size_t segment_count;
   size_t segment_cap;
--- a/src/wal_scan.c
+++ b/src/wal_scan.c
@@ -324,14 +324,12 @@
 }
 
 int
-ab_wal_open (struct ab_files *files, const char *folder, bool create,
-             uint64_t snapshot_index, uint64_t snapshot_term,
-             struct ab_wal **wal, struct ab_wal_content *content,
-             char error[AB_CONF_ERROR_BYTES])
+ab_wal_open (const struct ab_wal_options *options, struct ab_wal **wal,
+             struct ab_wal_content *content, char error[AB_CONF_ERROR_BYTES])
 {
   struct scan scan = { .content = content,
-                       .snapshot_index = snapshot_index,
-                       .snapshot_term = snapshot_term,
+                       .snapshot_index = options->snapshot_index,
+                       .snapshot_term = options->snapshot_term,
                        .error = error };
   int rc;
 
@@ -340,18 +338,19 @@
   scan.wal = calloc (1, sizeof *scan.wal);
   if (!scan.wal)
     return AB_ERR_MEMORY;
-  scan.wal->files = files;
+  scan.wal->files = options->files;
+  scan.wal->segment_bytes = options->segment_bytes;
   scan.wal->file = -1;
-  if (ab_chunk_copy (ab_chunk_str (folder), scan.wal->folder,
+  if (ab_chunk_copy (ab_chunk_str (options->folder), scan.wal->folder,
                      sizeof scan.wal->folder - 64))
-    rc = scan_log (&scan, create);
+    rc = scan_log (&scan, options->create);
   else
     rc = AB_ERR_TOO_LARGE;
   free (scan.found);
   if (rc < 0)
     {
       if (error[0] == '\0')
-        snprintf (error, AB_CONF_ERROR_BYTES, "%.300s: %s", folder,
+        snprintf (error, AB_CONF_ERROR_BYTES, "%.300s: %s", options->folder,
                   ab_strerror (rc));
       ab_wal_content_free (content);
       ab_wal_close (scan.wal);
--- a/tests/raft_fake_lib.c
+++ b/tests/raft_fake_lib.c
@@ -6,18 +6,10 @@
 
 #include "error.h"
 #include "raft_internal.h"
+#include "wal.h"
 
 #define LOG_CHECK_ENTRIES 64
 
-/* Keeps the first problem only.  */
-#define problem(group, ...)                                                   \
-  do                                                                          \
-    {                                                                         \
-      if ((group)->problem[0] == '\0')                                        \
-        snprintf ((group)->problem, sizeof (group)->problem, __VA_ARGS__);    \
-    }                                                                         \
-  while (0)
-
 static void *
 grown (void *items, size_t *cap, size_t need, size_t size)
 {
@@ -71,8 +63,8 @@
   unsigned copies = 1;
 
   if (message.len > 1024 * 1024)
-    problem (group, "a message of %zu bytes does not fit a frame",
-             message.len);
+    fake_problem (group, "a message of %zu bytes does not fit a frame",
+                  message.len);
   if (ab_rng_below (&group->rng, 100) < group->drop_percent)
     copies = 0;
   else if (ab_rng_below (&group->rng, 100) < group->duplicate_percent)
@@ -120,16 +112,16 @@
   if (index > group->committed_count)
     {
       if (index != group->committed_count + 1)
-        problem (group, "%s applied %" PRIu64 " after %" PRIu64, member->host,
-                 index, group->committed_count);
+        fake_problem (group, "%s applied %" PRIu64 " after %" PRIu64,
+                      member->host, index, group->committed_count);
       group->committed_count = index;
       group->last_committed_ms = group->now_ms;
       c->term = term;
       c->chain = member->state.chain;
     }
   else if (c->term != term || c->chain != member->state.chain)
-    problem (group, "%s applied another entry at %" PRIu64, member->host,
-             index);
+    fake_problem (group, "%s applied another entry at %" PRIu64, member->host,
+                  index);
 }
 
 static uint64_t
@@ -149,8 +141,8 @@
   uint64_t kind = entry->kind;
 
   if (entry->index != member->state.applied + 1)
-    problem (member->group, "%s applied %" PRIu64 " after %" PRIu64,
-             member->host, entry->index, member->state.applied);
+    fake_problem (member->group, "%s applied %" PRIu64 " after %" PRIu64,
+                  member->host, entry->index, member->state.applied);
   member->state.applied = entry->index;
   member->state.chain = mix (member->state.chain, &entry->term, 8);
   member->state.chain = mix (member->state.chain, &kind, 8);
@@ -176,7 +168,8 @@
   memcpy (&member->state, data.data, sizeof member->state);
   member->snapshot_index = index;
   if (member->state.applied != index)
-    problem (member->group, "%s installed a wrong snapshot", member->host);
+    fake_problem (member->group, "%s installed a wrong snapshot",
+                  member->host);
   check_state (member, index, term);
   return 0;
 }
@@ -201,8 +194,9 @@
     }
   member->reads_done++;
   if (member->state.applied < group->reads[request].floor)
-    problem (group, "a read at %s saw %" PRIu64 ", %" PRIu64 " was committed",
-             member->host, member->state.applied, group->reads[request].floor);
+    fake_problem (
+        group, "a read at %s saw %" PRIu64 ", %" PRIu64 " was committed",
+        member->host, member->state.applied, group->reads[request].floor);
 }
 
 static const struct ab_raft_io_ops io_ops = {
@@ -233,15 +227,15 @@
   if (member->raft)
     return;
   member->restart_at_ms = 0;
-  rc = ab_storage_open_with (&member->disk->files, "d", group->first,
-                             (size_t)group->count, &member->storage, &content,
-                             error);
+  rc = ab_storage_open_with (&member->disk->files, group->segment_bytes, "d",
+                             group->first, (size_t)group->count,
+                             &member->storage, &content, error);
   if (rc < 0)
     {
       if (!member->disk->crashed && !member->disk->sync_failed
           && rc != AB_ERR_FULL)
-        problem (group, "%s cannot open its disk: %.150s", member->host,
-                 error);
+        fake_problem (group, "%s cannot open its disk: %.150s", member->host,
+                      error);
       fake_disk_restart (member->disk, &group->rng);
       member->restart_at_ms = group->now_ms + 500;
       return;
@@ -291,6 +285,7 @@
   group->now_ms = 1000;
   group->delay_ms = 20;
   group->compact_at = 40;
+  group->segment_bytes = seed % 2 ? 2000 : AB_WAL_SEGMENT_BYTES;
   for (int i = 0; i < count; i++)
     {
       struct fake_member *member = &group->members[i];
@@ -324,8 +319,8 @@
   free (group);
 }
 
-static bool
-runs (const struct fake_group *group, int i)
+bool
+fake_runs (const struct fake_group *group, int i)
 {
   const struct fake_member *member = &group->members[i];
 
@@ -346,15 +341,16 @@
       = grown (group->leader_of_term, &group->term_cap, (size_t)term + 1,
                sizeof *group->leader_of_term);
   if (group->leader_of_term[term] != 0 && group->leader_of_term[term] != i + 1)
-    problem (group, "m%d and m%d both led in term %" PRIu64, i,
-             group->leader_of_term[term] - 1, term);
+    fake_problem (group, "m%d and m%d both led in term %" PRIu64, i,
+                  group->leader_of_term[term] - 1, term);
   group->leader_of_term[term] = i + 1;
   /* A leader of a later term than the last entry's holds all of it.  */
   if (last > 0 && term > group->committed[last].term
       && last > raft->log.base_index
       && (!ab_raft_log_term (&raft->log, last, &found)
           || found != group->committed[last].term))
-    problem (group, "leader m%d lacks the committed entry %" PRIu64, i, last);
+    fake_problem (group, "leader m%d lacks the committed entry %" PRIu64, i,
+                  last);
 }
 
 /* Two logs that agree on an entry's term agree on all before it.  */
@@ -377,8 +373,8 @@
       if (x->term == y->term && ab_chunk_equal (x->data, y->data))
         agree = true;
       else if (agree || x->term == y->term)
-        problem (group, "the logs of m%d and m%d differ at %" PRIu64, i, j,
-                 index);
+        fake_problem (group, "the logs of m%d and m%d differ at %" PRIu64, i,
+                      j, index);
     }
 }
 
@@ -404,7 +400,7 @@
       struct fake_packet packet = group->packets[i];
       const struct fake_member *to = &group->members[packet.to];
       if (packet.at_ms > group->now_ms
-          || (to->raft && !runs (group, packet.to)))
+          || (to->raft && !fake_runs (group, packet.to)))
         {
           i++;
           continue;
@@ -449,7 +445,7 @@
   if (!member->raft && member->restart_at_ms
       && member->restart_at_ms <= group->now_ms)
     fake_start (group, i);
-  if (!runs (group, i))
+  if (!fake_runs (group, i))
     return;
   ab_raft_tick (member->raft, group->now_ms);
   if (ab_raft_flush (member->raft, group->now_ms) == 0)
@@ -540,15 +536,18 @@
 }
 
 int
-fake_propose (struct fake_group *group, int i)
+fake_propose (struct fake_group *group, int i, size_t bytes)
 {
-  char data[64];
+  struct ab_buf data = AB_BUF_INIT;
   uint64_t index;
-  int len
-      = snprintf (data, sizeof data, "command %" PRIu64, ++group->proposals);
-  int rc = ab_raft_propose (group->members[i].raft, group->now_ms,
-                            ab_chunk (data, (size_t)len), &index);
+  int rc;
 
+  ab_buf_printf (&data, "command %" PRIu64, ++group->proposals);
+  while (data.len < bytes)
+    ab_buf_append (&data, "................................", 32);
+  rc = ab_raft_propose (group->members[i].raft, group->now_ms,
+                        ab_buf_chunk (&data), &index);
+  ab_buf_free (&data);
   group->refused_full += rc == AB_ERR_FULL;
   return rc;
 }
@@ -568,211 +567,3 @@
 {
   return group->members[i].state.applied;
 }
-
-bool
-fake_repair (struct fake_group *group)
-{
-  int leader = fake_leader (group);
-  struct ab_raft *raft;
-
-  if (leader < 0)
-    return false;
-  raft = group->members[leader].raft;
-  if (raft->members.index > raft->commit)
-    return false;
-  for (int i = 0; i < group->count; i++)
-    {
-      struct fake_member *member = &group->members[i];
-      struct ab_raft_member *known
-          = ab_raft_find_member (&raft->members, member->host);
-      struct ab_raft_member added = { .learner = true };
-      if (i == leader || !member->raft)
-        continue;
-      if (!known)
-        {
-          snprintf (added.host, sizeof added.host, "%s", member->host);
-          ab_raft_add_learner (raft, group->now_ms, &added);
-          return false;
-        }
-      if (ab_raft_disk_known (known->disk_id)
-          && memcmp (known->disk_id, member->disk_id, AB_DISK_ID_BYTES) != 0)
-        {
-          ab_raft_remove (raft, group->now_ms, member->host);
-          return false;
-        }
-      if (known->learner)
-        {
-          ab_raft_promote (raft, group->now_ms, member->host);
-          return false;
-        }
-    }
-  return true;
-}
-
-static bool
-all_applied (const struct fake_group *group, uint64_t index)
-{
-  for (int i = 0; i < group->count; i++)
-    if (group->members[i].raft && fake_applied (group, i) < index)
-      return false;
-  return true;
-}
-
-bool
-fake_settle (struct fake_group *group, uint64_t max_ms)
-{
-  uint64_t end = group->now_ms + max_ms;
-  uint64_t target = 0;
-
-  while (group->now_ms < end && group->problem[0] == '\0')
-    {
-      int leader = fake_leader (group);
-      if (leader >= 0 && target == 0 && fake_repair (group)
-          && fake_propose (group, leader) == 0)
-        target = ab_raft_log_last_index (&group->members[leader].raft->log);
-      fake_step (group);
-      if (target > 0 && group->committed_count >= target
-          && all_applied (group, target))
-        return true;
-      if (target > 0 && leader != fake_leader (group))
-        target = 0;
-    }
-  return false;
-}
-
-static bool
-all_up (const struct fake_group *group)
-{
-  for (int i = 0; i < group->count; i++)
-    if (!group->members[i].raft)
-      return false;
-  return true;
-}
-
-/* One random fault, or the end of one.  */
-static void
-random_fault (struct fake_group *group)
-{
-  int i = (int)ab_rng_below (&group->rng, (uint64_t)group->count);
-  int j = (int)ab_rng_below (&group->rng, (uint64_t)group->count);
-  struct fake_member *member = &group->members[i];
-  int leader = fake_leader (group);
-
-  switch (ab_rng_below (&group->rng, 12))
-    {
-    case 0:
-    case 1:
-      fake_cut (group, i, j, true);
-      break;
-    case 2:
-      fake_isolate (group, i, true);
-      break;
-    case 3:
-    case 4:
-      fake_heal (group);
-      break;
-    case 5:
-      fake_crash (group, i);
-      break;
-    case 6:
-      member->disk->crash_at
-          = member->disk->changes + 1 + ab_rng_below (&group->rng, 40);
-      break;
-    case 7:
-      member->disk->fail_sync_at
-          = member->disk->changes + 1 + ab_rng_below (&group->rng, 40);
-      break;
-    case 8:
-      member->frozen_until_ms
-          = group->now_ms + ab_rng_below (&group->rng, 3000);
-      break;
-    case 9:
-      member->disk->room
-          = member->disk->bytes + 1 + ab_rng_below (&group->rng, 2000);
-      break;
-    case 10:
-      group->drop_percent = (unsigned)ab_rng_below (&group->rng, 20);
-      group->duplicate_percent = (unsigned)ab_rng_below (&group->rng, 20);
-      break;
-    default:
-      /* Only while every other member is whole: the loss of two disks may
-         lose data.  */
-      if (leader >= 0 && leader != i && all_up (group) && fake_repair (group))
-        {
-          fake_crash (group, i);
-          fake_empty_disk (group, i);
-        }
-    }
-  if (!member->raft && !member->restart_at_ms)
-    member->restart_at_ms
-        = group->now_ms + 1 + ab_rng_below (&group->rng, 3000);
-}
-
-static void
-random_inputs (struct fake_group *group)
-{
-  for (int i = 0; i < group->count; i++)
-    {
-      const struct ab_raft *raft = group->members[i].raft;
-      if (!runs (group, i) || raft->role != AB_RAFT_LEADER)
-        continue;
-      for (uint64_t n = ab_rng_below (&group->rng, 3); n > 0; n--)
-        fake_propose (group, i);
-      if (ab_rng_below (&group->rng, 4) == 0)
-        fake_read (group, i);
-    }
-}
-
-static void
-end_faults (struct fake_group *group)
-{
-  fake_heal (group);
-  group->drop_percent = 0;
-  group->duplicate_percent = 0;
-  for (int i = 0; i < group->count; i++)
-    {
-      struct fake_member *member = &group->members[i];
-      member->frozen_until_ms = 0;
-      member->disk->room = 0;
-      member->disk->crash_at = 0;
-      member->disk->fail_sync_at = 0;
-      if (!member->raft)
-        fake_start (group, i);
-    }
-}
-
-const char *
-fake_random_run (uint64_t seed, uint64_t steps, uint64_t *step, char text[256])
-{
-  struct fake_group *group = fake_group_new (seed % 3 == 2 ? 5 : 3, seed);
-  const char *found = NULL;
-
-  group->delay_ms = 1 + (unsigned)ab_rng_below (&group->rng, 60);
-  if (seed % 8 == 7)
-    group->pad_bytes = 400000;
-  fake_run_until_leader (group, 10000);
-  while (group->steps < steps && group->problem[0] == '\0')
-    {
-      random_inputs (group);
-      if (ab_rng_below (&group->rng, 60) == 0)
-        random_fault (group);
-      if (ab_rng_below (&group->rng, 10) == 0)
-        fake_repair (group);
-      for (int i = 0; i < group->count; i++)
-        if (group->members[i].disk->room > 0
-            && ab_rng_below (&group->rng, 200) == 0)
-          group->members[i].disk->room = 0;
-      fake_step (group);
-    }
-  end_faults (group);
-  if (group->problem[0] == '\0' && !fake_settle (group, 60000))
-    problem (group, "the group does not recover after the faults end");
-  *step = group->steps;
-  if (group->problem[0] != '\0')
-    {
-      memcpy (text, group->problem, sizeof group->problem);
-      found = text;
-    }
-  fake_group_free (group);
-  return found;
-}
--- a/tests/raft_fake_lib.h
+++ b/tests/raft_fake_lib.h
@@ -5,6 +5,8 @@
 #ifndef RAFT_FAKE_LIB_H
 #define RAFT_FAKE_LIB_H
 
+#include <stdio.h>
+
 #include "disk_fake_lib.h"
 #include "raft.h"
 #include "storage.h"
@@ -26,7 +28,7 @@
 {
   struct ab_raft_io io; /* First member.  */
   struct fake_group *group;
-  char host[8];
+  char host[16];
   struct fake_disk *disk;
   struct ab_storage *storage;
   struct ab_raft *raft; /* Null while it is down.  */
@@ -72,8 +74,9 @@
   bool cut[FAKE_MEMBERS_MAX][FAKE_MEMBERS_MAX]; /* From, to.  */
   unsigned drop_percent;
   unsigned duplicate_percent;
-  unsigned delay_ms;   /* Largest; 1 is the smallest.  */
-  size_t pad_bytes;    /* Added to snapshots.  */
+  unsigned delay_ms; /* Largest; 1 is the smallest.  */
+  size_t pad_bytes;  /* Added to snapshots.  */
+  uint64_t segment_bytes;
   uint64_t compact_at; /* Entries between snapshots.  */
   struct fake_packet *packets;
   size_t packet_count;
@@ -90,9 +93,17 @@
   uint64_t refused_full;
   uint64_t last_committed_ms;
   char problem[256]; /* Empty: none.  */
-  bool skip_disk_check;
 };
 
+/* Keeps the first problem only.  */
+#define fake_problem(group, ...)                                              \
+  do                                                                          \
+    {                                                                         \
+      if ((group)->problem[0] == '\0')                                        \
+        snprintf ((group)->problem, sizeof (group)->problem, __VA_ARGS__);    \
+    }                                                                         \
+  while (0)
+
 struct fake_group *fake_group_new (int count, uint64_t seed);
 void fake_group_free (struct fake_group *group);
 
@@ -117,10 +128,14 @@
 void fake_isolate (struct fake_group *group, int i, bool cut);
 void fake_heal (struct fake_group *group);
 
-/* 0 or the error of ab_raft_propose.  */
-int fake_propose (struct fake_group *group, int i);
+/* 0 or the error of ab_raft_propose.  The command has BYTES bytes, at least
+   what makes it unique.  */
+int fake_propose (struct fake_group *group, int i, size_t bytes);
 int fake_read (struct fake_group *group, int i);
 
+/* Whether member I is up and not frozen.  */
+bool fake_runs (const struct fake_group *group, int i);
+
 /* The index applied by member I.  */
 uint64_t fake_applied (const struct fake_group *group, int i);
 
