--- a/src/raft.h
+++ b/src/raft.h
@@ -5,6 +5,13 @@
    nothing that depends on a write before ab_raft_flush has synced it: call
    ab_raft_flush once after each batch of inputs (group commit).
 
+   A group's first election needs the votes of all its members, because their
+   disks are not known yet and one emptied meanwhile could vote twice.  The
+   first leader records the disks; from then on a majority is enough, and a
+   member whose disk is another one neither votes nor counts until it is
+   removed and added again.  A learner added with a zero disk id gets the one
+   that it answers from.
+
    Pre-vote keeps an isolated member from disturbing the group when it
    returns; a leader that has not heard a majority for one election timeout
    steps down; reads are confirmed by a round of heartbeats to a quorum, so no
