Add a test of the control task, client and bundle task together

The parts only meet in a running group. The test runs three control hosts and two entry hosts in one process over a fake of the peer sockets, with real files and timers, and covers racing operators, restart of the whole group, an isolated leader, lost grants, cancelled claims, revoked permits and the replacement of a member with an empty disk followed by the loss of another.

--- /dev/null
+++ b/tests/control_fake_lib.c
@@ -0,0 +1,359 @@
+#include "control_fake_lib.h"
+
+#include <check.h>
+#include <event2/event.h>
+#include <ftw.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "error.h"
+#include "keys.h"
+#include "member_task.h"
+#include "peer_task.h"
+
+#define WAIT_MAX_MS 20000
+#define STEP_MS 5
+#define NFTW_FILES 16
+
+struct ab_peer_task
+{
+  struct fake_group *group;
+  size_t host;
+  struct
+  {
+    ab_peer_handler handler;
+    void *ctx;
+  } handlers[AB_FRAME_TYPE_COUNT];
+};
+
+struct ab_member_task
+{
+  struct fake_group *group;
+};
+
+struct delivery
+{
+  struct fake_group *group;
+  size_t from;
+  size_t to;
+  enum ab_frame_type type;
+  uint64_t incarnation;
+  size_t len;
+  char body[];
+};
+
+static struct ab_member_task members;
+
+/* Peer sockets.  */
+
+static size_t
+host_number (struct ab_chunk name)
+{
+  return (size_t)(name.data[name.len - 1] - '0');
+}
+
+void
+ab_peer_task_handle (struct ab_peer_task *task, enum ab_frame_type type,
+                     ab_peer_handler handler, void *ctx)
+{
+  task->handlers[type].handler = handler;
+  task->handlers[type].ctx = ctx;
+}
+
+int
+ab_peer_task_set_address (struct ab_peer_task *task, struct ab_chunk host,
+                          const char *address)
+{
+  (void)task;
+  (void)host;
+  (void)address;
+  return 0;
+}
+
+static void
+deliver (evutil_socket_t fd, short events, void *ctx)
+{
+  struct delivery *d = ctx;
+  struct fake_host *to = &d->group->hosts[d->to];
+  char sender[8];
+  struct ab_frame frame = { .type = d->type,
+                            .incarnation = d->incarnation,
+                            .body = ab_chunk (d->body, d->len) };
+
+  (void)fd;
+  (void)events;
+  snprintf (sender, sizeof sender, "host%zu", d->from);
+  frame.sender = ab_chunk_str (sender);
+  if (to->running && !d->group->cut[d->from][d->to]
+      && to->daemon.peer->handlers[d->type].handler)
+    to->daemon.peer->handlers[d->type].handler (
+        to->daemon.peer->handlers[d->type].ctx, &frame);
+  free (d);
+}
+
+int
+ab_peer_task_send (struct ab_peer_task *task, struct ab_chunk host,
+                   enum ab_frame_type type, struct ab_chunk body)
+{
+  const struct timeval delay = { .tv_usec = 1000 };
+  struct delivery *d = malloc (sizeof *d + body.len);
+
+  d->group = task->group;
+  d->from = task->host;
+  d->to = host_number (host);
+  d->type = type;
+  d->incarnation = task->group->hosts[task->host].daemon.incarnation;
+  d->len = body.len;
+  if (body.len > 0)
+    memcpy (d->body, body.data, body.len);
+  return event_base_once (task->group->base, -1, EV_TIMEOUT, deliver, d,
+                          &delay);
+}
+
+/* Membership view.  */
+
+static struct ab_host_view
+view_of (const struct fake_host *host)
+{
+  struct ab_host_view view = { .state = AB_HOST_ALIVE,
+                               .role = host->settings.role,
+                               .incarnation = host->daemon.incarnation };
+
+  memcpy (view.name, host->settings.host, sizeof view.name);
+  return view;
+}
+
+void
+ab_member_task_hosts (const struct ab_member_task *task, ab_host_visitor visit,
+                      void *ctx)
+{
+  for (size_t i = 0; i < FAKE_HOSTS; i++)
+    {
+      struct ab_host_view view = view_of (&task->group->hosts[i]);
+      if (!visit (ctx, &view))
+        return;
+    }
+}
+
+const struct ab_host_view *
+ab_member_task_find_host (const struct ab_member_task *task,
+                          struct ab_chunk name)
+{
+  static struct ab_host_view view;
+
+  view = view_of (&task->group->hosts[host_number (name)]);
+  return &view;
+}
+
+void
+ab_member_task_targets (const struct ab_member_task *task,
+                        ab_target_visitor visit, void *ctx)
+{
+  struct ab_target_view view
+      = { .service = "shop", .state = AB_TARGET_ACTIVE };
+
+  for (uint64_t i = 0; i < task->group->targets; i++)
+    visit (ctx, &view);
+}
+
+/* Hosts.  */
+
+void
+fake_start (struct fake_group *group, size_t number)
+{
+  struct fake_host *host = &group->hosts[number];
+  struct ab_daemon *daemon = &host->daemon;
+  char error[AB_CONF_ERROR_BYTES];
+
+  daemon->settings = &host->settings;
+  daemon->base = group->base;
+  daemon->incarnation++;
+  daemon->member = &members;
+  daemon->peer = calloc (1, sizeof *daemon->peer);
+  daemon->peer->group = group;
+  daemon->peer->host = number;
+  host->running = true;
+  if (host->settings.role == AB_ROLE_CONTROL)
+    ck_assert_msg (ab_control_task_new (daemon, &daemon->control, error) == 0,
+                   "%s", error);
+  ck_assert_int_eq (ab_bundle_task_new (daemon, &daemon->bundle, error), 0);
+  ck_assert_int_eq (ab_control_client_new (daemon, &daemon->control_client),
+                    0);
+}
+
+void
+fake_stop (struct fake_group *group, size_t number)
+{
+  struct fake_host *host = &group->hosts[number];
+
+  host->running = false;
+  ab_control_client_free (host->daemon.control_client);
+  ab_control_task_free (host->daemon.control);
+  ab_bundle_task_free (host->daemon.bundle);
+  free (host->daemon.peer);
+  host->daemon = (struct ab_daemon){ .incarnation = host->daemon.incarnation };
+}
+
+void
+fake_isolate (struct fake_group *group, size_t host, bool isolated)
+{
+  for (size_t i = 0; i < FAKE_HOSTS; i++)
+    if (i != host)
+      group->cut[i][host] = group->cut[host][i] = isolated;
+}
+
+static void
+make_settings (struct fake_group *group, size_t number)
+{
+  struct ab_settings *settings = &group->hosts[number].settings;
+  struct ab_buf public_text = AB_BUF_INIT;
+  char error[AB_CONF_ERROR_BYTES];
+
+  *settings = (struct ab_settings){ .role = number < FAKE_CONTROL_HOSTS
+                                                ? AB_ROLE_CONTROL
+                                                : AB_ROLE_ENTRY,
+                                    .control = group->control,
+                                    .control_count = FAKE_CONTROL_HOSTS,
+                                    .approvers = &group->approver,
+                                    .approver_count = 1,
+                                    .raft_heartbeat_ms = 20,
+                                    .raft_election_ms = 150 };
+  snprintf (settings->host, sizeof settings->host, "host%zu", number);
+  snprintf (settings->data_folder, sizeof settings->data_folder, "%s/%zu",
+            group->folder, number);
+  snprintf (settings->keys.host_file, sizeof settings->keys.host_file,
+            "%s/key%zu", group->folder, number);
+  ck_assert_int_eq (mkdir (settings->data_folder, 0700), 0);
+  if (number >= FAKE_CONTROL_HOSTS)
+    return;
+  ck_assert_int_eq (
+      ab_key_file_new ("host", settings->keys.host_file, &public_text, error),
+      0);
+  snprintf (group->control[number].host, AB_NAME_BYTES, "host%zu", number);
+  snprintf (group->control[number].address, AB_ADDRESS_BYTES, "127.0.0.1:%zu",
+            1000 + number);
+  ck_assert_int_eq (ab_hex_decode (ab_buf_chunk (&public_text),
+                                   group->control[number].key.bytes,
+                                   AB_PUBLIC_KEY_BYTES),
+                    0);
+  ab_buf_free (&public_text);
+}
+
+void
+fake_group_open (struct fake_group *group)
+{
+  ck_assert_int_eq (ab_crypto_init (), 0);
+  ab_log_open (NULL, AB_LOG_ERROR, "test");
+  memset (group, 0, sizeof *group);
+  strcpy (group->folder, "/tmp/ab_test_control_XXXXXX");
+  ck_assert_ptr_nonnull (mkdtemp (group->folder));
+  group->base = event_base_new ();
+  members.group = group;
+  ab_key_pair_new (&group->approver.key, &group->approver_key);
+  for (size_t i = 0; i < FAKE_HOSTS; i++)
+    make_settings (group, i);
+  for (size_t i = 0; i < FAKE_HOSTS; i++)
+    fake_start (group, i);
+}
+
+static int
+remove_file (const char *path, const struct stat *status, int kind,
+             struct FTW *position)
+{
+  (void)status;
+  (void)kind;
+  (void)position;
+  return remove (path);
+}
+
+static void
+remove_files (const char *folder)
+{
+  ck_assert_int_eq (
+      nftw (folder, remove_file, NFTW_FILES, FTW_DEPTH | FTW_PHYS), 0);
+}
+
+void
+fake_empty_disk (struct fake_group *group, size_t host)
+{
+  const char *folder = group->hosts[host].settings.data_folder;
+
+  remove_files (folder);
+  ck_assert_int_eq (mkdir (folder, 0700), 0);
+}
+
+void
+fake_group_close (struct fake_group *group)
+{
+  for (size_t i = 0; i < FAKE_HOSTS; i++)
+    if (group->hosts[i].running)
+      fake_stop (group, i);
+  /* Lets the frames under way be freed.  */
+  fake_run_ms (group, 2 * STEP_MS);
+  event_base_free (group->base);
+  remove_files (group->folder);
+}
+
+/* Event loop.  */
+
+static void
+step (struct fake_group *group)
+{
+  const struct timeval interval = { .tv_usec = STEP_MS * 1000 };
+
+  event_base_loopexit (group->base, &interval);
+  event_base_dispatch (group->base);
+}
+
+void
+fake_run_until (struct fake_group *group, bool (*condition) (void *ctx),
+                void *ctx)
+{
+  for (int i = 0; i < WAIT_MAX_MS / STEP_MS; i++)
+    {
+      if (condition (ctx))
+        return;
+      step (group);
+    }
+  ck_abort_msg ("the condition was not met in %d ms", WAIT_MAX_MS);
+}
+
+void
+fake_run_ms (struct fake_group *group, uint64_t ms)
+{
+  for (uint64_t i = 0; i < ms; i += STEP_MS)
+    step (group);
+}
+
+size_t
+fake_leader (struct fake_group *group)
+{
+  for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
+    {
+      json_t *state;
+      bool leads;
+      if (!group->hosts[i].running)
+        continue;
+      state = ab_control_task_state (group->hosts[i].daemon.control);
+      leads = json_is_true (json_object_get (state, "leads"));
+      json_decref (state);
+      if (leads)
+        return i;
+    }
+  return FAKE_HOSTS;
+}
+
+static bool
+has_leader (void *ctx)
+{
+  return fake_leader (ctx) != FAKE_HOSTS;
+}
+
+void
+fake_wait_leader (struct fake_group *group)
+{
+  fake_run_until (group, has_leader, group);
+}
--- /dev/null
+++ b/tests/control_fake_lib.h
@@ -0,0 +1,56 @@
+/* Several daemons' control parts in one process, over a fake of the peer
+   sockets and of the membership view.  */
+
+#ifndef CONTROL_FAKE_LIB_H
+#define CONTROL_FAKE_LIB_H
+
+#include <stdbool.h>
+
+#include "bundle_task.h"
+#include "control_client.h"
+#include "control_task.h"
+#include "daemon.h"
+
+#define FAKE_CONTROL_HOSTS 3
+#define FAKE_HOSTS 5 /* Three control and two entry hosts.  */
+
+struct fake_host
+{
+  struct ab_daemon daemon;
+  struct ab_settings settings;
+  bool running;
+};
+
+struct fake_group
+{
+  struct event_base *base;
+  char folder[64];
+  struct ab_control_member control[FAKE_CONTROL_HOSTS];
+  struct ab_signer approver;
+  struct ab_secret_key approver_key;
+  struct fake_host hosts[FAKE_HOSTS];
+  bool cut[FAKE_HOSTS][FAKE_HOSTS]; /* Frames from the first are lost.  */
+  uint64_t targets;                 /* Of the service "shop".  */
+};
+
+/* Starts all hosts.  */
+void fake_group_open (struct fake_group *group);
+void fake_group_close (struct fake_group *group);
+
+void fake_start (struct fake_group *group, size_t host);
+void fake_stop (struct fake_group *group, size_t host);
+/* Cuts HOST off in both directions, or joins it again.  */
+void fake_isolate (struct fake_group *group, size_t host, bool isolated);
+/* Removes HOST's files.  */
+void fake_empty_disk (struct fake_group *group, size_t host);
+
+/* Runs the event loop until CONDITION holds; fails the test after 20 s.  */
+void fake_run_until (struct fake_group *group, bool (*condition) (void *ctx),
+                     void *ctx);
+void fake_run_ms (struct fake_group *group, uint64_t ms);
+
+/* The control host that leads, or FAKE_HOSTS.  */
+size_t fake_leader (struct fake_group *group);
+void fake_wait_leader (struct fake_group *group);
+
+#endif
--- /dev/null
+++ b/tests/test_control_tasks.c
@@ -0,0 +1,438 @@
+/* The control task, the control client and the bundle task together: three
+   control hosts and two entry hosts in one process, with lost frames.  */
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "clock.h"
+#include "control_fake_lib.h"
+#include "error.h"
+
+#define ENTRY 3
+#define OTHER 4
+#define LONG_MS 15000
+
+static struct fake_group group;
+static const struct ab_digest content = { { 1 } };
+
+/* What the callbacks of one request brought.  */
+struct outcome
+{
+  bool done;
+  enum ab_claim_result result;
+  uint64_t token;
+  int status;
+  int rc;
+  char message[256];
+};
+
+static bool
+is_done (void *ctx)
+{
+  return ((struct outcome *)ctx)->done;
+}
+
+static struct ab_control_client *
+client (size_t host)
+{
+  return group.hosts[host].daemon.control_client;
+}
+
+static uint64_t
+in_ms (uint64_t ms)
+{
+  return ab_clock_monotonic_ms (ab_clock_system ()) + ms;
+}
+
+static struct ab_ledger_key
+make_key (uint8_t number)
+{
+  uint64_t time_ms = ab_clock_wall_ms (ab_clock_system ());
+  struct ab_ledger_key key = { "team", "shop", { 0 } };
+
+  for (size_t i = 0; i < 6; i++)
+    key.key[i] = (uint8_t)(time_ms >> (8 * (5 - i)));
+  key.key[15] = number;
+  return key;
+}
+
+static void
+on_claim (void *ctx, enum ab_claim_result result, uint64_t token,
+          const struct ab_recorded_response *response, struct ab_chunk holder)
+{
+  struct outcome *outcome = ctx;
+
+  (void)holder;
+  ck_assert (!outcome->done);
+  outcome->done = true;
+  outcome->result = result;
+  outcome->token = token;
+  outcome->status = response ? response->status : 0;
+}
+
+static void
+start_claim (size_t host, const struct ab_ledger_key *key, uint64_t ms,
+             struct outcome *outcome)
+{
+  *outcome = (struct outcome){ .done = false };
+  ab_control_client_claim (client (host), key, &content, in_ms (ms), on_claim,
+                           outcome);
+}
+
+static struct outcome
+claim (size_t host, const struct ab_ledger_key *key, uint64_t ms)
+{
+  struct outcome outcome;
+
+  start_claim (host, key, ms, &outcome);
+  fake_run_until (&group, is_done, &outcome);
+  return outcome;
+}
+
+static void
+on_change (void *ctx, int rc, struct ab_chunk message)
+{
+  struct outcome *outcome = ctx;
+
+  outcome->done = true;
+  outcome->rc = rc;
+  ab_chunk_copy (message, outcome->message, sizeof outcome->message);
+}
+
+static struct outcome
+apply (size_t host, uint64_t version, const char *floor)
+{
+  struct ab_signed_bundle bundle = { .version = version };
+  struct outcome outcome = { .done = false };
+
+  ab_buf_printf (&bundle.text,
+                 "version: %llu\nservices:\n  - name: shop\n"
+                 "    floor: %s\n    credentials: [%064d]\nroutes:\n"
+                 "  - prefix: /\n    service: shop\n    idempotent: true\n",
+                 (unsigned long long)version, floor, 1);
+  ab_signed_bundle_approve (&bundle, &group.approver_key);
+  ab_control_client_apply (client (host), &bundle, "olga", in_ms (LONG_MS),
+                           on_change, &outcome);
+  fake_run_until (&group, is_done, &outcome);
+  ab_signed_bundle_free (&bundle);
+  return outcome;
+}
+
+static bool
+nothing_pending (void *ctx)
+{
+  return ab_control_client_pending (client (*(size_t *)ctx)) == 0;
+}
+
+static void
+wait_confirmed (size_t host)
+{
+  fake_run_until (&group, nothing_pending, &host);
+}
+
+static bool
+all_have (void *ctx)
+{
+  for (size_t i = 0; i < FAKE_HOSTS; i++)
+    {
+      struct ab_bundle *bundle;
+      if (!group.hosts[i].running)
+        continue;
+      bundle = ab_bundle_task_current (group.hosts[i].daemon.bundle);
+      if (!bundle || ab_bundle_version (bundle) != *(uint64_t *)ctx)
+        return false;
+    }
+  return true;
+}
+
+static void
+setup (void)
+{
+  struct ab_ledger_key key = make_key (0);
+
+  fake_group_open (&group);
+  fake_wait_leader (&group);
+  /* The first leader must have recorded the members' disks: until then an
+     election needs the votes of all.  */
+  ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result, AB_CLAIM_GRANTED);
+}
+
+static void
+teardown (void)
+{
+  fake_group_close (&group);
+}
+
+/* Guards against a bundle that is accepted but not in force everywhere, and
+   against operators who race or send again.  */
+START_TEST (bundle_reaches_all_hosts)
+{
+  uint64_t version = 2;
+  struct outcome outcome = apply (ENTRY, 2, "50%");
+
+  ck_assert_msg (outcome.rc == 0, "%s", outcome.message);
+  fake_run_until (&group, all_have, &version);
+  ck_assert_int_eq (apply (OTHER, 2, "50%").rc, 0);
+  outcome = apply (OTHER, 2, "60%");
+  ck_assert_int_eq (outcome.rc, AB_ERR_CONFLICT);
+  ck_assert_ptr_nonnull (strstr (outcome.message, "olga"));
+  ck_assert_int_eq (apply (OTHER, 1, "50%").rc, AB_ERR_STALE);
+  ck_assert_int_eq (apply (OTHER, 9, "hello").rc, AB_ERR_INVALID);
+  /* A host that starts while control is away has its saved copy.  */
+  for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
+    fake_isolate (&group, i, true);
+  fake_stop (&group, ENTRY);
+  fake_start (&group, ENTRY);
+  ck_assert (all_have (&version));
+  /* Without the copy, it gets the bundle from a peer.  */
+  fake_stop (&group, ENTRY);
+  fake_empty_disk (&group, ENTRY);
+  fake_start (&group, ENTRY);
+  fake_run_until (&group, all_have, &version);
+}
+END_TEST
+
+/* Guards against running a request twice, and losing its response over a
+   restart of the whole group.  */
+START_TEST (response_is_recorded)
+{
+  struct ab_recorded_response response
+      = { .status = 201, .body = AB_CHUNK ("done") };
+  struct ab_ledger_key key = make_key (1);
+  struct outcome first = claim (ENTRY, &key, LONG_MS);
+  struct outcome second;
+
+  ck_assert_int_eq (first.result, AB_CLAIM_GRANTED);
+  start_claim (OTHER, &key, LONG_MS, &second);
+  fake_run_ms (&group, 100);
+  ck_assert (!second.done);
+  ab_control_client_complete (client (ENTRY), &key, first.token, &response);
+  fake_run_until (&group, is_done, &second);
+  ck_assert_int_eq (second.result, AB_CLAIM_RECORDED);
+  ck_assert_int_eq (second.status, 201);
+  wait_confirmed (ENTRY);
+  for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
+    fake_stop (&group, i);
+  for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
+    fake_start (&group, i);
+  ck_assert_int_eq (claim (0, &key, LONG_MS).result, AB_CLAIM_RECORDED);
+}
+END_TEST
+
+/* Guards against a waiting attempt that does not get the key after the first
+   was not run.  */
+START_TEST (released_key_goes_to_who_waits)
+{
+  struct ab_ledger_key key = make_key (1);
+  struct outcome first = claim (ENTRY, &key, LONG_MS);
+  struct outcome second;
+
+  start_claim (OTHER, &key, LONG_MS, &second);
+  fake_run_ms (&group, 50);
+  ab_control_client_release (client (ENTRY), &key, first.token);
+  fake_run_until (&group, is_done, &second);
+  ck_assert_int_eq (second.result, AB_CLAIM_GRANTED);
+  ck_assert_uint_gt (second.token, first.token);
+  /* At its deadline, who waits learns that another may run it.  */
+  ck_assert_int_eq (claim (ENTRY, &key, 300).result, AB_CLAIM_MAY_HAVE_RUN);
+}
+END_TEST
+
+/* Guards against a key that stays claimed by an attempt whose host answered
+   "not run" because the grant's answer was lost.  */
+START_TEST (lost_grant_is_given_back)
+{
+  struct ab_ledger_key key = make_key (1);
+  struct outcome lost;
+
+  for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
+    group.cut[i][ENTRY] = true;
+  start_claim (ENTRY, &key, 1000, &lost);
+  fake_run_ms (&group, 700);
+  fake_isolate (&group, ENTRY, true);
+  fake_run_until (&group, is_done, &lost);
+  ck_assert_int_eq (lost.result, AB_CLAIM_UNAVAILABLE);
+  ck_assert_int_eq (claim (OTHER, &key, 300).result, AB_CLAIM_MAY_HAVE_RUN);
+  fake_isolate (&group, ENTRY, false);
+  wait_confirmed (ENTRY);
+  ck_assert_int_eq (claim (OTHER, &key, LONG_MS).result, AB_CLAIM_GRANTED);
+}
+END_TEST
+
+/* Guards against a group that stops with its leader, and against a grant
+   from a leader that has lost its majority.  */
+START_TEST (isolated_leader_grants_nothing)
+{
+  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key other = make_key (2);
+  size_t leader = fake_leader (&group);
+  struct outcome alone;
+
+  fake_isolate (&group, leader, true);
+  start_claim (leader, &other, 1000, &alone);
+  ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result, AB_CLAIM_GRANTED);
+  fake_run_until (&group, is_done, &alone);
+  ck_assert_int_eq (alone.result, AB_CLAIM_UNAVAILABLE);
+  fake_isolate (&group, leader, false);
+  wait_confirmed (leader);
+  ck_assert_int_eq (claim (ENTRY, &other, LONG_MS).result, AB_CLAIM_GRANTED);
+}
+END_TEST
+
+/* Guards against a cancelled claim that is granted to nobody.  */
+START_TEST (cancelled_claim_is_given_back)
+{
+  struct ab_ledger_key key = make_key (1);
+  struct outcome unused = { .done = false };
+  struct ab_claim *cancelled = ab_control_client_claim (
+      client (ENTRY), &key, &content, in_ms (LONG_MS), on_claim, &unused);
+
+  ab_control_client_cancel (cancelled);
+  wait_confirmed (ENTRY);
+  ck_assert_int_eq (claim (OTHER, &key, LONG_MS).result, AB_CLAIM_GRANTED);
+  ck_assert (!unused.done);
+}
+END_TEST
+
+struct permits
+{
+  unsigned granted;
+  unsigned refused;
+  unsigned revoked;
+  unsigned wanted;
+};
+
+static void
+on_permit (void *ctx, int rc)
+{
+  struct permits *permits = ctx;
+
+  if (rc == 0)
+    permits->granted++;
+  else
+    permits->refused++;
+}
+
+static void
+on_revoked (void *ctx, struct ab_chunk service)
+{
+  (void)service;
+  ((struct permits *)ctx)->revoked++;
+}
+
+static bool
+permits_answered (void *ctx)
+{
+  struct permits *permits = ctx;
+
+  return permits->granted + permits->refused == permits->wanted;
+}
+
+static bool
+was_revoked (void *ctx)
+{
+  return ((struct permits *)ctx)->revoked > 0;
+}
+
+static void
+acquire (size_t host, struct permits *permits, unsigned count)
+{
+  permits->wanted += count;
+  for (unsigned i = 0; i < count; i++)
+    ab_control_client_permit_acquire (client (host), AB_CHUNK ("shop"),
+                                      in_ms (LONG_MS), on_permit, permits);
+  fake_run_until (&group, permits_answered, permits);
+}
+
+static bool
+capacity_known (void *ctx)
+{
+  struct permits *permits = ctx;
+
+  *permits = (struct permits){ .wanted = 0 };
+  acquire (OTHER, permits, 1);
+  return permits->granted == 1;
+}
+
+/* Guards against more ejections than the floor allows, and against an excess
+   that stays when the floor rises.  */
+START_TEST (permits_follow_floor_and_capacity)
+{
+  struct permits entry = { .wanted = 0 };
+  struct permits other;
+
+  group.targets = 4;
+  ck_assert_int_eq (apply (ENTRY, 1, "50%").rc, 0);
+  fake_run_until (&group, capacity_known, &other);
+  ab_control_client_on_revoke (client (ENTRY), on_revoked, &entry);
+  acquire (ENTRY, &entry, 3);
+  ck_assert_uint_eq (entry.granted, 1);
+  ck_assert_uint_eq (entry.refused, 2);
+  /* The permit of a process that is gone is free again.  */
+  fake_stop (&group, OTHER);
+  fake_start (&group, OTHER);
+  fake_run_ms (&group, 500);
+  acquire (ENTRY, &entry, 1);
+  ck_assert_uint_eq (entry.granted, 2);
+  ck_assert_int_eq (apply (ENTRY, 2, "75%").rc, 0);
+  fake_run_until (&group, was_revoked, &entry);
+  ab_control_client_permit_release (client (ENTRY), AB_CHUNK ("shop"));
+  fake_run_ms (&group, 500);
+  ck_assert_uint_eq (entry.revoked, 1);
+}
+END_TEST
+
+/* Guards against a member with an emptied disk that never comes back, and
+   against the loss of a second member right after the repair.  */
+START_TEST (member_with_an_empty_disk_is_replaced)
+{
+  struct outcome outcome = { .done = false };
+  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key other = make_key (2);
+  size_t leader = fake_leader (&group);
+  size_t broken = (leader + 1) % FAKE_CONTROL_HOSTS;
+  size_t second = (leader + 2) % FAKE_CONTROL_HOSTS;
+  struct outcome granted = claim (ENTRY, &key, LONG_MS);
+
+  ab_control_client_complete (client (ENTRY), &key, granted.token, NULL);
+  wait_confirmed (ENTRY);
+  fake_stop (&group, broken);
+  fake_empty_disk (&group, broken);
+  fake_start (&group, broken);
+  ab_control_client_change_member (
+      client (ENTRY), AB_CHUNK ("replace"), group.hosts[broken].settings.host,
+      group.control[broken].address, in_ms (LONG_MS), on_change, &outcome);
+  fake_run_until (&group, is_done, &outcome);
+  ck_assert_msg (outcome.rc == 0, "%s", outcome.message);
+  fake_stop (&group, second);
+  ck_assert_int_eq (claim (ENTRY, &other, LONG_MS).result, AB_CLAIM_GRANTED);
+  ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result,
+                    AB_CLAIM_MAY_HAVE_RUN);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("control_tasks");
+  TCase *tcase = tcase_create ("control_tasks");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, bundle_reaches_all_hosts);
+  tcase_add_test (tcase, response_is_recorded);
+  tcase_add_test (tcase, released_key_goes_to_who_waits);
+  tcase_add_test (tcase, lost_grant_is_given_back);
+  tcase_add_test (tcase, isolated_leader_grants_nothing);
+  tcase_add_test (tcase, cancelled_claim_is_given_back);
+  tcase_add_test (tcase, permits_follow_floor_and_capacity);
+  tcase_add_test (tcase, member_with_an_empty_disk_is_replaced);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
