--- /dev/null
+++ b/src/dispatcher_targets.c
@@ -0,0 +1,180 @@
+/* Slots, slow start and the choice among targets.  */
+
+#include <math.h>
+
+#include "dispatcher_impl.h"
+
+/* Penalties halve in this time.  */
+#define PENALTY_HALF_MS 500.0
+#define PENALTY_MAX 3.0
+/* Weight of suspicion (0 to 1) against load (0 to 1): a fully suspect target
+   is used after all others are full.  */
+#define SUSPICION_WEIGHT 3.0
+/* A suspect target that load would not reach gets one in this many of its
+   usual requests, within the bounds below, so that the suspicion is settled
+   instead of lasting.  4% keep the promise that 95% of the work moves.  */
+#define EXPLORE_ONE_IN 25
+#define EXPLORE_MIN_MS 200
+#define EXPLORE_MAX_MS 5000
+#define EXPLORE_IN_FLIGHT 2
+/* Targets with this much suspicion are passed over while others, busy or
+   free, can serve soon: waiting for one service time costs less than a
+   response that is several times slower.  */
+#define HELD_SUSPICION 0.25
+/* A request on probation must have this many times the usual service time
+   until its deadline, so that it can be tried again elsewhere.  */
+#define PROBATION_SLACK 4.0
+/* Time between requests on probation; four times longer for each further
+   ejection, so that a target that flaps every few seconds is caught.  */
+#define PROBATION_GAP_MS 50
+
+uint64_t
+ab_dtarget_allowed (const struct ab_dtarget *target, uint64_t now_ms)
+{
+  double part;
+  double allowed;
+
+  if (now_ms >= target->warm_at_ms)
+    return target->slots;
+  part = (double)(now_ms - target->warm_since_ms)
+         / (double)(target->warm_at_ms - target->warm_since_ms);
+  allowed = ceil (part * (double)target->slots);
+  return allowed < 1 ? 1 : (uint64_t)allowed;
+}
+
+static double
+current_penalty (const struct ab_dtarget *target, uint64_t now_ms)
+{
+  return target->penalty
+         * exp2 (-(double)(now_ms - target->penalty_ms) / PENALTY_HALF_MS);
+}
+
+void
+ab_dtarget_punish (struct ab_dtarget *target, double penalty, uint64_t now_ms)
+{
+  target->penalty
+      = fmin (PENALTY_MAX, current_penalty (target, now_ms) + penalty);
+  target->penalty_ms = now_ms;
+}
+
+static bool
+is_excluded (const struct ab_drequest *request,
+             const struct ab_dtarget *target)
+{
+  for (size_t i = 0; i < request->excluded_count; i++)
+    if (strcmp (request->excluded[i], target->address) == 0)
+      return true;
+  return false;
+}
+
+static bool
+may_serve (const struct ab_dispatcher *dispatcher,
+           const struct ab_dtarget *target, const struct ab_drequest *request,
+           uint64_t now_ms)
+{
+  return target->state == AB_DISPATCH_ACTIVE && !is_excluded (request, target)
+         && !ab_detector_path_bad (dispatcher->detector, target->evidence,
+                                   request->path, now_ms);
+}
+
+bool
+ab_dispatcher_reachable (const struct ab_dispatcher *dispatcher,
+                         const struct ab_drequest *request, uint64_t now_ms)
+{
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    if (may_serve (dispatcher, dispatcher->targets[i], request, now_ms))
+      return true;
+  return false;
+}
+
+static bool
+wants_probation (const struct ab_dispatcher *dispatcher,
+                 const struct ab_dtarget *target,
+                 const struct ab_drequest *request, uint64_t now_ms)
+{
+  double service
+      = ab_detector_service_ms (dispatcher->detector, request->class_id, 0.5);
+  unsigned level = target->exile_level < 4 ? target->exile_level : 4;
+  uint64_t gap_ms = (uint64_t)PROBATION_GAP_MS << (2 * level);
+
+  return target->state == AB_DISPATCH_ON_PROBATION && target->in_use == 0
+         && now_ms >= target->last_start_ms + gap_ms
+         && request->excluded_count == 0
+         && (double)now_ms + PROBATION_SLACK * service
+                <= (double)request->deadline_ms;
+}
+
+static bool
+wants_exploring (const struct ab_dispatcher *dispatcher,
+                 const struct ab_dtarget *target, double suspicion,
+                 uint64_t now_ms)
+{
+  double gap_ms = EXPLORE_ONE_IN * dispatcher->grant_gap_ms
+                  * (double)dispatcher->target_count;
+
+  gap_ms = fmin (EXPLORE_MAX_MS, fmax (EXPLORE_MIN_MS, gap_ms));
+  return suspicion >= HELD_SUSPICION && target->in_use < EXPLORE_IN_FLIGHT
+         && now_ms >= target->last_start_ms + (uint64_t)gap_ms;
+}
+
+/* Lower is better.  */
+static double
+cost_of (const struct ab_dtarget *target, double suspicion, uint64_t now_ms)
+{
+  double load
+      = (double)target->in_use / (double)ab_dtarget_allowed (target, now_ms);
+
+  return load + SUSPICION_WEIGHT * suspicion
+         + current_penalty (target, now_ms);
+}
+
+struct choice
+{
+  struct ab_dtarget *target;
+  double cost;
+  uint64_t ties;
+};
+
+static void
+consider (struct choice *choice, struct ab_dtarget *target, double cost,
+          struct ab_rng *rng)
+{
+  if (!choice->target || cost < choice->cost)
+    *choice = (struct choice){ .target = target, .cost = cost, .ties = 1 };
+  else if (cost <= choice->cost && ab_rng_below (rng, ++choice->ties) == 0)
+    choice->target = target;
+}
+
+struct ab_dtarget *
+ab_dispatcher_choose (struct ab_dispatcher *dispatcher,
+                      const struct ab_drequest *request, uint64_t now_ms)
+{
+  struct choice trusted = { .target = NULL };
+  struct choice held = { .target = NULL };
+  uint64_t trusted_slots = 0;
+
+  for (size_t i = 0; i < dispatcher->target_count; i++)
+    {
+      struct ab_dtarget *target = dispatcher->targets[i];
+      uint64_t allowed = ab_dtarget_allowed (target, now_ms);
+      double suspicion;
+
+      if (wants_probation (dispatcher, target, request, now_ms))
+        return target;
+      if (!may_serve (dispatcher, target, request, now_ms))
+        continue;
+      suspicion = ab_detector_suspicion (dispatcher->detector,
+                                         target->evidence, now_ms);
+      if (suspicion < HELD_SUSPICION)
+        trusted_slots += allowed;
+      if (target->in_use >= allowed)
+        continue;
+      if (wants_exploring (dispatcher, target, suspicion, now_ms))
+        return target;
+      consider (suspicion < HELD_SUSPICION ? &trusted : &held, target,
+                cost_of (target, suspicion, now_ms), dispatcher->rng);
+    }
+  if (trusted.target || dispatcher->queued <= trusted_slots)
+    return trusted.target || trusted_slots ? trusted.target : held.target;
+  return held.target;
+}
