Define the control test's fakes in the test program

Since the real peer sockets and membership view are in the daemon library, the fakes in the tests' library came after them in the link and were defined twice. They are in the test program now, which comes first.

--- a/tests/control_fake_lib.h
+++ b/tests/control_fake_lib.h
@@ -10,6 +10,8 @@
 #include "control_client.h"
 #include "control_task.h"
 #include "daemon.h"
+#include "member_task.h"
+#include "peer_task.h"
 
 #define FAKE_CONTROL_HOSTS 3
 #define FAKE_HOSTS 5 /* Three control and two entry hosts.  */
@@ -33,6 +35,24 @@
   uint64_t targets;                 /* Of the service "shop".  */
 };
 
+/* The fakes' functions are defined in the test program itself: in a library
+   they would come after the real ones.  */
+struct ab_peer_task
+{
+  struct fake_group *group;
+  size_t host;
+  struct
+  {
+    ab_peer_handler handler;
+    void *ctx;
+  } handlers[AB_FRAME_TYPE_COUNT];
+};
+
+struct ab_member_task
+{
+  struct fake_group *group;
+};
+
 /* Starts all hosts.  */
 void fake_group_open (struct fake_group *group);
 void fake_group_close (struct fake_group *group);
--- a/tests/test_control_tasks.c
+++ b/tests/test_control_tasks.c
@@ -2,6 +2,7 @@
    control hosts and two entry hosts in one process, with lost frames.  */
 
 #include <check.h>
+#include <event2/event.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -16,6 +17,129 @@
 static struct fake_group group;
 static const struct ab_digest content = { { 1 } };
 
+struct delivery
+{
+  struct fake_group *group;
+  size_t from;
+  size_t to;
+  enum ab_frame_type type;
+  uint64_t incarnation;
+  size_t len;
+  char body[];
+};
+
+/* Peer sockets.  */
+
+static size_t
+host_number (struct ab_chunk name)
+{
+  return (size_t)(name.data[name.len - 1] - '0');
+}
+
+void
+ab_peer_task_handle (struct ab_peer_task *task, enum ab_frame_type type,
+                     ab_peer_handler handler, void *ctx)
+{
+  task->handlers[type].handler = handler;
+  task->handlers[type].ctx = ctx;
+}
+
+int
+ab_peer_task_set_address (struct ab_peer_task *task, struct ab_chunk host,
+                          const char *address)
+{
+  (void)task;
+  (void)host;
+  (void)address;
+  return 0;
+}
+
+static void
+deliver (evutil_socket_t fd, short events, void *ctx)
+{
+  struct delivery *d = ctx;
+  struct fake_host *to = &d->group->hosts[d->to];
+  char sender[8];
+  struct ab_frame frame = { .type = d->type,
+                            .incarnation = d->incarnation,
+                            .body = ab_chunk (d->body, d->len) };
+
+  (void)fd;
+  (void)events;
+  snprintf (sender, sizeof sender, "host%zu", d->from);
+  frame.sender = ab_chunk_str (sender);
+  if (to->running && !d->group->cut[d->from][d->to]
+      && to->daemon.peer->handlers[d->type].handler)
+    to->daemon.peer->handlers[d->type].handler (
+        to->daemon.peer->handlers[d->type].ctx, &frame);
+  free (d);
+}
+
+int
+ab_peer_task_send (struct ab_peer_task *task, struct ab_chunk host,
+                   enum ab_frame_type type, struct ab_chunk body)
+{
+  const struct timeval delay = { .tv_usec = 1000 };
+  struct delivery *d = malloc (sizeof *d + body.len);
+
+  d->group = task->group;
+  d->from = task->host;
+  d->to = host_number (host);
+  d->type = type;
+  d->incarnation = task->group->hosts[task->host].daemon.incarnation;
+  d->len = body.len;
+  if (body.len > 0)
+    memcpy (d->body, body.data, body.len);
+  return event_base_once (task->group->base, -1, EV_TIMEOUT, deliver, d,
+                          &delay);
+}
+
+/* Membership view.  */
+
+static struct ab_host_view
+view_of (const struct fake_host *host)
+{
+  struct ab_host_view view = { .state = AB_HOST_ALIVE,
+                               .role = host->settings.role,
+                               .incarnation = host->daemon.incarnation };
+
+  memcpy (view.name, host->settings.host, sizeof view.name);
+  return view;
+}
+
+void
+ab_member_task_hosts (const struct ab_member_task *task, ab_host_visitor visit,
+                      void *ctx)
+{
+  for (size_t i = 0; i < FAKE_HOSTS; i++)
+    {
+      struct ab_host_view view = view_of (&task->group->hosts[i]);
+      if (!visit (ctx, &view))
+        return;
+    }
+}
+
+const struct ab_host_view *
+ab_member_task_find_host (const struct ab_member_task *task,
+                          struct ab_chunk name)
+{
+  static struct ab_host_view view;
+
+  view = view_of (&task->group->hosts[host_number (name)]);
+  return &view;
+}
+
+void
+ab_member_task_targets (const struct ab_member_task *task,
+                        ab_target_visitor visit, void *ctx)
+{
+  struct ab_target_view view
+      = { .service = "shop", .state = AB_TARGET_ACTIVE };
+
+  for (uint64_t i = 0; i < task->group->targets; i++)
+    visit (ctx, &view);
+}
+
 /* What the callbacks of one request brought.  */
 struct outcome
 {
