--- a/tests/member_net_lib.c
+++ b/tests/member_net_lib.c
@@ -310,6 +310,54 @@
                           net->now_ms);
 }
 
+#define PRELOAD_BYTES (512 * 1024)
+
+static void
+give_all (struct net *net, struct ab_buf *items, size_t *count)
+{
+  struct ab_buf body = AB_BUF_INIT;
+  struct ab_frame frame
+      = { .type = AB_FRAME_REPAIR, .sender = AB_CHUNK ("host-0") };
+
+  ab_pack_array (&body, *count);
+  ab_buf_append_chunk (&body, ab_buf_chunk (items));
+  frame.body = ab_buf_chunk (&body);
+  for (size_t i = 0; i < net->count; i++)
+    ab_membership_receive (net->nodes[i].m, &frame, net->now_ms);
+  ab_buf_free (&body);
+  ab_buf_clear (items);
+  *count = 0;
+}
+
+void
+net_preload (struct net *net)
+{
+  struct ab_buf items = AB_BUF_INIT;
+  size_t count = 0;
+
+  for (size_t i = 0; i < net->count; i++, count++)
+    ab_item_pack (ab_membership_self (net->nodes[i].m), &items);
+  for (size_t i = 0; i < net->target_count; i++)
+    {
+      struct ab_item item = { .kind = AB_ITEM_TARGET,
+                              .version = 1,
+                              .incarnation = 1,
+                              .lease_ms = NET_LEASE_MS };
+      size_t host = i % net->count;
+      item.target = net_target (i, 1);
+      snprintf (item.target.registrar, sizeof item.target.registrar,
+                "host-%zu", host);
+      net->nodes[host].held[i] = 1;
+      ab_item_seal (&item);
+      ab_item_pack (&item, &items);
+      count++;
+      if (items.len > PRELOAD_BYTES)
+        give_all (net, &items, &count);
+    }
+  give_all (net, &items, &count);
+  ab_buf_free (&items);
+}
+
 static bool
 is_running (const struct net_node *node)
 {
--- a/tests/member_net_lib.h
+++ b/tests/member_net_lib.h
@@ -51,6 +51,10 @@
 void net_free (struct net *net);
 void net_run (struct net *net, uint64_t ms);
 
+/* Gives every host the whole view of hosts and targets, as after a long time
+   without changes.  Target I is leased from host I modulo the hosts.  */
+void net_preload (struct net *net);
+
 /* Stops a host for good, and starts a new process in its place.  */
 void net_stop (struct net *net, size_t host);
 void net_start (struct net *net, size_t host);
