Fake the targets' listener in the test of the request flow

The listener now passes paths below /v1/targets/ on; without a fake of that function the linker took the real member task beside the fakes.

--- a/tests/test_request_flow.c
+++ b/tests/test_request_flow.c
@@ -240,6 +240,15 @@
   return 0;
 }
 
+bool
+ab_member_task_serve_http (struct ab_member_task *task,
+                           struct evhttp_request *req)
+{
+  (void)task;
+  (void)req;
+  return false;
+}
+
 void
 ab_member_task_quarantine (struct ab_member_task *task,
                            const struct ab_quarantine_view *item)
