Initialise the prefix of a state file

The sanitised build stopped on a warning: the prefix's address is taken before the buffer is filled.

--- a/src/state_file.c
+++ b/src/state_file.c
@@ -33,7 +33,7 @@
             const struct file_kind *kind, struct ab_chunk head,
             struct ab_chunk body)
 {
-  uint8_t prefix[PREFIX_BYTES];
+  uint8_t prefix[PREFIX_BYTES] = { 0 };
   struct ab_chunk parts[3] = { ab_chunk (prefix, sizeof prefix), head, body };
 
   memcpy (prefix, kind->magic, MAGIC_BYTES);
