Split the connections to targets; test TLS, drain and immediate failures

Change: pools, calls and probes are modules of their own; an immediate failure ends from the event loop. Fakes are shared by two test programs; new checks: immediate failure, drain, TLS with a broken reload.

--- a/src/crash_watch_task.c
+++ b/src/crash_watch_task.c
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "member_task.h"
 #include "quarantine.h"
+#include "target_probe_task.h"
 
 #define PROBE_MS 100
 
@@ -26,7 +27,7 @@
 struct ab_crash_watch
 {
   struct ab_daemon *daemon;
-  struct ab_upstream *upstream;
+  struct ab_prober *prober;
   struct ab_quarantine *quarantine;
   struct event *tick;
   struct place *places;
@@ -162,12 +163,11 @@
     return;
   for (place = watch->places; place; place = place->hh.next)
     if (now < place->probe_until_ms)
-      ab_upstream_probe (watch->upstream, place->address, on_probed, watch);
+      ab_prober_probe (watch->prober, place->address);
 }
 
 int
-ab_crash_watch_new (struct ab_daemon *daemon, struct ab_upstream *upstream,
-                    struct ab_crash_watch **watch)
+ab_crash_watch_new (struct ab_daemon *daemon, struct ab_crash_watch **watch)
 {
   static const struct ab_quarantine_ops ops
       = { .mark = on_mark, .block = on_block };
@@ -178,11 +178,11 @@
   if (!result)
     return AB_ERR_MEMORY;
   result->daemon = daemon;
-  result->upstream = upstream;
   result->quarantine = ab_quarantine_new (&ops, result);
   result->blocked = ab_counter (daemon->counters, "ab_quarantined_total");
   result->tick = event_new (daemon->base, -1, EV_PERSIST, on_tick, result);
   if (!result->quarantine || !result->tick
+      || ab_prober_new (daemon, on_probed, result, &result->prober) < 0
       || event_add (result->tick, &tv) < 0)
     {
       ab_crash_watch_free (result);
@@ -209,6 +209,7 @@
   }
   if (watch->tick)
     event_free (watch->tick);
+  ab_prober_free (watch->prober);
   ab_quarantine_free (watch->quarantine);
   free (watch);
 }
@@ -242,7 +243,7 @@
     return;
   /* The first probe goes out at once: a crashed process refuses at once.  */
   if (now >= place->probe_until_ms)
-    ab_upstream_probe (watch->upstream, target, on_probed, watch);
+    ab_prober_probe (watch->prober, target);
   place->probe_until_ms = now + AB_QUARANTINE_CONFIRM_MS;
 }
 
--- a/src/crash_watch_task.h
+++ b/src/crash_watch_task.h
@@ -8,11 +8,10 @@
 
 #include "daemon.h"
 #include "digest.h"
-#include "upstream_task.h"
 
 struct ab_crash_watch;
 
-int ab_crash_watch_new (struct ab_daemon *daemon, struct ab_upstream *upstream,
+int ab_crash_watch_new (struct ab_daemon *daemon,
                         struct ab_crash_watch **watch);
 void ab_crash_watch_free (struct ab_crash_watch *watch);
 
--- a/src/proxy_task.c
+++ b/src/proxy_task.c
@@ -103,7 +103,7 @@
     rc = ab_upstream_new (task->daemon, settings->body_bytes,
                           settings->header_bytes, &env->upstream);
   if (rc == 0)
-    rc = ab_crash_watch_new (task->daemon, env->upstream, &env->crashes);
+    rc = ab_crash_watch_new (task->daemon, &env->crashes);
   if (rc == 0)
     rc = ab_member_task_bind_http (task->daemon->member, task->http);
   return rc;
--- a/src/request_account_task.c
+++ b/src/request_account_task.c
@@ -76,12 +76,21 @@
       = ab_crash_watch_region (flow->env->crashes, flow->grant.target);
 
   *counter (flow, "ab_request_bytes_total") += flow->request_bytes;
-  if (region && region[0]
-      && strcmp (region, flow->env->daemon->settings->region) != 0)
-    {
-      ++*counter (flow, "ab_cross_region_requests_total");
-      *counter (flow, "ab_cross_region_bytes_total") += flow->request_bytes;
-    }
+  flow->cross_region
+      = region && region[0]
+        && strcmp (region, flow->env->daemon->settings->region) != 0;
+  if (!flow->cross_region)
+    return;
+  ++*counter (flow, "ab_cross_region_requests_total");
+  *counter (flow, "ab_cross_region_bytes_total") += flow->request_bytes;
+}
+
+void
+ab_flow_note_response (struct ab_flow *flow, size_t bytes)
+{
+  *counter (flow, "ab_response_bytes_total") += bytes;
+  if (flow->cross_region)
+    *counter (flow, "ab_cross_region_bytes_total") += bytes;
 }
 
 static void
--- a/src/request_flow_task.c
+++ b/src/request_flow_task.c
@@ -153,8 +153,7 @@
   struct ab_reply_ctx ctx;
   int status = result->attempt.status;
 
-  *counter (flow, "ab_response_bytes_total")
-      += evbuffer_get_length (result->body);
+  ab_flow_note_response (flow, evbuffer_get_length (result->body));
   ab_http_print_response_headers (result->headers,
                                   flow->method == AB_METHOD_HEAD, &lines);
   if (flow->claimed)
--- a/src/request_flow_task.h
+++ b/src/request_flow_task.h
@@ -91,6 +91,7 @@
   uint64_t upstream_us;    /* Time spent in calls.  */
   enum ab_verdict verdict; /* Of the attempts so far.  */
   uint64_t request_bytes;
+  bool cross_region; /* The last target is in another region.  */
 };
 
 /* Adds a decision to the explanations of FLOW's request.  */
@@ -110,6 +111,7 @@
 
 /* What is counted and explained about a flow.  */
 void ab_flow_note_sent (struct ab_flow *flow);
+void ab_flow_note_response (struct ab_flow *flow, size_t bytes);
 void ab_flow_note_attempt (struct ab_flow *flow,
                            const struct ab_attempt *attempt,
                            uint64_t latency_us);
--- a/src/upstream_task.h
+++ b/src/upstream_task.h
@@ -54,10 +54,6 @@
 typedef void (*ab_upstream_callback) (void *ctx,
                                       const struct ab_upstream_result *result);
 
-/* Whether ADDRESS accepts connections.  */
-typedef void (*ab_upstream_probed) (void *ctx, const char *address,
-                                    bool accepts);
-
 /* Responses over BODY_BYTES or HEADER_BYTES are refused.  */
 int ab_upstream_new (struct ab_daemon *daemon, uint64_t body_bytes,
                      uint64_t header_bytes, struct ab_upstream **upstream);
@@ -76,10 +72,6 @@
 /* Tells whether some byte of the call's request was handed to the kernel.  */
 bool ab_upstream_written (const struct ab_upstream_call *call);
 
-/* Connects to ADDRESS and closes again; calls PROBED once.  */
-void ab_upstream_probe (struct ab_upstream *upstream, const char *address,
-                        ab_upstream_probed probed, void *ctx);
-
 /* State dump: connections by target, busy and idle.  */
 json_t *ab_upstream_state (const struct ab_upstream *upstream);
 
--- a/tests/proxy_bench_lib.c
+++ b/tests/proxy_bench_lib.c
@@ -4,6 +4,7 @@
 #include <check.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/bufferevent_ssl.h>
 #include <event2/listener.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -215,9 +216,9 @@
     caller->closed = true;
 }
 
-void
-bench_caller_start (struct bench_caller *caller, struct event_base *base,
-                    const char *address)
+static void
+start_caller (struct bench_caller *caller, struct event_base *base,
+              const char *address, struct bufferevent *bev)
 {
   struct sockaddr_storage to;
   int len = sizeof to;
@@ -226,7 +227,7 @@
   caller->base = base;
   ck_assert_int_eq (
       evutil_parse_sockaddr_port (address, (struct sockaddr *)&to, &len), 0);
-  caller->bev = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+  caller->bev = bev;
   bufferevent_setcb (caller->bev, on_caller_read, NULL, on_caller_event,
                      caller);
   bufferevent_enable (caller->bev, EV_READ | EV_WRITE);
@@ -235,6 +236,24 @@
       0);
 }
 
+void
+bench_caller_start (struct bench_caller *caller, struct event_base *base,
+                    const char *address)
+{
+  start_caller (caller, base, address,
+                bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE));
+}
+
+void
+bench_caller_start_tls (struct bench_caller *caller, struct event_base *base,
+                        const char *address, SSL *ssl)
+{
+  start_caller (caller, base, address,
+                bufferevent_openssl_socket_new (base, -1, ssl,
+                                                BUFFEREVENT_SSL_CONNECTING,
+                                                BEV_OPT_CLOSE_ON_FREE));
+}
+
 void
 bench_caller_send (struct bench_caller *caller, const char *raw)
 {
--- a/tests/proxy_bench_lib.h
+++ b/tests/proxy_bench_lib.h
@@ -6,6 +6,7 @@
 #define PROXY_BENCH_LIB_H
 
 #include <event2/event.h>
+#include <openssl/ssl.h>
 #include <stdbool.h>
 
 #include "buf.h"
@@ -59,6 +60,10 @@
 
 void bench_caller_start (struct bench_caller *caller, struct event_base *base,
                          const char *address);
+/* With TLS; SSL is freed with the caller.  */
+void bench_caller_start_tls (struct bench_caller *caller,
+                             struct event_base *base, const char *address,
+                             SSL *ssl);
 void bench_caller_send (struct bench_caller *caller, const char *raw);
 void bench_caller_stop (struct bench_caller *caller);
 
--- /dev/null
+++ b/tests/test_callers.c
@@ -0,0 +1,148 @@
+/* The callers' listener: slow, idle and many connections, drain and TLS.  */
+
+#include <event2/buffer.h>
+#include <event2/bufferevent_ssl.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+#include <unistd.h>
+
+#include "proxy_fakes.h"
+
+static char certificate_file[] = "/tmp/test_callers.XXXXXX";
+static char key_file[] = "/tmp/test_callers.XXXXXX";
+
+static void
+prepare (struct ab_http_settings *http)
+{
+  (void)http;
+}
+
+/* Guards against slow senders holding connections, and against silent ones
+   keeping others out below the bound.  */
+START_TEST (slow_and_idle_callers)
+{
+  struct bench_caller idle[4];
+  struct bench_caller slow;
+
+  script (0, OK ("ok", "2"), false);
+  for (size_t i = 0; i < 4; i++)
+    bench_caller_start (&idle[i], fake.base, fake.settings.listen.callers);
+  bench_caller_start (&slow, fake.base, fake.settings.listen.callers);
+  bench_caller_send (&slow, "GET /get HT");
+  expect (GET CLOSE "\r\n", 200, WANT ("ok"));
+  bench_run_closed (&slow);
+  for (size_t i = 0; i < 4; i++)
+    {
+      ck_assert (!idle[i].closed);
+      bench_caller_stop (&idle[i]);
+    }
+  bench_caller_stop (&slow);
+}
+END_TEST
+
+/* Guards against a leak in the count of connections, which would stop the
+   host from accepting.  */
+START_TEST (many_connections)
+{
+  script (0, OK ("ok", "2"), false);
+  for (int i = 0; i < 30; i++)
+    expect (GET CLOSE "\r\n", 200, WANT ("ok"));
+}
+END_TEST
+
+/* Guards against a drain that cuts requests, or that lets callers keep
+   connections to a host that is leaving.  */
+START_TEST (drain)
+{
+  struct bench_caller idle;
+
+  bench_target_script (
+      &fake.targets[0],
+      (struct bench_reply){ .raw = OK ("ok", "2"), .delay_ms = 50 });
+  bench_caller_start (&idle, fake.base, fake.settings.listen.callers);
+  bench_run_ms (fake.base, 20);
+  ab_proxy_task_drain (fake.daemon.proxy);
+  expect (GET "\r\n", 200, WANT ("Connection: close\r\n", "ok"));
+  bench_run_closed (&idle);
+  bench_caller_stop (&idle);
+  ab_proxy_task_undrain (fake.daemon.proxy);
+  expect (GET CLOSE "\r\n", 200, WANT ("ok"));
+}
+END_TEST
+
+/* Writes a new self-signed certificate and its key.  */
+static void
+write_certificate (void)
+{
+  EVP_PKEY *key = EVP_RSA_gen (2048);
+  X509 *x509 = X509_new ();
+  FILE *file;
+
+  ASN1_INTEGER_set (X509_get_serialNumber (x509), 1);
+  X509_gmtime_adj (X509_getm_notBefore (x509), 0);
+  X509_gmtime_adj (X509_getm_notAfter (x509), 3600);
+  X509_set_pubkey (x509, key);
+  X509_NAME_add_entry_by_txt (X509_get_subject_name (x509), "CN", MBSTRING_ASC,
+                              (const unsigned char *)"test", -1, -1, 0);
+  X509_set_issuer_name (x509, X509_get_subject_name (x509));
+  X509_sign (x509, key, EVP_sha256 ());
+  file = fopen (certificate_file, "w");
+  PEM_write_X509 (file, x509);
+  fclose (file);
+  file = fopen (key_file, "w");
+  PEM_write_PrivateKey (file, key, NULL, NULL, 0, NULL, NULL);
+  fclose (file);
+  X509_free (x509);
+  EVP_PKEY_free (key);
+}
+
+/* Waits for the body and not for the end: libevent's TLS client drops bytes
+   that it reads together with the end of the connection.  */
+static bool
+is_answered (void *ctx)
+{
+  const struct bench_caller *caller = ctx;
+
+  return caller->got.data && strstr (caller->got.data, "\r\n\r\nok");
+}
+
+/* Guards against a listener that speaks plain HTTP where TLS is set, and
+   against a reload that puts a broken certificate in force.  */
+START_TEST (tls)
+{
+  struct ab_http_settings *http = &fake.settings.http;
+  char error[AB_CONF_ERROR_BYTES];
+  SSL_CTX *ctx = SSL_CTX_new (TLS_client_method ());
+  FILE *file;
+
+  script (0, OK ("ok", "2"), false);
+  close (mkstemp (certificate_file));
+  close (mkstemp (key_file));
+  write_certificate ();
+  snprintf (http->certificate_file, sizeof http->certificate_file, "%s",
+            certificate_file);
+  snprintf (http->key_file, sizeof http->key_file, "%s", key_file);
+  ck_assert_int_eq (ab_proxy_task_reload (fake.daemon.proxy, error), 0);
+  file = fopen (certificate_file, "w");
+  fputs ("broken", file);
+  fclose (file);
+  ck_assert_int_lt (ab_proxy_task_reload (fake.daemon.proxy, error), 0);
+  ck_assert_ptr_nonnull (strstr (error, certificate_file));
+  for (int i = 0; i < 3; i++)
+    {
+      struct bench_caller caller;
+
+      bench_caller_start_tls (&caller, fake.base, fake.settings.listen.callers,
+                              SSL_new (ctx));
+      bench_caller_send (&caller, GET "\r\n");
+      bench_run (fake.base, is_answered, &caller);
+      bench_caller_stop (&caller);
+    }
+  SSL_CTX_free (ctx);
+  unlink (certificate_file);
+  unlink (key_file);
+}
+END_TEST
+
+PROXY_SUITE ("callers", slow_and_idle_callers, many_connections, drain, tls)
--- a/tests/test_request_flow.c
+++ b/tests/test_request_flow.c
@@ -1,380 +1,14 @@
 /* The flow of requests against scripted targets, with fakes of the other
    tasks.  */
 
-#include <check.h>
-#include <stdio.h>
-#include <stdlib.h>
-
-#include "bundle_task.h"
-#include "clock.h"
-#include "control_client.h"
-#include "dispatch_task.h"
-#include "error.h"
-#include "limit_task.h"
-#include "member_task.h"
-#include "proxy_bench_lib.h"
-#include "proxy_task.h"
-#include "suite_lib.h"
-
-#define KEY "Idempotency-Key: 01890a5d-ac96-774b-bcce-b302099a8057\r\n"
-#define CLOSE "Connection: close\r\n"
-#define GET "GET /get/1 HTTP/1.1\r\nHost: a\r\n"
-#define PUT                                                                   \
-  "POST /put HTTP/1.1\r\nHost: a\r\n" KEY "Content-Length: 5\r\n" CLOSE       \
-  "\r\nhello"
-#define OK(body, length)                                                      \
-  "HTTP/1.1 200 OK\r\nContent-Length: " length "\r\n\r\n" body
-#define OUTCOMES_MAX 8
-
-static struct
-{
-  struct event_base *base;
-  struct ab_settings settings;
-  struct ab_daemon daemon;
-  struct bench_target targets[BENCH_TARGETS];
-  size_t target_count;
-  struct ab_bundle *bundle;
-  unsigned asks;
-  enum ab_outcome_kind outcomes[OUTCOMES_MAX];
-  size_t outcome_count;
-  enum ab_claim_result claim_result;
-  struct ab_recorded_response recorded; /* Given to a claim.  */
-  unsigned completes;
-  unsigned unknowns; /* Completions without a response.  */
-  unsigned releases;
-  struct ab_buf completed; /* Headers and body of the last completion.  */
-  bool quarantined;
-  unsigned taken; /* Limit.  */
-  unsigned done;
-  bool limit_reached;
-  struct ab_quarantine_view blocked;
-} fake;
-
-/* Fakes of the other tasks.  */
-
-struct ab_dispatch_ask
-{
-  struct event *event;
-  struct ab_dispatch_request request;
-  ab_dispatch_callback callback;
-  void *ctx;
-};
-
-static bool
-is_excluded (const struct ab_dispatch_request *request, const char *target)
-{
-  for (size_t i = 0; i < request->excluded_count; i++)
-    if (strcmp (request->excluded[i], target) == 0)
-      return true;
-  return false;
-}
+#include "proxy_fakes.h"
 
 static void
-on_ask (evutil_socket_t fd, short what, void *arg)
-{
-  struct ab_dispatch_ask *ask = arg;
-  struct ab_dispatch_grant grant = { .max_connections = 8 };
-  int rc = AB_ERR_NOT_FOUND;
-
-  (void)fd;
-  (void)what;
-  for (size_t i = 0; i < fake.target_count && rc < 0; i++)
-    if (!is_excluded (&ask->request, fake.targets[i].address))
-      {
-        snprintf (grant.target, sizeof grant.target, "%s",
-                  fake.targets[i].address);
-        rc = 0;
-      }
-  ask->callback (ask->ctx, rc, rc == 0 ? &grant : NULL, AB_CHUNK ("test"));
-  ab_dispatch_task_cancel (ask);
-}
-
-struct ab_dispatch_ask *
-ab_dispatch_task_ask (struct ab_dispatch_task *task,
-                      const struct ab_dispatch_request *request,
-                      ab_dispatch_callback callback, void *ctx)
+prepare (struct ab_http_settings *http)
 {
-  struct ab_dispatch_ask *ask = calloc (1, sizeof *ask);
-
-  (void)task;
-  fake.asks++;
-  ask->request = *request;
-  ask->callback = callback;
-  ask->ctx = ctx;
-  ask->event = event_new (fake.base, -1, 0, on_ask, ask);
-  event_active (ask->event, EV_TIMEOUT, 0);
-  return ask;
-}
-
-void
-ab_dispatch_task_cancel (struct ab_dispatch_ask *ask)
-{
-  event_free (ask->event);
-  free (ask);
-}
-
-void
-ab_dispatch_task_outcome (struct ab_dispatch_task *task,
-                          const struct ab_dispatch_grant *grant,
-                          const struct ab_outcome *outcome)
-{
-  (void)task;
-  (void)grant;
-  if (fake.outcome_count < OUTCOMES_MAX)
-    fake.outcomes[fake.outcome_count++] = outcome->kind;
-}
-
-struct ab_claim
-{
-  struct event *event;
-  ab_claim_callback callback;
-  void *ctx;
-};
-
-void
-ab_control_client_cancel (struct ab_claim *claim)
-{
-  event_free (claim->event);
-  free (claim);
-}
-
-static void
-on_claim_time (evutil_socket_t fd, short what, void *arg)
-{
-  struct ab_claim *claim = arg;
-
-  (void)fd;
-  (void)what;
-  claim->callback (claim->ctx, fake.claim_result, 7, &fake.recorded,
-                   AB_CHUNK ("entry-1"));
-  ab_control_client_cancel (claim);
-}
-
-struct ab_claim *
-ab_control_client_claim (struct ab_control_client *client,
-                         const struct ab_ledger_key *key,
-                         const struct ab_digest *content, uint64_t deadline_ms,
-                         ab_claim_callback callback, void *ctx)
-{
-  struct ab_claim *claim = calloc (1, sizeof *claim);
-
-  (void)client;
-  (void)key;
-  (void)content;
-  (void)deadline_ms;
-  claim->callback = callback;
-  claim->ctx = ctx;
-  claim->event = event_new (fake.base, -1, 0, on_claim_time, claim);
-  event_active (claim->event, EV_TIMEOUT, 0);
-  return claim;
-}
-
-void
-ab_control_client_complete (struct ab_control_client *client,
-                            const struct ab_ledger_key *key, uint64_t token,
-                            const struct ab_recorded_response *response)
-{
-  (void)client;
-  (void)key;
-  ck_assert_uint_eq (token, 7);
-  fake.completes++;
-  if (!response)
-    {
-      fake.unknowns++;
-      return;
-    }
-  ab_buf_append_chunk (&fake.completed, response->headers);
-  ab_buf_append_chunk (&fake.completed, response->body);
-}
-
-void
-ab_control_client_release (struct ab_control_client *client,
-                           const struct ab_ledger_key *key, uint64_t token)
-{
-  (void)client;
-  (void)key;
-  ck_assert_uint_eq (token, 7);
-  fake.releases++;
-}
-
-int
-ab_idempotency_key_parse (struct ab_chunk text, uint8_t *key)
-{
-  memset (key, 0, AB_IDEMPOTENCY_KEY_BYTES);
-  return text.len == 36 && text.data[14] == '7' ? 0 : AB_ERR_INVALID;
-}
-
-int
-ab_limit_task_take (struct ab_limit_task *task, const struct ab_team *team,
-                    uint64_t *retry_ms)
-{
-  (void)task;
-  (void)team;
-  *retry_ms = 1500;
-  if (fake.limit_reached)
-    return AB_ERR_FULL;
-  fake.taken++;
-  return 0;
-}
-
-void
-ab_limit_task_done (struct ab_limit_task *task, struct ab_chunk team)
-{
-  (void)task;
-  (void)team;
-  fake.done++;
-}
-
-struct ab_bundle *
-ab_bundle_task_current (const struct ab_bundle_task *task)
-{
-  (void)task;
-  return fake.bundle;
-}
-
-int
-ab_member_task_bind_http (struct ab_member_task *task, struct evhttp *http)
-{
-  (void)task;
   (void)http;
-  return 0;
-}
-
-void
-ab_member_task_quarantine (struct ab_member_task *task,
-                           const struct ab_quarantine_view *item)
-{
-  (void)task;
-  fake.blocked = *item;
-  fake.quarantined = true;
 }
 
-bool
-ab_member_task_quarantined (const struct ab_member_task *task,
-                            const struct ab_digest *content)
-{
-  (void)task;
-  (void)content;
-  return fake.quarantined;
-}
-
-void
-ab_member_task_targets (const struct ab_member_task *task,
-                        ab_target_visitor visit, void *ctx)
-{
-  (void)task;
-  (void)visit;
-  (void)ctx;
-}
-
-void
-ab_member_task_listen_targets (struct ab_member_task *task,
-                               ab_target_listener listener, void *ctx)
-{
-  (void)task;
-  (void)listener;
-  (void)ctx;
-}
-
-/* The bench.  */
-
-static void
-make_bundle (void)
-{
-  struct ab_digest token = ab_digest_of (AB_CHUNK ("secret"));
-  char hex[2 * AB_DIGEST_BYTES + 1];
-  char error[AB_CONF_ERROR_BYTES];
-  char text[1024];
-
-  ab_hex_encode (token.bytes, sizeof token.bytes, hex);
-  snprintf (text, sizeof text,
-            "version: 1\nanonymous: true\nservices:\n"
-            "  - {name: s, floor: 50%%, credentials: [\"%s\"]}\n"
-            "routes:\n"
-            "  - {prefix: /get, service: s, idempotent: true, timeout: 2s}\n"
-            "  - {prefix: /short, service: s, idempotent: true, timeout: "
-            "200ms}\n"
-            "  - {prefix: /put, service: s, idempotent: false, timeout: 2s}\n"
-            "teams:\n  - {name: t, credential: \"%s\", rate: 10/s}\n"
-            "retry: {budget: 10%%, attempts: 3}\nretention: 24h\n",
-            hex, hex);
-  ck_assert_msg (
-      ab_bundle_parse ("test", ab_chunk_str (text), &fake.bundle, error) == 0,
-      "%s", error);
-}
-
-static void
-setup (void)
-{
-  char error[AB_CONF_ERROR_BYTES];
-
-  memset (&fake, 0, sizeof fake);
-  ck_assert_int_eq (ab_crypto_init (), 0);
-  ck_assert_int_eq (ab_log_open ("/dev/null", AB_LOG_ERROR, "test"), 0);
-  fake.base = event_base_new ();
-  make_bundle ();
-  fake.settings.http = (struct ab_http_settings){ .body_bytes = 4096,
-                                                  .header_bytes = 4096,
-                                                  .header_time_ms = 300,
-                                                  .idle_time_ms = 60000,
-                                                  .connections = 8 };
-  strcpy (fake.settings.region, "r");
-  bench_free_address (fake.settings.listen.callers);
-  fake.daemon.settings = &fake.settings;
-  fake.daemon.base = fake.base;
-  fake.daemon.counters = ab_counters_new ();
-  fake.daemon.explain = ab_explain_new ();
-  ck_assert_msg (ab_proxy_task_new (&fake.daemon, &fake.daemon.proxy, error)
-                     == 0,
-                 "%s", error);
-  for (size_t i = 0; i < BENCH_TARGETS; i++)
-    bench_target_start (&fake.targets[i], fake.base);
-  fake.target_count = 1;
-}
-
-static void
-teardown (void)
-{
-  ab_proxy_task_free (fake.daemon.proxy);
-  for (size_t i = 0; i < BENCH_TARGETS; i++)
-    bench_target_stop (&fake.targets[i]);
-  ab_counters_free (fake.daemon.counters);
-  ab_explain_free (fake.daemon.explain);
-  ab_bundle_unref (fake.bundle);
-  ab_buf_free (&fake.completed);
-  event_base_free (fake.base);
-}
-
-static void
-script (size_t target, const char *raw, bool close)
-{
-  bench_target_script (&fake.targets[target],
-                       (struct bench_reply){ .raw = raw, .close = close });
-}
-
-/* Sends RAW, which asks to close, on a connection of its own and checks that
-   the reply has STATUS and every text of the null-terminated WANT.  */
-static void
-expect (const char *raw, int status, const char *const *want)
-{
-  struct bench_caller caller;
-  char line[32];
-
-  snprintf (line, sizeof line, "HTTP/1.1 %d ", status);
-  bench_caller_start (&caller, fake.base, fake.settings.listen.callers);
-  bench_caller_send (&caller, raw);
-  bench_run_closed (&caller);
-  ck_assert_ptr_nonnull (caller.got.data);
-  ck_assert_msg (strncmp (caller.got.data, line, strlen (line)) == 0,
-                 "wanted %d for %s, got %s", status, raw, caller.got.data);
-  for (; *want; want++)
-    ck_assert_msg (strstr (caller.got.data, *want), "no '%s' in %s for %s",
-                   *want, caller.got.data, raw);
-  bench_caller_stop (&caller);
-}
-
-#define WANT(...) ((const char *const[]){ __VA_ARGS__, NULL })
-
 /* Guards against losing headers that are for the other end, passing on those
    that concern one connection, and leaking the caller's token.  */
 START_TEST (headers_pass)
@@ -551,6 +185,18 @@
 }
 END_TEST
 
+/* Guards against a use after free when a connection fails at once: evhttp
+   then calls back before its request function returns.  */
+START_TEST (immediate_failure)
+{
+  fake.target_count = 2;
+  snprintf (fake.targets[0].address, AB_ADDRESS_BYTES, "255.255.255.255:9");
+  script (1, OK ("ok", "2"), false);
+  expect (PUT, 200, WANT ("\r\n\r\nok"));
+  ck_assert_int_eq (fake.outcomes[0], AB_OUTCOME_REFUSED);
+}
+END_TEST
+
 /* Guards against a claim that stays after a "not run".  */
 START_TEST (keyed_not_run)
 {
@@ -666,39 +312,6 @@
 }
 END_TEST
 
-/* Guards against slow senders holding connections, and against silent ones
-   keeping others out below the bound.  */
-START_TEST (slow_and_idle_callers)
-{
-  struct bench_caller idle[4];
-  struct bench_caller slow;
-
-  script (0, OK ("ok", "2"), false);
-  for (size_t i = 0; i < 4; i++)
-    bench_caller_start (&idle[i], fake.base, fake.settings.listen.callers);
-  bench_caller_start (&slow, fake.base, fake.settings.listen.callers);
-  bench_caller_send (&slow, "GET /get HT");
-  expect (GET CLOSE "\r\n", 200, WANT ("ok"));
-  bench_run_closed (&slow);
-  for (size_t i = 0; i < 4; i++)
-    {
-      ck_assert (!idle[i].closed);
-      bench_caller_stop (&idle[i]);
-    }
-  bench_caller_stop (&slow);
-}
-END_TEST
-
-/* Guards against a leak in the count of connections, which would stop the
-   host from accepting.  */
-START_TEST (many_connections)
-{
-  script (0, OK ("ok", "2"), false);
-  for (int i = 0; i < 30; i++)
-    expect (GET CLOSE "\r\n", 200, WANT ("ok"));
-}
-END_TEST
-
 /* Guards against letting a request crash a third target: the contents that
    were lost with two targets that then refuse are blocked.  */
 START_TEST (crash_is_quarantined)
@@ -725,38 +338,10 @@
 }
 END_TEST
 
-static int
-run (void)
-{
-  Suite *suite = suite_create ("request_flow");
-  TCase *tcase = tcase_create ("request_flow");
-  SRunner *runner = srunner_create (suite);
-  const TTest *const tests[]
-      = { headers_pass,          conflicting_lengths,
-          chunked_request,       refusals,
-          claim_results,         keyed_truncated,
-          unframed_response,     conflicting_response,
-          keyed_provable,        keyed_not_run,
-          idempotent_losses,     no_silent_resend,
-          excess_bytes,          late_response,
-          keyed_caller_leaves,   idempotent_caller_leaves,
-          slow_and_idle_callers, many_connections,
-          crash_is_quarantined };
-  int failed;
-
-  tcase_add_checked_fixture (tcase, setup, teardown);
-  tcase_set_timeout (tcase, 20);
-  for (size_t i = 0; i < sizeof tests / sizeof tests[0]; i++)
-    tcase_add_test (tcase, tests[i]);
-  suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
-}
-
-int
-main (void)
-{
-  return run ();
-}
+PROXY_SUITE ("request_flow", headers_pass, conflicting_lengths,
+             chunked_request, refusals, claim_results, keyed_truncated,
+             unframed_response, conflicting_response, keyed_provable,
+             immediate_failure, keyed_not_run, idempotent_losses,
+             no_silent_resend, excess_bytes, late_response,
+             keyed_caller_leaves, idempotent_caller_leaves,
+             crash_is_quarantined)
