Join crashes that two hosts saw; serve targets below /v1/targets/

Cause: a request whose two crashes were seen by different hosts was not recognised, and the listener's general callback did not pass renewals on to the member task.

Change: a quarantine item may name the one target that its content crashed so far; such an item does not refuse requests. Hosts hear of these items through ab_member_task_listen_quarantine, count the crash as if they had seen it, and block the content when it crashes another target. A release clears marks on all hosts. The request flow uses the shared retry budget. Items of this kind have one more field on the wire.

--- a/src/crash_watch_task.c
+++ b/src/crash_watch_task.c
@@ -65,15 +65,50 @@
   return place;
 }
 
+/* Spreads the news that CONTENT crashed TARGET, or with an empty TARGET that
+   it is to be refused.  */
+static void
+publish (struct ab_crash_watch *watch, const struct ab_digest *content,
+         const char *target, const char *crashed, uint64_t duration_ms)
+{
+  const struct place *place = find_place (watch, crashed);
+  struct ab_quarantine_view item
+      = { .content = *content,
+          .until_wall_ms
+          = ab_clock_wall_ms (ab_clock_system ()) + duration_ms };
+
+  if (place)
+    ab_chunk_copy (ab_chunk_str (place->service), item.reason,
+                   sizeof item.reason);
+  ab_chunk_copy (ab_chunk_str (target), item.target, sizeof item.target);
+  ab_member_task_quarantine (watch->daemon->member, &item);
+}
+
 static void
 on_mark (void *ctx, const struct ab_digest *content, const char *target)
 {
+  struct ab_crash_watch *watch = ctx;
   char hex[2 * AB_DIGEST_BYTES + 1];
 
-  (void)ctx;
   ab_hex_encode (content->bytes, sizeof content->bytes, hex);
   AB_LOG (AB_LOG_WARN, "request_crashed_target", ab_log_str ("content", hex),
           ab_log_str ("target", target));
+  if (!ab_member_task_quarantined (watch->daemon->member, content))
+    publish (watch, content, target, target, AB_QUARANTINE_MARK_MS);
+}
+
+/* Another host's crash, or an operator's release.  */
+static void
+on_quarantine (void *ctx, const struct ab_quarantine_view *item)
+{
+  struct ab_crash_watch *watch = ctx;
+
+  if (item->until_wall_ms == 0)
+    ab_quarantine_forget (watch->quarantine, &item->content);
+  else if (item->target[0]
+           && item->until_wall_ms > ab_clock_wall_ms (ab_clock_system ()))
+    ab_quarantine_heard (watch->quarantine, item->target, &item->content,
+                         now_ms ());
 }
 
 static void
@@ -81,16 +116,8 @@
           const char *second, uint64_t duration_ms)
 {
   struct ab_crash_watch *watch = ctx;
-  const struct place *place = find_place (watch, second);
-  struct ab_quarantine_view item
-      = { .content = *content,
-          .until_wall_ms
-          = ab_clock_wall_ms (ab_clock_system ()) + duration_ms };
   char hex[2 * AB_DIGEST_BYTES + 1];
 
-  if (place)
-    ab_chunk_copy (ab_chunk_str (place->service), item.reason,
-                   sizeof item.reason);
   ab_hex_encode (content->bytes, sizeof content->bytes, hex);
   AB_LOG (AB_LOG_ERROR, "request_quarantined", ab_log_str ("content", hex),
           ab_log_str ("first", first), ab_log_str ("second", second),
@@ -99,7 +126,7 @@
               "request_quarantined", ab_log_str ("content", hex),
               ab_log_str ("first", first));
   ++*watch->blocked;
-  ab_member_task_quarantine (watch->daemon->member, &item);
+  publish (watch, content, "", second, duration_ms);
 }
 
 static void
@@ -190,6 +217,7 @@
     }
   ab_member_task_listen_targets (daemon->member, on_target, result);
   ab_member_task_targets (daemon->member, visit_target, result);
+  ab_member_task_listen_quarantine (daemon->member, on_quarantine, result);
   *watch = result;
   return 0;
 }
--- a/src/member_item.c
+++ b/src/member_item.c
@@ -6,7 +6,7 @@
 #define ITEM_FIELDS_MAX 32
 #define HOST_FIELDS 14
 #define TARGET_FIELDS 12
-#define QUARANTINE_FIELDS 7
+#define QUARANTINE_FIELDS 8
 #define SECOND_MS 1000
 
 uint64_t
@@ -214,6 +214,7 @@
   ab_pack_u64 (out, view->until_wall_ms);
   ab_pack_u64 (out, item->age_ms / SECOND_MS);
   pack_str (out, view->reason);
+  pack_str (out, view->target);
 }
 
 void
@@ -313,6 +314,7 @@
   view->until_wall_ms = ab_reader_u64 (reader);
   read_age (reader, item);
   ab_reader_str (reader, view->reason, sizeof view->reason);
+  ab_reader_str (reader, view->target, sizeof view->target);
 }
 
 void
--- a/src/member_item.h
+++ b/src/member_item.h
@@ -64,12 +64,15 @@
   uint64_t since_ms; /* Monotonic time when this host learned of it.  */
 };
 
-/* A request that crashed targets; requests with this content are refused.  */
+/* A request that crashed targets.  With a TARGET it has crashed that one only
+   and is let through; a host that sees it crash another one makes it refused.
+   Without, requests with this content are refused.  */
 struct ab_quarantine_view
 {
   struct ab_digest content;
   uint64_t until_wall_ms;     /* 0 once released.  */
   char reason[AB_NAME_BYTES]; /* The targets' service.  */
+  char target[AB_ADDRESS_BYTES];
 };
 
 enum ab_item_kind
--- a/src/member_query_task.c
+++ b/src/member_query_task.c
@@ -51,10 +51,10 @@
   char content[2 * AB_DIGEST_BYTES + 1];
 
   ab_hex_encode (view->content.bytes, sizeof view->content.bytes, content);
-  json_array_append_new (ctx,
-                         json_pack ("{s:s, s:s, s:I}", "content", content,
-                                    "service", view->reason, "until_wall_ms",
-                                    (json_int_t)view->until_wall_ms));
+  json_array_append_new (
+      ctx, json_pack ("{s:s, s:s, s:b, s:I}", "content", content, "service",
+                      view->reason, "refused", !view->target[0],
+                      "until_wall_ms", (json_int_t)view->until_wall_ms));
   return true;
 }
 
--- a/src/member_state_task.h
+++ b/src/member_state_task.h
@@ -36,8 +36,14 @@
     ab_target_listener listener;
     void *ctx;
   } target_listeners[MEMBER_LISTENERS_MAX];
+  struct
+  {
+    ab_quarantine_listener listener;
+    void *ctx;
+  } quarantine_listeners[MEMBER_LISTENERS_MAX];
   size_t host_listener_count;
   size_t target_listener_count;
+  size_t quarantine_listener_count;
   struct member_choices *choices; /* Cache of dispatchers.  */
   uint64_t ticked_ms;
   size_t changes_left; /* Lease changes that may go on in this tick.  */
--- a/src/member_task.c
+++ b/src/member_task.c
@@ -17,11 +17,12 @@
 /* A change that the listeners have not been told of.  */
 struct member_change
 {
-  bool is_host;
+  enum ab_item_kind kind;
   union
   {
     struct ab_host_view host;
     struct ab_target_view target;
+    struct ab_quarantine_view quarantine;
   };
   struct member_change *prev;
   struct member_change *next;
@@ -84,14 +85,24 @@
 tell_listeners (struct ab_member_task *task,
                 const struct member_change *change)
 {
-  if (change->is_host)
-    for (size_t i = 0; i < task->host_listener_count; i++)
-      task->host_listeners[i].listener (task->host_listeners[i].ctx,
-                                        &change->host);
-  else
-    for (size_t i = 0; i < task->target_listener_count; i++)
-      task->target_listeners[i].listener (task->target_listeners[i].ctx,
-                                          &change->target);
+  switch (change->kind)
+    {
+    case AB_ITEM_HOST:
+      for (size_t i = 0; i < task->host_listener_count; i++)
+        task->host_listeners[i].listener (task->host_listeners[i].ctx,
+                                          &change->host);
+      break;
+    case AB_ITEM_TARGET:
+      for (size_t i = 0; i < task->target_listener_count; i++)
+        task->target_listeners[i].listener (task->target_listeners[i].ctx,
+                                            &change->target);
+      break;
+    case AB_ITEM_QUARANTINE:
+      for (size_t i = 0; i < task->quarantine_listener_count; i++)
+        task->quarantine_listeners[i].listener (
+            task->quarantine_listeners[i].ctx, &change->quarantine);
+      break;
+    }
 }
 
 static void
@@ -124,7 +135,7 @@
 {
   struct ab_member_task *task = task_of (env);
   struct ab_chunk name = ab_chunk_str (host->name);
-  struct member_change change = { .is_host = true, .host = *host };
+  struct member_change change = { .kind = AB_ITEM_HOST, .host = *host };
   struct ab_log_field fields[]
       = { ab_log_str ("state", host_states[host->state]),
           ab_log_int ("incarnation", (int64_t)host->incarnation) };
@@ -147,7 +158,7 @@
                 const struct ab_target_view *target)
 {
   struct ab_member_task *task = task_of (env);
-  struct member_change change = { .is_host = false, .target = *target };
+  struct member_change change = { .kind = AB_ITEM_TARGET, .target = *target };
   struct ab_log_field fields[]
       = { ab_log_str ("service", target->service),
           ab_log_str ("state", target_states[target->state]),
@@ -163,6 +174,16 @@
   queue_change (task, &change);
 }
 
+static void
+quarantine_changed (struct ab_membership_env *env,
+                    const struct ab_quarantine_view *item)
+{
+  struct member_change change
+      = { .kind = AB_ITEM_QUARANTINE, .quarantine = *item };
+
+  queue_change (task_of (env), &change);
+}
+
 static bool
 holds_lease (struct ab_membership_env *env,
              const struct ab_target_view *target)
@@ -175,6 +196,7 @@
   .send_address = send_address,
   .host_changed = host_changed,
   .target_changed = target_changed,
+  .quarantine_changed = quarantine_changed,
   .holds_lease = holds_lease,
 };
 
@@ -447,7 +469,8 @@
   const struct ab_item *item
       = ab_membership_find_quarantine (task->m, content);
 
-  return item && item->quarantine.until_wall_ms > wall_ms ();
+  return item && !item->quarantine.target[0]
+         && item->quarantine.until_wall_ms > wall_ms ();
 }
 
 const struct ab_host_view *
@@ -484,3 +507,16 @@
   task->target_listeners[at].ctx = ctx;
   task->target_listener_count++;
 }
+
+void
+ab_member_task_listen_quarantine (struct ab_member_task *task,
+                                  ab_quarantine_listener listener, void *ctx)
+{
+  size_t at = task->quarantine_listener_count;
+
+  if (at == MEMBER_LISTENERS_MAX)
+    return;
+  task->quarantine_listeners[at].listener = listener;
+  task->quarantine_listeners[at].ctx = ctx;
+  task->quarantine_listener_count++;
+}
--- a/src/member_task.h
+++ b/src/member_task.h
@@ -26,6 +26,8 @@
 typedef void (*ab_host_listener) (void *ctx, const struct ab_host_view *host);
 typedef void (*ab_target_listener) (void *ctx,
                                     const struct ab_target_view *target);
+typedef void (*ab_quarantine_listener) (void *ctx,
+                                        const struct ab_quarantine_view *item);
 
 int ab_member_task_new (struct ab_daemon *daemon,
                         struct ab_member_task **task);
@@ -61,6 +63,7 @@
                            ab_host_visitor visit, void *ctx);
 void ab_member_task_targets (const struct ab_member_task *task,
                              ab_target_visitor visit, void *ctx);
+/* Whether requests with CONTENT are refused.  */
 bool ab_member_task_quarantined (const struct ab_member_task *task,
                                  const struct ab_digest *content);
 const struct ab_host_view *
@@ -80,6 +83,9 @@
                                   ab_host_listener listener, void *ctx);
 void ab_member_task_listen_targets (struct ab_member_task *task,
                                     ab_target_listener listener, void *ctx);
+void ab_member_task_listen_quarantine (struct ab_member_task *task,
+                                       ab_quarantine_listener listener,
+                                       void *ctx);
 
 /* State dump: view with ages, digests, gossip byte counts, leases.  */
 json_t *ab_member_task_state (const struct ab_member_task *task);
--- a/src/membership.c
+++ b/src/membership.c
@@ -26,6 +26,8 @@
     m->env->ops->host_changed (m->env, &member->item.host);
   else if (member->item.kind == AB_ITEM_TARGET)
     m->env->ops->target_changed (m->env, &member->item.target);
+  else if (m->env->ops->quarantine_changed)
+    m->env->ops->quarantine_changed (m->env, &member->item.quarantine);
 }
 
 int
--- a/src/membership.h
+++ b/src/membership.h
@@ -62,6 +62,9 @@
                         const struct ab_host_view *host);
   void (*target_changed) (struct ab_membership_env *env,
                           const struct ab_target_view *target);
+  /* May be null.  */
+  void (*quarantine_changed) (struct ab_membership_env *env,
+                              const struct ab_quarantine_view *item);
   /* Whether this host holds the target's lease in this incarnation.  */
   bool (*holds_lease) (struct ab_membership_env *env,
                        const struct ab_target_view *target);
--- a/src/proxy_task.c
+++ b/src/proxy_task.c
@@ -33,7 +33,8 @@
 {
   struct ab_proxy_task *task = arg;
 
-  ab_flow_start (&task->env, req);
+  if (!ab_member_task_serve_http (task->daemon->member, req))
+    ab_flow_start (&task->env, req);
 }
 
 static int
@@ -122,6 +123,8 @@
   result->daemon = daemon;
   result->env.daemon = daemon;
   ab_rng_init_system (&result->env.rng);
+  ab_retry_budget_init (&result->env.budget, 0,
+                        ab_clock_monotonic_ms (ab_clock_system ()));
   result->http = evhttp_new (daemon->base);
   if (!result->http)
     goto out;
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -266,24 +266,34 @@
 ab_quarantine_answered (struct ab_quarantine *quarantine,
                         const struct ab_digest *content)
 {
-  struct mark *mark;
+  struct mark *mark
+      = quarantine->marks ? find_mark (quarantine, content) : NULL;
 
-  if (quarantine->marks)
-    {
-      mark = find_mark (quarantine, content);
-      if (mark)
-        drop_mark (quarantine, mark);
-    }
+  if (mark)
+    drop_mark (quarantine, mark);
   for (size_t i = quarantine->suspect_count; i-- > 0;)
     if (ab_digest_equal (&quarantine->suspects[i].content, content))
       drop_suspect (quarantine, i);
 }
 
+void
+ab_quarantine_forget (struct ab_quarantine *quarantine,
+                      const struct ab_digest *content)
+{
+  ab_quarantine_answered (quarantine, content);
+}
+
 void
 ab_quarantine_heard (struct ab_quarantine *quarantine, const char *target,
                      const struct ab_digest *content, uint64_t now_ms)
 {
-  add_mark (quarantine, content, target, now_ms);
+  const struct mark *mark = find_mark (quarantine, content);
+
+  if (mark && now_ms < mark->blocked_until_ms)
+    quarantine->ops->block (quarantine->ctx, content, mark->target, target,
+                            mark->blocked_until_ms - now_ms);
+  else
+    add_mark (quarantine, content, target, now_ms);
 }
 
 void
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -68,10 +68,16 @@
 void ab_quarantine_answered (struct ab_quarantine *quarantine,
                              const struct ab_digest *content);
 
-/* Another host saw CONTENT crash TARGET.  */
+/* Another host saw CONTENT crash TARGET.  When the content is blocked here,
+   which that host did not know, it is blocked again for the time that is
+   left.  */
 void ab_quarantine_heard (struct ab_quarantine *quarantine, const char *target,
                           const struct ab_digest *content, uint64_t now_ms);
 
+/* Forgets CONTENT, after an operator's release.  */
+void ab_quarantine_forget (struct ab_quarantine *quarantine,
+                           const struct ab_digest *content);
+
 /* Drops what has lapsed.  */
 void ab_quarantine_tick (struct ab_quarantine *quarantine, uint64_t now_ms);
 
--- a/src/request_account_task.c
+++ b/src/request_account_task.c
@@ -4,46 +4,12 @@
 #include "counter.h"
 #include "request_flow_task.h"
 
-#define BUDGET_WINDOW_MS 10000
-/* With little traffic the fraction alone would allow no retry.  */
-#define BUDGET_FLOOR 3
-
 static uint64_t *
 counter (const struct ab_flow *flow, const char *name)
 {
   return ab_counter (flow->env->daemon->counters, name);
 }
 
-/* The budget halves its counts after each window, so that it forgets.  */
-static void
-budget_age (struct ab_flow_budget *budget)
-{
-  uint64_t now = ab_clock_monotonic_ms (ab_clock_system ());
-
-  if (now - budget->since_ms < BUDGET_WINDOW_MS)
-    return;
-  budget->since_ms = now;
-  budget->requests /= 2;
-  budget->retries /= 2;
-}
-
-void
-ab_flow_budget_request (struct ab_flow_budget *budget)
-{
-  budget_age (budget);
-  budget->requests++;
-}
-
-bool
-ab_flow_budget_take (struct ab_flow_budget *budget, double fraction)
-{
-  budget_age (budget);
-  if (budget->retries + 1 > budget->requests * fraction + BUDGET_FLOOR)
-    return false;
-  budget->retries++;
-  return true;
-}
-
 void
 ab_flow_note_end (struct ab_flow *flow, int status, const char *code,
                   enum ab_verdict verdict)
--- a/src/request_flow_task.c
+++ b/src/request_flow_task.c
@@ -180,6 +180,16 @@
                             &outcome);
 }
 
+/* A new bundle may bring another fraction.  */
+static bool
+take_retry (struct ab_flow *flow, double fraction)
+{
+  struct ab_retry_budget *budget = &flow->env->budget;
+
+  budget->fraction = fraction;
+  return ab_retry_budget_take (budget, now_ms ());
+}
+
 static bool
 may_retry (struct ab_flow *flow, const struct ab_attempt *attempt)
 {
@@ -200,7 +210,7 @@
   else if (ab_member_task_quarantined (flow->env->daemon->member,
                                        &flow->content))
     why = "the content is quarantined";
-  else if (!ab_flow_budget_take (&flow->env->budget, rules->budget))
+  else if (!take_retry (flow, rules->budget))
     why = "the retry budget is used up";
   if (why)
     AB_FLOW_EXPLAIN (flow, "not_retried", ab_log_str ("why", why));
@@ -541,7 +551,7 @@
   DL_APPEND (env->flows, flow);
   env->flow_count++;
   ab_caller_conns_begin (env->conns, req);
-  ab_flow_budget_request (&env->budget);
+  ab_retry_budget_request (&env->budget, now_ms ());
   if (ab_flow_parse (flow, &error) < 0)
     {
       fail (flow, &error);
--- a/src/request_flow_task.h
+++ b/src/request_flow_task.h
@@ -18,6 +18,7 @@
 #include "dispatch_task.h"
 #include "explain.h"
 #include "request_reply_task.h"
+#include "retry_budget.h"
 #include "rng.h"
 #include "upstream_task.h"
 
@@ -33,14 +34,6 @@
   AB_FLOW_SENDING
 };
 
-/* Retries as a fraction of the requests of the last seconds.  */
-struct ab_flow_budget
-{
-  uint64_t since_ms;
-  double requests;
-  double retries;
-};
-
 /* What all flows of a process share.  */
 struct ab_flow_env
 {
@@ -49,7 +42,7 @@
   struct ab_caller_conns *conns;
   struct ab_crash_watch *crashes;
   struct ab_rng rng;
-  struct ab_flow_budget budget;
+  struct ab_retry_budget budget;
   struct ab_flow *flows;
   size_t flow_count;
   bool draining; /* Replies ask callers to use another host.  */
@@ -119,11 +112,6 @@
                        enum ab_verdict verdict);
 const char *ab_flow_claim_name (enum ab_claim_result result);
 
-/* Counts a request; takes a retry, or returns false when the budget is used
-   up.  FRACTION is of requests.  */
-void ab_flow_budget_request (struct ab_flow_budget *budget);
-bool ab_flow_budget_take (struct ab_flow_budget *budget, double fraction);
-
 /* State dump: every flow with its age, stage and target.  */
 json_t *ab_flow_state (const struct ab_flow_env *env);
 
