--- a/src/request_flow_task.c
+++ b/src/request_flow_task.c
@@ -153,8 +153,7 @@
   struct ab_reply_ctx ctx;
   int status = result->attempt.status;
 
-  *counter (flow, "ab_response_bytes_total")
-      += evbuffer_get_length (result->body);
+  ab_flow_note_response (flow, evbuffer_get_length (result->body));
   ab_http_print_response_headers (result->headers,
                                   flow->method == AB_METHOD_HEAD, &lines);
   if (flow->claimed)
@@ -181,6 +180,16 @@
                             &outcome);
 }
 
+/* A new bundle may bring another fraction.  */
+static bool
+take_retry (struct ab_flow *flow, double fraction)
+{
+  struct ab_retry_budget *budget = &flow->env->budget;
+
+  budget->fraction = fraction;
+  return ab_retry_budget_take (budget, now_ms ());
+}
+
 static bool
 may_retry (struct ab_flow *flow, const struct ab_attempt *attempt)
 {
@@ -201,7 +210,7 @@
   else if (ab_member_task_quarantined (flow->env->daemon->member,
                                        &flow->content))
     why = "the content is quarantined";
-  else if (!ab_flow_budget_take (&flow->env->budget, rules->budget))
+  else if (!take_retry (flow, rules->budget))
     why = "the retry budget is used up";
   if (why)
     AB_FLOW_EXPLAIN (flow, "not_retried", ab_log_str ("why", why));
@@ -542,7 +551,7 @@
   DL_APPEND (env->flows, flow);
   env->flow_count++;
   ab_caller_conns_begin (env->conns, req);
-  ab_flow_budget_request (&env->budget);
+  ab_retry_budget_request (&env->budget, now_ms ());
   if (ab_flow_parse (flow, &error) < 0)
     {
       fail (flow, &error);
