--- a/src/member_choice_task.c
+++ b/src/member_choice_task.c
@@ -26,12 +26,14 @@
   uint64_t score;
 };
 
+#define TIERS 3 /* Distances; hosts that cannot be used come after all.  */
+
 struct candidates
 {
   struct candidate *list;
   size_t count;
   size_t cap;
-  const struct ab_host_view *near; /* Host in the wanted domain.  */
+  const char *region; /* Of the wanted domain; null when not known.  */
   struct ab_chunk domain;
   uint64_t subject;
 };
@@ -98,15 +100,66 @@
   return ab_chunk_equal (ab_chunk_str (host->failure_domain), domain);
 }
 
+/* 0 in the wanted failure domain, 1 in its region, 2 elsewhere.  */
+static unsigned
+distance (const struct candidates *candidates, const struct ab_host_view *host)
+{
+  if (in_domain (host, candidates->domain))
+    return 0;
+  return candidates->region && strcmp (candidates->region, host->region) == 0
+             ? 1
+             : 2;
+}
+
+static bool
+find_host_region (void *ctx, const struct ab_item *item)
+{
+  struct candidates *candidates = ctx;
+
+  if (!in_domain (&item->host, candidates->domain))
+    return true;
+  candidates->region = item->host.region;
+  return false;
+}
+
+static bool
+find_target_region (void *ctx, const struct ab_item *item)
+{
+  struct candidates *candidates = ctx;
+
+  if (!ab_chunk_equal (ab_chunk_str (item->target.failure_domain),
+                       candidates->domain))
+    return true;
+  candidates->region = item->target.region;
+  return false;
+}
+
+/* Finds the region of the wanted failure domain from a host or target there,
+   live or not.  */
+static void
+find_region (struct ab_member_task *task, struct candidates *candidates)
+{
+  ab_membership_visit (task->m, AB_ITEM_HOST, true, find_host_region,
+                       candidates);
+  if (!candidates->region)
+    ab_membership_visit (task->m, AB_ITEM_TARGET, true, find_target_region,
+                         candidates);
+}
+
+/* The hosts of the failure domain come first.  When it has none that can be
+   used, its targets are dispatched from its region, then from elsewhere.  */
 static bool
 add_dispatcher (void *ctx, const struct ab_item *item)
 {
   struct candidates *candidates = ctx;
   const struct ab_host_view *host = &item->host;
-  struct candidate added = { .host = host, .tier = !is_usable (host) };
+  struct candidate added
+      = { .host = host, .tier = distance (candidates, host) };
 
-  if (host->role != AB_ROLE_ENTRY || !in_domain (host, candidates->domain))
+  if (host->role != AB_ROLE_ENTRY)
     return true;
+  if (!is_usable (host))
+    added.tier += TIERS;
   added.score = ab_rendezvous_score (
       candidates->subject, ab_rendezvous_hash (ab_chunk_str (host->name)));
   add_candidate (candidates, &added);
@@ -122,6 +175,7 @@
 
   if (!choice)
     return NULL;
+  find_region (task, &candidates);
   ab_membership_visit (task->m, AB_ITEM_HOST, false, add_dispatcher,
                        &candidates);
   if (candidates.count > 0)
@@ -176,29 +230,13 @@
 
   if (host->role != AB_ROLE_ENTRY || !host->callers[0])
     return true;
-  if (!in_domain (host, candidates->domain))
-    added.tier
-        = candidates->near
-                  && strcmp (candidates->near->region, host->region) == 0
-              ? 1
-              : 2;
+  added.tier = distance (candidates, host);
   if (!is_usable (host))
-    added.tier += 3;
+    added.tier += TIERS;
   add_candidate (candidates, &added);
   return true;
 }
 
-static bool
-find_near (void *ctx, const struct ab_item *item)
-{
-  struct candidates *candidates = ctx;
-
-  if (!in_domain (&item->host, candidates->domain))
-    return true;
-  candidates->near = &item->host;
-  return false;
-}
-
 static size_t
 first_dispatcher (struct ab_member_task *task, struct ab_chunk service,
                   struct ab_chunk domain, const struct ab_host_view **hosts)
@@ -218,7 +256,7 @@
   size_t count = first_dispatcher (task, service, failure_domain, hosts);
   const struct ab_host_view *first = count ? hosts[0] : NULL;
 
-  ab_membership_visit (task->m, AB_ITEM_HOST, true, find_near, &candidates);
+  find_region (task, &candidates);
   ab_membership_visit (task->m, AB_ITEM_HOST, false, add_address, &candidates);
   if (candidates.count > 0)
     qsort (candidates.list, candidates.count, sizeof *candidates.list,
@@ -229,7 +267,7 @@
       if (c->host == first)
         continue;
       /* Hosts that should not be used are named only when no other is.  */
-      if (c->tier >= 3 && count > 0 && is_usable (hosts[0]))
+      if (c->tier >= TIERS && count > 0 && is_usable (hosts[0]))
         break;
       hosts[count++] = c->host;
     }
--- a/src/upstream_task.c
+++ b/src/upstream_task.c
@@ -97,6 +97,10 @@
                        &length)
       < 0)
     return false;
+  /* More bytes than the announced length: either the length or the body is
+     wrong, and which one cannot be told.  */
+  if (evbuffer_get_length (bufferevent_get_input (call->connection->bev)) > 0)
+    return false;
   if (call->head || status == 204 || status == 304)
     return len == 0;
   if (framing == AB_FRAMING_LENGTH)
--- a/standins/fleet_lib.c
+++ b/standins/fleet_lib.c
@@ -28,6 +28,7 @@
 #define CONTROL_HOST_BYTE 250 /* The fault proxy's control listener.  */
 #define ARGUMENTS_MAX 48
 #define HEADERS_MAX 8
+#define SEEDS 7
 
 struct fleet_host
 {
@@ -154,7 +155,8 @@
 append_lists (const struct fleet *fleet, struct ab_buf *text)
 {
   ab_buf_append_str (text, "seeds:\n");
-  for (int i = 1; i <= fleet->options.controls; i++)
+  /* Entry hosts too, so that a host can join while control is away.  */
+  for (int i = 1; i <= fleet->count && i <= SEEDS; i++)
     ab_buf_printf (text, "  - %s\n", fleet->hosts[i].advertised);
   ab_buf_append_str (text, "control:\n");
   for (int i = 1; i <= fleet->options.controls; i++)
--- a/standins/target.c
+++ b/standins/target.c
@@ -382,6 +382,16 @@
   standin_reply_json (req, 200, target_faults_json (&target.faults));
 }
 
+/* Drains as a target that keeps running would, so that tests can see whether
+   it still gets work.  */
+static void
+on_drain (struct evhttp_request *req, void *ctx)
+{
+  (void)ctx;
+  announce_drain (target.announce);
+  standin_reply_json (req, 200, json_object ());
+}
+
 static void
 on_stats (struct evhttp_request *req, void *ctx)
 {
@@ -546,6 +556,7 @@
     exit (EXIT_FAILURE);
   evhttp_set_cb (http, "/fault", on_fault, NULL);
   evhttp_set_cb (http, "/stats", on_stats, NULL);
+  evhttp_set_cb (http, "/drain", on_drain, NULL);
   printf ("control %s\n", bound);
 }
 
--- a/tests/control_fake_lib.c
+++ b/tests/control_fake_lib.c
@@ -21,9 +21,9 @@
 /* Hosts.  */
 
 void
-fake_start (struct fake_group *group, size_t number)
+group_fake_start (struct group_fake_group *group, size_t number)
 {
-  struct fake_host *host = &group->hosts[number];
+  struct group_fake_host *host = &group->hosts[number];
   struct ab_daemon *daemon = &host->daemon;
   char error[AB_CONF_ERROR_BYTES];
 
@@ -44,9 +44,9 @@
 }
 
 void
-fake_stop (struct fake_group *group, size_t number)
+group_fake_stop (struct group_fake_group *group, size_t number)
 {
-  struct fake_host *host = &group->hosts[number];
+  struct group_fake_host *host = &group->hosts[number];
 
   host->running = false;
   ab_control_client_free (host->daemon.control_client);
@@ -57,7 +57,7 @@
 }
 
 void
-fake_isolate (struct fake_group *group, size_t host, bool isolated)
+group_fake_isolate (struct group_fake_group *group, size_t host, bool isolated)
 {
   for (size_t i = 0; i < FAKE_HOSTS; i++)
     if (i != host)
@@ -65,7 +65,7 @@
 }
 
 static void
-make_settings (struct fake_group *group, size_t number)
+make_settings (struct group_fake_group *group, size_t number)
 {
   struct ab_settings *settings = &group->hosts[number].settings;
   struct ab_buf public_text = AB_BUF_INIT;
@@ -102,7 +102,7 @@
 }
 
 void
-fake_group_open (struct fake_group *group)
+group_fake_group_open (struct group_fake_group *group)
 {
   ck_assert_int_eq (ab_crypto_init (), 0);
   ab_log_open (NULL, AB_LOG_ERROR, "test");
@@ -115,7 +115,7 @@
   for (size_t i = 0; i < FAKE_HOSTS; i++)
     make_settings (group, i);
   for (size_t i = 0; i < FAKE_HOSTS; i++)
-    fake_start (group, i);
+    group_fake_start (group, i);
 }
 
 static int
@@ -136,7 +136,7 @@
 }
 
 void
-fake_empty_disk (struct fake_group *group, size_t host)
+group_fake_empty_disk (struct group_fake_group *group, size_t host)
 {
   const char *folder = group->hosts[host].settings.data_folder;
 
@@ -145,13 +145,13 @@
 }
 
 void
-fake_group_close (struct fake_group *group)
+group_fake_group_close (struct group_fake_group *group)
 {
   for (size_t i = 0; i < FAKE_HOSTS; i++)
     if (group->hosts[i].running)
-      fake_stop (group, i);
+      group_fake_stop (group, i);
   /* Lets the frames under way be freed.  */
-  fake_run_ms (group, 2 * STEP_MS);
+  group_fake_run_ms (group, 2 * STEP_MS);
   event_base_free (group->base);
   remove_files (group->folder);
 }
@@ -159,7 +159,7 @@
 /* Event loop.  */
 
 static void
-step (struct fake_group *group)
+step (struct group_fake_group *group)
 {
   const struct timeval interval = { .tv_usec = STEP_MS * 1000 };
 
@@ -168,8 +168,8 @@
 }
 
 void
-fake_run_until (struct fake_group *group, bool (*condition) (void *ctx),
-                void *ctx)
+group_fake_run_until (struct group_fake_group *group,
+                      bool (*condition) (void *ctx), void *ctx)
 {
   for (int i = 0; i < WAIT_MAX_MS / STEP_MS; i++)
     {
@@ -181,14 +181,14 @@
 }
 
 void
-fake_run_ms (struct fake_group *group, uint64_t ms)
+group_fake_run_ms (struct group_fake_group *group, uint64_t ms)
 {
   for (uint64_t i = 0; i < ms; i += STEP_MS)
     step (group);
 }
 
 size_t
-fake_leader (struct fake_group *group)
+group_fake_leader (struct group_fake_group *group)
 {
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
     {
@@ -208,11 +208,11 @@
 static bool
 has_leader (void *ctx)
 {
-  return fake_leader (ctx) != FAKE_HOSTS;
+  return group_fake_leader (ctx) != FAKE_HOSTS;
 }
 
 void
-fake_wait_leader (struct fake_group *group)
+group_fake_wait_leader (struct group_fake_group *group)
 {
-  fake_run_until (group, has_leader, group);
+  group_fake_run_until (group, has_leader, group);
 }
--- a/tests/control_fake_lib.h
+++ b/tests/control_fake_lib.h
@@ -16,21 +16,21 @@
 #define FAKE_CONTROL_HOSTS 3
 #define FAKE_HOSTS 5 /* Three control and two entry hosts.  */
 
-struct fake_host
+struct group_fake_host
 {
   struct ab_daemon daemon;
   struct ab_settings settings;
   bool running;
 };
 
-struct fake_group
+struct group_fake_group
 {
   struct event_base *base;
   char folder[64];
   struct ab_control_member control[FAKE_CONTROL_HOSTS];
   struct ab_signer approver;
   struct ab_secret_key approver_key;
-  struct fake_host hosts[FAKE_HOSTS];
+  struct group_fake_host hosts[FAKE_HOSTS];
   bool cut[FAKE_HOSTS][FAKE_HOSTS]; /* Frames from the first are lost.  */
   uint64_t targets;                 /* Of the service "shop".  */
 };
@@ -39,7 +39,7 @@
    they would come after the real ones.  */
 struct ab_peer_task
 {
-  struct fake_group *group;
+  struct group_fake_group *group;
   size_t host;
   struct
   {
@@ -50,27 +50,28 @@
 
 struct ab_member_task
 {
-  struct fake_group *group;
+  struct group_fake_group *group;
 };
 
 /* Starts all hosts.  */
-void fake_group_open (struct fake_group *group);
-void fake_group_close (struct fake_group *group);
+void group_fake_group_open (struct group_fake_group *group);
+void group_fake_group_close (struct group_fake_group *group);
 
-void fake_start (struct fake_group *group, size_t host);
-void fake_stop (struct fake_group *group, size_t host);
+void group_fake_start (struct group_fake_group *group, size_t host);
+void group_fake_stop (struct group_fake_group *group, size_t host);
 /* Cuts HOST off in both directions, or joins it again.  */
-void fake_isolate (struct fake_group *group, size_t host, bool isolated);
+void group_fake_isolate (struct group_fake_group *group, size_t host,
+                         bool isolated);
 /* Removes HOST's files.  */
-void fake_empty_disk (struct fake_group *group, size_t host);
+void group_fake_empty_disk (struct group_fake_group *group, size_t host);
 
 /* Runs the event loop until CONDITION holds; fails the test after 20 s.  */
-void fake_run_until (struct fake_group *group, bool (*condition) (void *ctx),
-                     void *ctx);
-void fake_run_ms (struct fake_group *group, uint64_t ms);
+void group_fake_run_until (struct group_fake_group *group,
+                           bool (*condition) (void *ctx), void *ctx);
+void group_fake_run_ms (struct group_fake_group *group, uint64_t ms);
 
 /* The control host that leads, or FAKE_HOSTS.  */
-size_t fake_leader (struct fake_group *group);
-void fake_wait_leader (struct fake_group *group);
+size_t group_fake_leader (struct group_fake_group *group);
+void group_fake_wait_leader (struct group_fake_group *group);
 
 #endif
--- a/tests/fleet_test_lib.c
+++ b/tests/fleet_test_lib.c
@@ -81,7 +81,7 @@
         {
           json_t *state = fleet_query (fleet, i, query);
           bool leader = json_is_true (
-              json_object_get (json_object_get (state, "control"), "leader"));
+              json_object_get (json_object_get (state, "control"), "leads"));
           json_decref (state);
           if (leader)
             return i;
--- a/tests/test_control_tasks.c
+++ b/tests/test_control_tasks.c
@@ -14,12 +14,12 @@
 #define OTHER 4
 #define LONG_MS 15000
 
-static struct fake_group group;
+static struct group_fake_group group;
 static const struct ab_digest content = { { 1 } };
 
 struct delivery
 {
-  struct fake_group *group;
+  struct group_fake_group *group;
   size_t from;
   size_t to;
   enum ab_frame_type type;
@@ -58,7 +58,7 @@
 deliver (evutil_socket_t fd, short events, void *ctx)
 {
   struct delivery *d = ctx;
-  struct fake_host *to = &d->group->hosts[d->to];
+  struct group_fake_host *to = &d->group->hosts[d->to];
   char sender[8];
   struct ab_frame frame = { .type = d->type,
                             .incarnation = d->incarnation,
@@ -97,7 +97,7 @@
 /* Membership view.  */
 
 static struct ab_host_view
-view_of (const struct fake_host *host)
+view_of (const struct group_fake_host *host)
 {
   struct ab_host_view view = { .state = AB_HOST_ALIVE,
                                .role = host->settings.role,
@@ -210,7 +210,7 @@
   struct outcome outcome;
 
   start_claim (host, key, ms, &outcome);
-  fake_run_until (&group, is_done, &outcome);
+  group_fake_run_until (&group, is_done, &outcome);
   return outcome;
 }
 
@@ -238,7 +238,7 @@
   ab_signed_bundle_approve (&bundle, &group.approver_key);
   ab_control_client_apply (client (host), &bundle, "olga", in_ms (LONG_MS),
                            on_change, &outcome);
-  fake_run_until (&group, is_done, &outcome);
+  group_fake_run_until (&group, is_done, &outcome);
   ab_signed_bundle_free (&bundle);
   return outcome;
 }
@@ -252,7 +252,7 @@
 static void
 wait_confirmed (size_t host)
 {
-  fake_run_until (&group, nothing_pending, &host);
+  group_fake_run_until (&group, nothing_pending, &host);
 }
 
 static bool
@@ -275,8 +275,8 @@
 {
   struct ab_ledger_key key = make_key (0);
 
-  fake_group_open (&group);
-  fake_wait_leader (&group);
+  group_fake_group_open (&group);
+  group_fake_wait_leader (&group);
   /* The first leader must have recorded the members' disks: until then an
      election needs the votes of all.  */
   ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result, AB_CLAIM_GRANTED);
@@ -285,7 +285,7 @@
 static void
 teardown (void)
 {
-  fake_group_close (&group);
+  group_fake_group_close (&group);
 }
 
 /* Guards against a bundle that is accepted but not in force everywhere, and
@@ -296,7 +296,7 @@
   struct outcome outcome = apply (ENTRY, 2, "50%");
 
   ck_assert_msg (outcome.rc == 0, "%s", outcome.message);
-  fake_run_until (&group, all_have, &version);
+  group_fake_run_until (&group, all_have, &version);
   ck_assert_int_eq (apply (OTHER, 2, "50%").rc, 0);
   outcome = apply (OTHER, 2, "60%");
   ck_assert_int_eq (outcome.rc, AB_ERR_CONFLICT);
@@ -305,15 +305,15 @@
   ck_assert_int_eq (apply (OTHER, 9, "hello").rc, AB_ERR_INVALID);
   /* A host that starts while control is away has its saved copy.  */
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
-    fake_isolate (&group, i, true);
-  fake_stop (&group, ENTRY);
-  fake_start (&group, ENTRY);
+    group_fake_isolate (&group, i, true);
+  group_fake_stop (&group, ENTRY);
+  group_fake_start (&group, ENTRY);
   ck_assert (all_have (&version));
   /* Without the copy, it gets the bundle from a peer.  */
-  fake_stop (&group, ENTRY);
-  fake_empty_disk (&group, ENTRY);
-  fake_start (&group, ENTRY);
-  fake_run_until (&group, all_have, &version);
+  group_fake_stop (&group, ENTRY);
+  group_fake_empty_disk (&group, ENTRY);
+  group_fake_start (&group, ENTRY);
+  group_fake_run_until (&group, all_have, &version);
 }
 END_TEST
 
@@ -329,17 +329,17 @@
 
   ck_assert_int_eq (first.result, AB_CLAIM_GRANTED);
   start_claim (OTHER, &key, LONG_MS, &second);
-  fake_run_ms (&group, 100);
+  group_fake_run_ms (&group, 100);
   ck_assert (!second.done);
   ab_control_client_complete (client (ENTRY), &key, first.token, &response);
-  fake_run_until (&group, is_done, &second);
+  group_fake_run_until (&group, is_done, &second);
   ck_assert_int_eq (second.result, AB_CLAIM_RECORDED);
   ck_assert_int_eq (second.status, 201);
   wait_confirmed (ENTRY);
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
-    fake_stop (&group, i);
+    group_fake_stop (&group, i);
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
-    fake_start (&group, i);
+    group_fake_start (&group, i);
   ck_assert_int_eq (claim (0, &key, LONG_MS).result, AB_CLAIM_RECORDED);
 }
 END_TEST
@@ -353,9 +353,9 @@
   struct outcome second;
 
   start_claim (OTHER, &key, LONG_MS, &second);
-  fake_run_ms (&group, 50);
+  group_fake_run_ms (&group, 50);
   ab_control_client_release (client (ENTRY), &key, first.token);
-  fake_run_until (&group, is_done, &second);
+  group_fake_run_until (&group, is_done, &second);
   ck_assert_int_eq (second.result, AB_CLAIM_GRANTED);
   ck_assert_uint_gt (second.token, first.token);
   /* At its deadline, who waits learns that another may run it.  */
@@ -373,12 +373,12 @@
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
     group.cut[i][ENTRY] = true;
   start_claim (ENTRY, &key, 1000, &lost);
-  fake_run_ms (&group, 700);
-  fake_isolate (&group, ENTRY, true);
-  fake_run_until (&group, is_done, &lost);
+  group_fake_run_ms (&group, 700);
+  group_fake_isolate (&group, ENTRY, true);
+  group_fake_run_until (&group, is_done, &lost);
   ck_assert_int_eq (lost.result, AB_CLAIM_UNAVAILABLE);
   ck_assert_int_eq (claim (OTHER, &key, 300).result, AB_CLAIM_MAY_HAVE_RUN);
-  fake_isolate (&group, ENTRY, false);
+  group_fake_isolate (&group, ENTRY, false);
   wait_confirmed (ENTRY);
   ck_assert_int_eq (claim (OTHER, &key, LONG_MS).result, AB_CLAIM_GRANTED);
 }
@@ -390,15 +390,15 @@
 {
   struct ab_ledger_key key = make_key (1);
   struct ab_ledger_key other = make_key (2);
-  size_t leader = fake_leader (&group);
+  size_t leader = group_fake_leader (&group);
   struct outcome alone;
 
-  fake_isolate (&group, leader, true);
+  group_fake_isolate (&group, leader, true);
   start_claim (leader, &other, 1000, &alone);
   ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result, AB_CLAIM_GRANTED);
-  fake_run_until (&group, is_done, &alone);
+  group_fake_run_until (&group, is_done, &alone);
   ck_assert_int_eq (alone.result, AB_CLAIM_UNAVAILABLE);
-  fake_isolate (&group, leader, false);
+  group_fake_isolate (&group, leader, false);
   wait_confirmed (leader);
   ck_assert_int_eq (claim (ENTRY, &other, LONG_MS).result, AB_CLAIM_GRANTED);
 }
@@ -466,7 +466,7 @@
   for (unsigned i = 0; i < count; i++)
     ab_control_client_permit_acquire (client (host), AB_CHUNK ("shop"),
                                       in_ms (LONG_MS), on_permit, permits);
-  fake_run_until (&group, permits_answered, permits);
+  group_fake_run_until (&group, permits_answered, permits);
 }
 
 static bool
@@ -488,21 +488,21 @@
 
   group.targets = 4;
   ck_assert_int_eq (apply (ENTRY, 1, "50%").rc, 0);
-  fake_run_until (&group, capacity_known, &other);
+  group_fake_run_until (&group, capacity_known, &other);
   ab_control_client_on_revoke (client (ENTRY), on_revoked, &entry);
   acquire (ENTRY, &entry, 3);
   ck_assert_uint_eq (entry.granted, 1);
   ck_assert_uint_eq (entry.refused, 2);
   /* The permit of a process that is gone is free again.  */
-  fake_stop (&group, OTHER);
-  fake_start (&group, OTHER);
-  fake_run_ms (&group, 500);
+  group_fake_stop (&group, OTHER);
+  group_fake_start (&group, OTHER);
+  group_fake_run_ms (&group, 500);
   acquire (ENTRY, &entry, 1);
   ck_assert_uint_eq (entry.granted, 2);
   ck_assert_int_eq (apply (ENTRY, 2, "75%").rc, 0);
-  fake_run_until (&group, was_revoked, &entry);
+  group_fake_run_until (&group, was_revoked, &entry);
   ab_control_client_permit_release (client (ENTRY), AB_CHUNK ("shop"));
-  fake_run_ms (&group, 500);
+  group_fake_run_ms (&group, 500);
   ck_assert_uint_eq (entry.revoked, 1);
 }
 END_TEST
@@ -514,22 +514,22 @@
   struct outcome outcome = { .done = false };
   struct ab_ledger_key key = make_key (1);
   struct ab_ledger_key other = make_key (2);
-  size_t leader = fake_leader (&group);
+  size_t leader = group_fake_leader (&group);
   size_t broken = (leader + 1) % FAKE_CONTROL_HOSTS;
   size_t second = (leader + 2) % FAKE_CONTROL_HOSTS;
   struct outcome granted = claim (ENTRY, &key, LONG_MS);
 
   ab_control_client_complete (client (ENTRY), &key, granted.token, NULL);
   wait_confirmed (ENTRY);
-  fake_stop (&group, broken);
-  fake_empty_disk (&group, broken);
-  fake_start (&group, broken);
+  group_fake_stop (&group, broken);
+  group_fake_empty_disk (&group, broken);
+  group_fake_start (&group, broken);
   ab_control_client_change_member (
       client (ENTRY), AB_CHUNK ("replace"), group.hosts[broken].settings.host,
       group.control[broken].address, in_ms (LONG_MS), on_change, &outcome);
-  fake_run_until (&group, is_done, &outcome);
+  group_fake_run_until (&group, is_done, &outcome);
   ck_assert_msg (outcome.rc == 0, "%s", outcome.message);
-  fake_stop (&group, second);
+  group_fake_stop (&group, second);
   ck_assert_int_eq (claim (ENTRY, &other, LONG_MS).result, AB_CLAIM_GRANTED);
   ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result,
                     AB_CLAIM_MAY_HAVE_RUN);
