Keep the key of a target's registrar

Each host asks once a second for every target whether its registrar is there, and hashed the registrar's name for it.

--- a/src/member_core.h
+++ b/src/member_core.h
@@ -20,10 +20,11 @@
   struct ab_member *next; /* In the leaf.  */
   struct ab_member *hot_prev;
   struct ab_member *hot_next;
-  uint64_t node;     /* Rendezvous hash of the name.  */
-  uint64_t mark;     /* What the item adds to its leaf's hash, or 0.  */
-  uint64_t since_ms; /* First heard of, in this incarnation.  */
-  uint64_t ended_ms; /* When it was gone; the age is taken off.  */
+  uint64_t node;      /* Of a host: rendezvous hash of the name.  */
+  uint64_t registrar; /* Of a target: key of its registrar.  */
+  uint64_t mark;      /* What the item adds to its leaf's hash, or 0.  */
+  uint64_t since_ms;  /* First heard of, in this incarnation.  */
+  uint64_t ended_ms;  /* When it was gone; the age is taken off.  */
   /* Since when the registrar has been lost; 0 when it has not.  */
   uint64_t orphan_ms;
   uint64_t suspect_ms;
--- a/src/member_sweep.c
+++ b/src/member_sweep.c
@@ -37,12 +37,11 @@
 static bool
 is_orphan (const struct ab_membership *m, const struct ab_member *member)
 {
-  const struct ab_target_view *target = &member->item.target;
-  const struct ab_member *host
-      = member_find_host (m, ab_chunk_str (target->registrar));
+  /* The key is kept, as this is asked for each target each second.  */
+  const struct ab_member *host = member_find (m, member->registrar);
 
   if (host == m->self)
-    return !m->env->ops->holds_lease (m->env, target);
+    return !m->env->ops->holds_lease (m->env, &member->item.target);
   return !host || !member_is_live (host);
 }
 
--- a/src/member_table.c
+++ b/src/member_table.c
@@ -120,7 +120,11 @@
   member->hidden = false;
   member->orphan_ms = 0;
   if (item->kind == AB_ITEM_TARGET)
-    member->item.target.since_ms = member->since_ms;
+    {
+      member->item.target.since_ms = member->since_ms;
+      member->registrar
+          = ab_item_host_key (ab_chunk_str (item->target.registrar));
+    }
   member->ended_ms = ab_item_gone (item) && m->now_ms > item->age_ms
                          ? m->now_ms - item->age_ms
                          : 0;
