--- /dev/null
+++ b/tests/fleet_targets.c
@@ -0,0 +1,156 @@
+/* Targets that leave, turn sick, crash, or crash on one request.  */
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet_test_lib.h"
+
+#define ENTRIES 3
+#define TARGETS 6
+/* The bound of the requirements on new work for a leaving target.  */
+#define LEAVE_MS 3000
+
+static void
+set_fault (struct fleet *fleet, int target, const char *query)
+{
+  char path[128];
+
+  snprintf (path, sizeof path, "/fault?%s", query);
+  ck_assert_int_eq (
+      fleet_http (fleet_target (fleet, target), "PUT", path, NULL, NULL, NULL),
+      200);
+}
+
+/* Guards against work for a target that said it is leaving.  The drain goes
+   to one entry host; the others must learn of it.  */
+START_TEST (drained_target_idle)
+{
+  static const char *const arguments[]
+      = { "--work-ms", "5", "--lease-ms", "3000", NULL };
+  struct fleet *fleet
+      = test_fleet_start ("fleet_targets_drain", ENTRIES, TARGETS, false);
+  pid_t load = test_load_start (fleet, "drain", ENTRIES, 1, 0, 100, 8000);
+  struct test_load_result result;
+  char query[160];
+  long before;
+
+  (void)arguments;
+  fleet_sleep_ms (1000);
+  snprintf (query, sizeof query, "/drain");
+  ck_assert_int_eq (
+      fleet_http (fleet_target (fleet, 1), "PUT", query, NULL, NULL, NULL),
+      200);
+  fleet_sleep_ms (LEAVE_MS);
+  before = test_target_stat (fleet, 1, "runs");
+  fleet_sleep_ms (2000);
+  ck_assert_int_eq (test_target_stat (fleet, 1, "runs"), before);
+  result = test_load_end (fleet, "drain", load, TARGETS);
+  test_assert_promises (&result);
+  ck_assert_int_eq (result.ok, result.sent);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against a slow target that keeps its share of the work, and against
+   ejecting its healthy neighbours.  */
+START_TEST (slow_target_loses_work)
+{
+  struct fleet *fleet
+      = test_fleet_start ("fleet_targets_slow", ENTRIES, TARGETS, false);
+  pid_t load = test_load_start (fleet, "slow", ENTRIES, 1, 0, 100, 9000);
+  struct test_load_result result;
+  long slow;
+  long all = 0;
+
+  fleet_sleep_ms (2000);
+  set_fault (fleet, 1, "kind=slow&factor=20");
+  fleet_sleep_ms (3000);
+  slow = test_target_stat (fleet, 1, "runs");
+  for (int i = 1; i <= TARGETS; i++)
+    all -= test_target_stat (fleet, i, "runs");
+  fleet_sleep_ms (2000);
+  slow = test_target_stat (fleet, 1, "runs") - slow;
+  for (int i = 1; i <= TARGETS; i++)
+    all += test_target_stat (fleet, i, "runs");
+  ck_assert_int_gt (all, 0);
+  ck_assert_int_le (slow * 20, all);
+  result = test_load_end (fleet, "slow", load, TARGETS);
+  test_assert_promises (&result);
+  ck_assert_int_eq (result.ok, result.sent);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against answers that are cut short or longer than announced being
+   passed on as whole.  */
+START_TEST (broken_answers_not_delivered)
+{
+  struct fleet *fleet
+      = test_fleet_start ("fleet_targets_broken", ENTRIES, TARGETS, false);
+  pid_t load;
+  struct test_load_result result;
+
+  set_fault (fleet, 1, "kind=truncate&rate=0.5");
+  set_fault (fleet, 2, "kind=wrong-length&rate=0.5");
+  set_fault (fleet, 3, "kind=reset&rate=0.3");
+  load = test_load_start (fleet, "broken", ENTRIES, 4, 1, 100, 5000);
+  result = test_load_end (fleet, "broken", load, TARGETS);
+  test_assert_promises (&result);
+  ck_assert_int_eq (result.cut, 0);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against one request that kills target after target while its caller
+   sends it again to different hosts.  */
+START_TEST (request_of_death)
+{
+  struct fleet *fleet
+      = test_fleet_start ("fleet_targets_death", ENTRIES, TARGETS, false);
+  int dead = 0;
+  char *reply = NULL;
+
+  for (int i = 1; i <= TARGETS; i++)
+    set_fault (fleet, i, "kind=crash-on&marker=boom");
+  for (int i = 0; i < 12; i++)
+    {
+      fleet_http_as (
+          fleet, fleet_callers (fleet, test_entry (fleet, i % ENTRIES + 1)),
+          "POST", "/stock/find", NULL, "boom", &reply);
+      free (reply);
+      reply = NULL;
+      fleet_sleep_ms (300);
+    }
+  for (int i = 1; i <= TARGETS; i++)
+    dead += test_target_stat (fleet, i, "runs") < 0;
+  ck_assert_int_le (dead, 2);
+  ck_assert_int_eq (
+      fleet_http_as (fleet, fleet_callers (fleet, test_entry (fleet, 1)),
+                     "POST", "/stock/find", NULL, "harmless", &reply),
+      200);
+  free (reply);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against lost targets when the host they announced to is gone.  */
+START_TEST (registrar_killed)
+{
+  struct fleet *fleet
+      = test_fleet_start ("fleet_targets_registrar", ENTRIES, TARGETS, false);
+
+  fleet_kill_host (fleet, test_entry (fleet, 1));
+  for (int i = 0; i < 10; i++)
+    {
+      ck_assert (
+          fleet_wait_targets (fleet, test_entry (fleet, 2), TARGETS, 2000));
+      fleet_sleep_ms (1000);
+    }
+  fleet_free (fleet);
+}
+END_TEST
+
+SUITE_MAIN ("fleet_targets", 120, drained_target_idle, slow_target_loses_work,
+            broken_answers_not_delivered, request_of_death, registrar_killed)
