Let a member vote whose own log still calls it a learner

A promotion was committed by the two other members, one of them lost its disk, and the remaining one needed the vote of the promoted member, whose log did not have the promotion yet and which refused to vote.

A vote now depends on the candidate's configuration: the request names the disk that it knows for the receiver, and a receiver on that disk votes by its log and term alone. Refusing a candidate whose disk is another one in the receiver's older log is gone for the same reason.

--- a/src/raft_election.c
+++ b/src/raft_election.c
@@ -106,20 +106,24 @@
          && now_ms - raft->leader_heard_ms < raft->election_ms;
 }
 
-/* Whether the candidate, and this member as it knows it, are on the disks
-   that the configuration names.  */
+/* Whether this member's disk is the one that the candidate's configuration
+   names.  This member's own log may be behind: it may call a promoted member
+   still a learner, or name a replaced disk of the candidate.  To refuse for
+   that could leave the group without a leader for good.  The candidate's log
+   and its configuration decide, and it counts only votes of recorded
+   disks.  */
 static bool
-disks_match (struct ab_raft *raft, const char *from,
-             const struct ab_raft_msg *msg)
+disk_may_vote (struct ab_raft *raft, const struct ab_raft_msg *msg)
 {
-  const struct ab_raft_member *candidate
-      = ab_raft_find_member (&raft->members, from);
-
-  if (ab_raft_disk_known (msg->receiver_disk_id)
-      && memcmp (msg->receiver_disk_id, raft->disk_id, AB_DISK_ID_BYTES) != 0)
-    return false;
-  return !candidate || !ab_raft_disk_known (candidate->disk_id)
-         || memcmp (candidate->disk_id, msg->disk_id, AB_DISK_ID_BYTES) == 0;
+  const struct ab_raft_member *self;
+
+  if (ab_raft_disk_known (msg->receiver_disk_id))
+    return memcmp (msg->receiver_disk_id, raft->disk_id, AB_DISK_ID_BYTES)
+           == 0;
+  self = ab_raft_find_member (&raft->members, raft->host);
+  return self && !raft->disk_replaced
+         && (!ab_raft_disk_known (self->disk_id)
+             || memcmp (self->disk_id, raft->disk_id, AB_DISK_ID_BYTES) == 0);
 }
 
 static bool
@@ -139,8 +143,7 @@
   struct ab_raft_msg reply
       = { .type = AB_RAFT_MSG_PRE_VOTE_REPLY, .term = raft->hard.term };
 
-  reply.ok = msg->term > raft->hard.term && ab_raft_self_can_vote (raft)
-             && log_up_to_date (raft, msg);
+  reply.ok = msg->term > raft->hard.term && log_up_to_date (raft, msg);
   if (reply.ok)
     reply.term = msg->term;
   ab_raft_queue (raft, from, &reply);
@@ -153,7 +156,7 @@
   struct ab_raft_msg reply = { .type = AB_RAFT_MSG_VOTE_REPLY };
   bool free_to_vote;
 
-  if (hears_leader (raft, now_ms) || !disks_match (raft, from, msg))
+  if (hears_leader (raft, now_ms) || !disk_may_vote (raft, msg))
     return;
   if (msg->type == AB_RAFT_MSG_PRE_VOTE)
     {
@@ -166,7 +169,7 @@
                  || strcmp (raft->hard.voted_for, from) == 0;
   if (msg->term == raft->hard.term && raft->role == AB_RAFT_FOLLOWER
       && raft->leader_host[0] == '\0' && free_to_vote
-      && ab_raft_self_can_vote (raft) && log_up_to_date (raft, msg)
+      && log_up_to_date (raft, msg)
       && ab_raft_set_hard (raft, msg->term, from) == 0)
     {
       reply.ok = true;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -64,6 +64,22 @@
 }
 END_TEST
 
+/* Guards against a group without a leader for good: in long runs with these
+   seeds a member was promoted while its log was behind, another disk was
+   emptied, and the promoted member took itself for a learner and refused to
+   vote.  */
+START_TEST (long_random_faults)
+{
+  static const uint64_t seeds[] = { 20019, 20089, 20181, 20184, 20218 };
+  char text[256];
+  uint64_t step = 0;
+  const char *found = fake_random_run (seeds[_i], 20000, &step, text);
+
+  ck_assert_msg (!found, "seed %d step %llu: %s", (int)seeds[_i],
+                 (unsigned long long)step, found);
+}
+END_TEST
+
 /* Guards against a silently isolated leader that confirms a read or commits
    a command after the others have gone on without it.  */
 START_TEST (isolated_leader)
@@ -527,6 +543,7 @@
 
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, random_faults, 0, RANDOM_SEEDS);
+  tcase_add_loop_test (tcase, long_random_faults, 0, 5);
   tcase_add_test (tcase, isolated_leader);
   tcase_add_test (tcase, read_needs_quorum);
   tcase_add_test (tcase, one_way_cut);
