Bound attempts that wait to be given up; test the control tasks under faults

Each attempt that is given up leaves a record in the ledger. With 20,000 waiting on each of 30 hosts, a long outage of the group would have filled more than half of the ledger's bound of 1,000,000 records when it ended, so new claims are refused without being sent from 2,000 on.

"bundle_accepted" is logged by the leader only: a restarted member applied its log and wrote the line again for old bundles.

The new test restarts and isolates hosts at random while frames are lost (5%), repeated (5%) and late (10% up to 0.4 s), and checks that no key runs twice.

--- a/src/control_ledger_task.c
+++ b/src/control_ledger_task.c
@@ -8,9 +8,10 @@
    the maximum.  */
 #define POLL_MIN_MS 20
 #define POLL_MAX_MS 200
-/* Attempts that were given up must be released.  When so many wait, claims
-   are refused before anything is sent, which leaves nothing to release.  */
-#define PENDING_MAX 20000
+/* Attempts that were given up must be released, and each leaves a record in
+   the ledger.  When so many wait, control does not answer: claims are refused
+   before anything is sent, which leaves nothing to release.  */
+#define PENDING_MAX 2000
 
 struct ab_claim
 {
--- a/src/control_serve_task.c
+++ b/src/control_serve_task.c
@@ -156,7 +156,9 @@
   struct ab_control_task *task = ctx;
   struct ab_pending *pending;
 
-  if (result->command->type == AB_COMMAND_BUNDLE)
+  /* Followers and restarted members apply the same command later; only one
+     line in the fleet should say when it was accepted.  */
+  if (result->command->type == AB_COMMAND_BUNDLE && task->leader_since_ms)
     log_bundle (result);
   HASH_FIND (by_index, task->pending, &result->index, sizeof result->index,
              pending);
--- a/src/control_task.h
+++ b/src/control_task.h
@@ -12,7 +12,8 @@
                          struct ab_control_task **task,
                          char error[AB_CONF_ERROR_BYTES]);
 
-/* Hands leadership over if it can and closes storage.  */
+/* Stops taking part and closes storage; free it before the peer task.  The
+   others elect a new leader after their election timeout.  */
 void ab_control_task_free (struct ab_control_task *task);
 
 /* Whether a planned stop of this host would leave the group without a
--- a/tests/control_fake_lib.c
+++ b/tests/control_fake_lib.c
@@ -111,6 +111,7 @@
   ck_assert_ptr_nonnull (mkdtemp (group->folder));
   group->base = event_base_new ();
   members.group = group;
+  ab_rng_init_seeded (&group->rng, 1);
   ab_key_pair_new (&group->approver.key, &group->approver_key);
   for (size_t i = 0; i < FAKE_HOSTS; i++)
     make_settings (group, i);
--- a/tests/control_fake_lib.h
+++ b/tests/control_fake_lib.h
@@ -12,6 +12,7 @@
 #include "daemon.h"
 #include "member_task.h"
 #include "peer_task.h"
+#include "rng.h"
 
 #define FAKE_CONTROL_HOSTS 3
 #define FAKE_HOSTS 5 /* Three control and two entry hosts.  */
@@ -32,7 +33,9 @@
   struct ab_secret_key approver_key;
   struct fake_host hosts[FAKE_HOSTS];
   bool cut[FAKE_HOSTS][FAKE_HOSTS]; /* Frames from the first are lost.  */
-  uint64_t targets;                 /* Of the service "shop".  */
+  bool chaos; /* Frames are lost, repeated and delayed.  */
+  struct ab_rng rng;
+  uint64_t targets; /* Of the service "shop".  */
 };
 
 /* The fakes' functions are defined in the test program itself: in a library
--- a/tests/test_control_tasks.c
+++ b/tests/test_control_tasks.c
@@ -75,23 +75,39 @@
   free (d);
 }
 
-int
-ab_peer_task_send (struct ab_peer_task *task, struct ab_chunk host,
-                   enum ab_frame_type type, struct ab_chunk body)
+static int
+send_once (struct ab_peer_task *task, struct ab_chunk host,
+           enum ab_frame_type type, struct ab_chunk body)
 {
-  const struct timeval delay = { .tv_usec = 1000 };
+  struct fake_group *fake = task->group;
+  struct timeval delay = { .tv_usec = 1000 };
   struct delivery *d = malloc (sizeof *d + body.len);
 
-  d->group = task->group;
+  if (fake->chaos)
+    delay.tv_usec += (suseconds_t)ab_rng_below (
+        &fake->rng, ab_rng_below (&fake->rng, 10) ? 5000 : 400000);
+  d->group = fake;
   d->from = task->host;
   d->to = host_number (host);
   d->type = type;
-  d->incarnation = task->group->hosts[task->host].daemon.incarnation;
+  d->incarnation = fake->hosts[task->host].daemon.incarnation;
   d->len = body.len;
   if (body.len > 0)
     memcpy (d->body, body.data, body.len);
-  return event_base_once (task->group->base, -1, EV_TIMEOUT, deliver, d,
-                          &delay);
+  return event_base_once (fake->base, -1, EV_TIMEOUT, deliver, d, &delay);
+}
+
+int
+ab_peer_task_send (struct ab_peer_task *task, struct ab_chunk host,
+                   enum ab_frame_type type, struct ab_chunk body)
+{
+  uint64_t draw = ab_rng_below (&task->group->rng, 20);
+
+  if (task->group->chaos && draw == 0)
+    return 0;
+  if (task->group->chaos && draw == 1)
+    send_once (task, host, type, body);
+  return send_once (task, host, type, body);
 }
 
 /* Membership view.  */
@@ -441,7 +457,7 @@
 static void
 on_revoked (void *ctx, struct ab_chunk service)
 {
-  (void)service;
+  ck_assert_uint_eq (service.len, 4);
   ((struct permits *)ctx)->revoked++;
 }
 
@@ -536,6 +552,127 @@
 }
 END_TEST
 
+#define KEYS 40
+#define CLAIMS 64
+#define CHAOS_STEPS 600
+
+struct random_claim
+{
+  bool active, granted, ran;
+  size_t host, key;
+  uint64_t token, end_ms;
+};
+
+static struct random_claim random_claims[CLAIMS];
+static struct ab_ledger_key random_keys[KEYS];
+static unsigned random_runs[KEYS];
+static unsigned random_results[AB_CLAIM_UNAVAILABLE + 1];
+
+static void
+on_random_claim (void *ctx, enum ab_claim_result result, uint64_t token,
+                 const struct ab_recorded_response *response,
+                 struct ab_chunk holder)
+{
+  struct random_claim *c = ctx;
+
+  (void)holder;
+  random_results[result]++;
+  c->active = result == AB_CLAIM_GRANTED;
+  c->granted = c->active;
+  if (response)
+    ck_assert_int_eq (response->status, 200 + (int)c->key);
+  if (!c->granted)
+    return;
+  c->token = token;
+  c->end_ms = in_ms (ab_rng_below (&group.rng, 400));
+  c->ran = ab_rng_below (&group.rng, 3) > 0;
+  if (c->ran)
+    ck_assert_msg (++random_runs[c->key] == 1, "key %zu ran again", c->key);
+}
+
+static void
+start_random_claim (void)
+{
+  struct random_claim *c = &random_claims[ab_rng_below (&group.rng, CLAIMS)];
+
+  if (c->active)
+    return;
+  *c = (struct random_claim){ .active = true,
+                              .host = ab_rng_below (&group.rng, FAKE_HOSTS),
+                              .key = ab_rng_below (&group.rng, KEYS) };
+  ab_control_client_claim (client (c->host), &random_keys[c->key], &content,
+                           in_ms (50 + ab_rng_below (&group.rng, 1500)),
+                           on_random_claim, c);
+}
+
+static void
+end_random_claims (void)
+{
+  for (size_t i = 0; i < CLAIMS; i++)
+    {
+      struct random_claim *c = &random_claims[i];
+      struct ab_recorded_response response = { .status = 200 + (int)c->key };
+      if (!c->active || !c->granted || in_ms (0) < c->end_ms)
+        continue;
+      c->active = false;
+      if (c->ran)
+        ab_control_client_complete (client (c->host), &random_keys[c->key],
+                                    c->token, &response);
+      else
+        ab_control_client_release (client (c->host), &random_keys[c->key],
+                                   c->token);
+    }
+}
+
+static void
+random_fault (void)
+{
+  size_t host = ab_rng_below (&group.rng, FAKE_HOSTS);
+
+  switch (ab_rng_below (&group.rng, 4))
+    {
+    case 0:
+      fake_isolate (&group, host, true);
+      break;
+    case 1:
+      group.cut[host][ab_rng_below (&group.rng, FAKE_HOSTS)] = true;
+      break;
+    case 2:
+      memset (group.cut, 0, sizeof group.cut);
+      break;
+    default:
+      for (size_t i = 0; i < CLAIMS; i++)
+        if (random_claims[i].host == host)
+          random_claims[i].active = false;
+      fake_stop (&group, host);
+      fake_start (&group, host);
+    }
+}
+
+/* Guards against a second run of a key under restarts, partitions, and lost,
+   repeated and late frames; the timing differs from run to run.  */
+START_TEST (random_faults_run_nothing_twice)
+{
+  for (size_t i = 0; i < KEYS; i++)
+    random_keys[i] = make_key ((uint8_t)(i + 1));
+  group.chaos = true;
+  for (int i = 0; i < CHAOS_STEPS; i++)
+    {
+      start_random_claim ();
+      end_random_claims ();
+      if (ab_rng_below (&group.rng, 40) == 0)
+        random_fault ();
+      fake_run_ms (&group, 10);
+    }
+  group.chaos = false;
+  memset (group.cut, 0, sizeof group.cut);
+  for (size_t i = 0; i < FAKE_HOSTS; i++)
+    wait_confirmed (i);
+  ck_assert_uint_gt (random_results[AB_CLAIM_GRANTED], 0);
+  ck_assert_uint_gt (random_results[AB_CLAIM_RECORDED], 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -554,6 +691,7 @@
   tcase_add_test (tcase, cancelled_claim_is_given_back);
   tcase_add_test (tcase, permits_follow_floor_and_capacity);
   tcase_add_test (tcase, member_with_an_empty_disk_is_replaced);
+  tcase_add_test (tcase, random_faults_run_nothing_twice);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
