Rename the control test's functions; wait for the grant instead of a time

tests/raft_fake_lib.c has functions of the same names, so programs that use both did not link. Those of the control test are called group_ now.

lost_grant_is_given_back failed once in a build with sanitisers on a busy machine: it cut the host off after 700 ms of a claim of 1 s, which had then passed its deadline and was given back in time. It now waits until the leader has recorded the grant; what it checks is unchanged.

--- a/tests/control_fake_lib.c
+++ b/tests/control_fake_lib.c
@@ -21,7 +21,7 @@
 /* Hosts.  */
 
 void
-fake_start (struct fake_group *group, size_t number)
+group_start (struct fake_group *group, size_t number)
 {
   struct fake_host *host = &group->hosts[number];
   struct ab_daemon *daemon = &host->daemon;
@@ -44,7 +44,7 @@
 }
 
 void
-fake_stop (struct fake_group *group, size_t number)
+group_stop (struct fake_group *group, size_t number)
 {
   struct fake_host *host = &group->hosts[number];
 
@@ -57,7 +57,7 @@
 }
 
 void
-fake_isolate (struct fake_group *group, size_t host, bool isolated)
+group_isolate (struct fake_group *group, size_t host, bool isolated)
 {
   for (size_t i = 0; i < FAKE_HOSTS; i++)
     if (i != host)
@@ -102,7 +102,7 @@
 }
 
 void
-fake_group_open (struct fake_group *group)
+group_open (struct fake_group *group)
 {
   ck_assert_int_eq (ab_crypto_init (), 0);
   ab_log_open (NULL, AB_LOG_ERROR, "test");
@@ -116,7 +116,7 @@
   for (size_t i = 0; i < FAKE_HOSTS; i++)
     make_settings (group, i);
   for (size_t i = 0; i < FAKE_HOSTS; i++)
-    fake_start (group, i);
+    group_start (group, i);
 }
 
 static int
@@ -137,7 +137,7 @@
 }
 
 void
-fake_empty_disk (struct fake_group *group, size_t host)
+group_empty_disk (struct fake_group *group, size_t host)
 {
   const char *folder = group->hosts[host].settings.data_folder;
 
@@ -146,13 +146,13 @@
 }
 
 void
-fake_group_close (struct fake_group *group)
+group_close (struct fake_group *group)
 {
   for (size_t i = 0; i < FAKE_HOSTS; i++)
     if (group->hosts[i].running)
-      fake_stop (group, i);
+      group_stop (group, i);
   /* Lets the frames under way be freed.  */
-  fake_run_ms (group, 2 * STEP_MS);
+  group_run_ms (group, 2 * STEP_MS);
   event_base_free (group->base);
   remove_files (group->folder);
 }
@@ -169,8 +169,8 @@
 }
 
 void
-fake_run_until (struct fake_group *group, bool (*condition) (void *ctx),
-                void *ctx)
+group_run_until (struct fake_group *group, bool (*condition) (void *ctx),
+                 void *ctx)
 {
   for (int i = 0; i < WAIT_MAX_MS / STEP_MS; i++)
     {
@@ -182,14 +182,14 @@
 }
 
 void
-fake_run_ms (struct fake_group *group, uint64_t ms)
+group_run_ms (struct fake_group *group, uint64_t ms)
 {
   for (uint64_t i = 0; i < ms; i += STEP_MS)
     step (group);
 }
 
 size_t
-fake_leader (struct fake_group *group)
+group_leader (struct fake_group *group)
 {
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
     {
@@ -209,11 +209,39 @@
 static bool
 has_leader (void *ctx)
 {
-  return fake_leader (ctx) != FAKE_HOSTS;
+  return group_leader (ctx) != FAKE_HOSTS;
 }
 
 void
-fake_wait_leader (struct fake_group *group)
+group_wait_leader (struct fake_group *group)
 {
-  fake_run_until (group, has_leader, group);
+  group_run_until (group, has_leader, group);
+}
+
+size_t
+group_ledger_records (struct fake_group *group)
+{
+  size_t leader = group_leader (group);
+  json_t *state;
+  size_t count;
+
+  if (leader == FAKE_HOSTS)
+    return 0;
+  state = ab_control_task_state (group->hosts[leader].daemon.control);
+  count = (size_t)json_integer_value (
+      json_object_get (json_object_get (state, "ledger"), "records"));
+  json_decref (state);
+  return count;
+}
+
+struct ab_ledger_key
+group_make_key (uint8_t number)
+{
+  uint64_t time_ms = ab_clock_wall_ms (ab_clock_system ());
+  struct ab_ledger_key key = { "team", "shop", { 0 } };
+
+  for (size_t i = 0; i < 6; i++)
+    key.key[i] = (uint8_t)(time_ms >> (8 * (5 - i)));
+  key.key[15] = number;
+  return key;
 }
--- a/tests/control_fake_lib.h
+++ b/tests/control_fake_lib.h
@@ -57,23 +57,29 @@
 };
 
 /* Starts all hosts.  */
-void fake_group_open (struct fake_group *group);
-void fake_group_close (struct fake_group *group);
+void group_open (struct fake_group *group);
+void group_close (struct fake_group *group);
 
-void fake_start (struct fake_group *group, size_t host);
-void fake_stop (struct fake_group *group, size_t host);
+void group_start (struct fake_group *group, size_t host);
+void group_stop (struct fake_group *group, size_t host);
 /* Cuts HOST off in both directions, or joins it again.  */
-void fake_isolate (struct fake_group *group, size_t host, bool isolated);
+void group_isolate (struct fake_group *group, size_t host, bool isolated);
 /* Removes HOST's files.  */
-void fake_empty_disk (struct fake_group *group, size_t host);
+void group_empty_disk (struct fake_group *group, size_t host);
 
 /* Runs the event loop until CONDITION holds; fails the test after 20 s.  */
-void fake_run_until (struct fake_group *group, bool (*condition) (void *ctx),
-                     void *ctx);
-void fake_run_ms (struct fake_group *group, uint64_t ms);
+void group_run_until (struct fake_group *group, bool (*condition) (void *ctx),
+                      void *ctx);
+void group_run_ms (struct fake_group *group, uint64_t ms);
 
 /* The control host that leads, or FAKE_HOSTS.  */
-size_t fake_leader (struct fake_group *group);
-void fake_wait_leader (struct fake_group *group);
+size_t group_leader (struct fake_group *group);
+void group_wait_leader (struct fake_group *group);
+
+/* Records in the leader's ledger; 0 without leader.  */
+size_t group_ledger_records (struct fake_group *group);
+
+/* A key of the service "shop", made now.  */
+struct ab_ledger_key group_make_key (uint8_t number);
 
 #endif
--- a/tests/test_control_tasks.c
+++ b/tests/test_control_tasks.c
@@ -185,18 +185,6 @@
   return ab_clock_monotonic_ms (ab_clock_system ()) + ms;
 }
 
-static struct ab_ledger_key
-make_key (uint8_t number)
-{
-  uint64_t time_ms = ab_clock_wall_ms (ab_clock_system ());
-  struct ab_ledger_key key = { "team", "shop", { 0 } };
-
-  for (size_t i = 0; i < 6; i++)
-    key.key[i] = (uint8_t)(time_ms >> (8 * (5 - i)));
-  key.key[15] = number;
-  return key;
-}
-
 static void
 on_claim (void *ctx, enum ab_claim_result result, uint64_t token,
           const struct ab_recorded_response *response, struct ab_chunk holder)
@@ -226,7 +214,7 @@
   struct outcome outcome;
 
   start_claim (host, key, ms, &outcome);
-  fake_run_until (&group, is_done, &outcome);
+  group_run_until (&group, is_done, &outcome);
   return outcome;
 }
 
@@ -254,7 +242,7 @@
   ab_signed_bundle_approve (&bundle, &group.approver_key);
   ab_control_client_apply (client (host), &bundle, "olga", in_ms (LONG_MS),
                            on_change, &outcome);
-  fake_run_until (&group, is_done, &outcome);
+  group_run_until (&group, is_done, &outcome);
   ab_signed_bundle_free (&bundle);
   return outcome;
 }
@@ -268,7 +256,7 @@
 static void
 wait_confirmed (size_t host)
 {
-  fake_run_until (&group, nothing_pending, &host);
+  group_run_until (&group, nothing_pending, &host);
 }
 
 static bool
@@ -289,10 +277,10 @@
 static void
 setup (void)
 {
-  struct ab_ledger_key key = make_key (0);
+  struct ab_ledger_key key = group_make_key (0);
 
-  fake_group_open (&group);
-  fake_wait_leader (&group);
+  group_open (&group);
+  group_wait_leader (&group);
   /* The first leader must have recorded the members' disks: until then an
      election needs the votes of all.  */
   ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result, AB_CLAIM_GRANTED);
@@ -301,7 +289,7 @@
 static void
 teardown (void)
 {
-  fake_group_close (&group);
+  group_close (&group);
 }
 
 /* Guards against a bundle that is accepted but not in force everywhere, and
@@ -312,7 +300,7 @@
   struct outcome outcome = apply (ENTRY, 2, "50%");
 
   ck_assert_msg (outcome.rc == 0, "%s", outcome.message);
-  fake_run_until (&group, all_have, &version);
+  group_run_until (&group, all_have, &version);
   ck_assert_int_eq (apply (OTHER, 2, "50%").rc, 0);
   outcome = apply (OTHER, 2, "60%");
   ck_assert_int_eq (outcome.rc, AB_ERR_CONFLICT);
@@ -321,15 +309,15 @@
   ck_assert_int_eq (apply (OTHER, 9, "hello").rc, AB_ERR_INVALID);
   /* A host that starts while control is away has its saved copy.  */
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
-    fake_isolate (&group, i, true);
-  fake_stop (&group, ENTRY);
-  fake_start (&group, ENTRY);
+    group_isolate (&group, i, true);
+  group_stop (&group, ENTRY);
+  group_start (&group, ENTRY);
   ck_assert (all_have (&version));
   /* Without the copy, it gets the bundle from a peer.  */
-  fake_stop (&group, ENTRY);
-  fake_empty_disk (&group, ENTRY);
-  fake_start (&group, ENTRY);
-  fake_run_until (&group, all_have, &version);
+  group_stop (&group, ENTRY);
+  group_empty_disk (&group, ENTRY);
+  group_start (&group, ENTRY);
+  group_run_until (&group, all_have, &version);
 }
 END_TEST
 
@@ -339,23 +327,23 @@
 {
   struct ab_recorded_response response
       = { .status = 201, .body = AB_CHUNK ("done") };
-  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key key = group_make_key (1);
   struct outcome first = claim (ENTRY, &key, LONG_MS);
   struct outcome second;
 
   ck_assert_int_eq (first.result, AB_CLAIM_GRANTED);
   start_claim (OTHER, &key, LONG_MS, &second);
-  fake_run_ms (&group, 100);
+  group_run_ms (&group, 100);
   ck_assert (!second.done);
   ab_control_client_complete (client (ENTRY), &key, first.token, &response);
-  fake_run_until (&group, is_done, &second);
+  group_run_until (&group, is_done, &second);
   ck_assert_int_eq (second.result, AB_CLAIM_RECORDED);
   ck_assert_int_eq (second.status, 201);
   wait_confirmed (ENTRY);
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
-    fake_stop (&group, i);
+    group_stop (&group, i);
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
-    fake_start (&group, i);
+    group_start (&group, i);
   ck_assert_int_eq (claim (0, &key, LONG_MS).result, AB_CLAIM_RECORDED);
 }
 END_TEST
@@ -364,14 +352,14 @@
    was not run.  */
 START_TEST (released_key_goes_to_who_waits)
 {
-  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key key = group_make_key (1);
   struct outcome first = claim (ENTRY, &key, LONG_MS);
   struct outcome second;
 
   start_claim (OTHER, &key, LONG_MS, &second);
-  fake_run_ms (&group, 50);
+  group_run_ms (&group, 50);
   ab_control_client_release (client (ENTRY), &key, first.token);
-  fake_run_until (&group, is_done, &second);
+  group_run_until (&group, is_done, &second);
   ck_assert_int_eq (second.result, AB_CLAIM_GRANTED);
   ck_assert_uint_gt (second.token, first.token);
   /* At its deadline, who waits learns that another may run it.  */
@@ -379,22 +367,30 @@
 }
 END_TEST
 
+/* The group has granted a claim besides that of the setup.  */
+static bool
+second_record (void *ctx)
+{
+  (void)ctx;
+  return group_ledger_records (&group) == 2;
+}
+
 /* Guards against a key that stays claimed by an attempt whose host answered
    "not run" because the grant's answer was lost.  */
 START_TEST (lost_grant_is_given_back)
 {
-  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key key = group_make_key (1);
   struct outcome lost;
 
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
     group.cut[i][ENTRY] = true;
-  start_claim (ENTRY, &key, 1000, &lost);
-  fake_run_ms (&group, 700);
-  fake_isolate (&group, ENTRY, true);
-  fake_run_until (&group, is_done, &lost);
+  start_claim (ENTRY, &key, 5000, &lost);
+  group_run_until (&group, second_record, NULL);
+  group_isolate (&group, ENTRY, true);
+  group_run_until (&group, is_done, &lost);
   ck_assert_int_eq (lost.result, AB_CLAIM_UNAVAILABLE);
   ck_assert_int_eq (claim (OTHER, &key, 300).result, AB_CLAIM_MAY_HAVE_RUN);
-  fake_isolate (&group, ENTRY, false);
+  group_isolate (&group, ENTRY, false);
   wait_confirmed (ENTRY);
   ck_assert_int_eq (claim (OTHER, &key, LONG_MS).result, AB_CLAIM_GRANTED);
 }
@@ -404,17 +400,17 @@
    from a leader that has lost its majority.  */
 START_TEST (isolated_leader_grants_nothing)
 {
-  struct ab_ledger_key key = make_key (1);
-  struct ab_ledger_key other = make_key (2);
-  size_t leader = fake_leader (&group);
+  struct ab_ledger_key key = group_make_key (1);
+  struct ab_ledger_key other = group_make_key (2);
+  size_t leader = group_leader (&group);
   struct outcome alone;
 
-  fake_isolate (&group, leader, true);
+  group_isolate (&group, leader, true);
   start_claim (leader, &other, 1000, &alone);
   ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result, AB_CLAIM_GRANTED);
-  fake_run_until (&group, is_done, &alone);
+  group_run_until (&group, is_done, &alone);
   ck_assert_int_eq (alone.result, AB_CLAIM_UNAVAILABLE);
-  fake_isolate (&group, leader, false);
+  group_isolate (&group, leader, false);
   wait_confirmed (leader);
   ck_assert_int_eq (claim (ENTRY, &other, LONG_MS).result, AB_CLAIM_GRANTED);
 }
@@ -423,7 +419,7 @@
 /* Guards against a cancelled claim that is granted to nobody.  */
 START_TEST (cancelled_claim_is_given_back)
 {
-  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key key = group_make_key (1);
   struct outcome unused = { .done = false };
   struct ab_claim *cancelled = ab_control_client_claim (
       client (ENTRY), &key, &content, in_ms (LONG_MS), on_claim, &unused);
@@ -482,7 +478,7 @@
   for (unsigned i = 0; i < count; i++)
     ab_control_client_permit_acquire (client (host), AB_CHUNK ("shop"),
                                       in_ms (LONG_MS), on_permit, permits);
-  fake_run_until (&group, permits_answered, permits);
+  group_run_until (&group, permits_answered, permits);
 }
 
 static bool
@@ -504,21 +500,21 @@
 
   group.targets = 4;
   ck_assert_int_eq (apply (ENTRY, 1, "50%").rc, 0);
-  fake_run_until (&group, capacity_known, &other);
+  group_run_until (&group, capacity_known, &other);
   ab_control_client_on_revoke (client (ENTRY), on_revoked, &entry);
   acquire (ENTRY, &entry, 3);
   ck_assert_uint_eq (entry.granted, 1);
   ck_assert_uint_eq (entry.refused, 2);
   /* The permit of a process that is gone is free again.  */
-  fake_stop (&group, OTHER);
-  fake_start (&group, OTHER);
-  fake_run_ms (&group, 500);
+  group_stop (&group, OTHER);
+  group_start (&group, OTHER);
+  group_run_ms (&group, 500);
   acquire (ENTRY, &entry, 1);
   ck_assert_uint_eq (entry.granted, 2);
   ck_assert_int_eq (apply (ENTRY, 2, "75%").rc, 0);
-  fake_run_until (&group, was_revoked, &entry);
+  group_run_until (&group, was_revoked, &entry);
   ab_control_client_permit_release (client (ENTRY), AB_CHUNK ("shop"));
-  fake_run_ms (&group, 500);
+  group_run_ms (&group, 500);
   ck_assert_uint_eq (entry.revoked, 1);
 }
 END_TEST
@@ -528,24 +524,24 @@
 START_TEST (member_with_an_empty_disk_is_replaced)
 {
   struct outcome outcome = { .done = false };
-  struct ab_ledger_key key = make_key (1);
-  struct ab_ledger_key other = make_key (2);
-  size_t leader = fake_leader (&group);
+  struct ab_ledger_key key = group_make_key (1);
+  struct ab_ledger_key other = group_make_key (2);
+  size_t leader = group_leader (&group);
   size_t broken = (leader + 1) % FAKE_CONTROL_HOSTS;
   size_t second = (leader + 2) % FAKE_CONTROL_HOSTS;
   struct outcome granted = claim (ENTRY, &key, LONG_MS);
 
   ab_control_client_complete (client (ENTRY), &key, granted.token, NULL);
   wait_confirmed (ENTRY);
-  fake_stop (&group, broken);
-  fake_empty_disk (&group, broken);
-  fake_start (&group, broken);
+  group_stop (&group, broken);
+  group_empty_disk (&group, broken);
+  group_start (&group, broken);
   ab_control_client_change_member (
       client (ENTRY), AB_CHUNK ("replace"), group.hosts[broken].settings.host,
       group.control[broken].address, in_ms (LONG_MS), on_change, &outcome);
-  fake_run_until (&group, is_done, &outcome);
+  group_run_until (&group, is_done, &outcome);
   ck_assert_msg (outcome.rc == 0, "%s", outcome.message);
-  fake_stop (&group, second);
+  group_stop (&group, second);
   ck_assert_int_eq (claim (ENTRY, &other, LONG_MS).result, AB_CLAIM_GRANTED);
   ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result,
                     AB_CLAIM_MAY_HAVE_RUN);
@@ -632,7 +628,7 @@
   switch (ab_rng_below (&group.rng, 4))
     {
     case 0:
-      fake_isolate (&group, host, true);
+      group_isolate (&group, host, true);
       break;
     case 1:
       group.cut[host][ab_rng_below (&group.rng, FAKE_HOSTS)] = true;
@@ -644,8 +640,8 @@
       for (size_t i = 0; i < CLAIMS; i++)
         if (random_claims[i].host == host)
           random_claims[i].active = false;
-      fake_stop (&group, host);
-      fake_start (&group, host);
+      group_stop (&group, host);
+      group_start (&group, host);
     }
 }
 
@@ -654,7 +650,7 @@
 START_TEST (random_faults_run_nothing_twice)
 {
   for (size_t i = 0; i < KEYS; i++)
-    random_keys[i] = make_key ((uint8_t)(i + 1));
+    random_keys[i] = group_make_key ((uint8_t)(i + 1));
   group.chaos = true;
   for (int i = 0; i < CHAOS_STEPS; i++)
     {
@@ -662,7 +658,7 @@
       end_random_claims ();
       if (ab_rng_below (&group.rng, 40) == 0)
         random_fault ();
-      fake_run_ms (&group, 10);
+      group_run_ms (&group, 10);
     }
   group.chaos = false;
   memset (group.cut, 0, sizeof group.cut);
