Count failures by error code in the load tool

Cause: a run of the demonstration had 19 answers with status 503 among 900, and the report did not say which error it was.

Change: the report has a map of error codes, in all and by class.

--- a/standins/load.c
+++ b/standins/load.c
@@ -254,6 +254,22 @@
   return value && evutil_ascii_strcasecmp (value, "close") == 0;
 }
 
+/* Counts every answer with an error, also those that are sent again.  */
+static void
+count_code (struct call *call, struct evhttp_request *req)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (req);
+  size_t len = evbuffer_get_length (input);
+  json_t *object = len > 0 ? json_loadb ((char *)evbuffer_pullup (input, -1),
+                                         len, 0, NULL)
+                           : NULL;
+  const char *code = json_string_value (json_object_get (object, "code"));
+
+  load_counts_code (&load.total, code ? code : "none");
+  load_counts_code (&call->load_class->counts, code ? code : "none");
+  json_decref (object);
+}
+
 static void
 on_answer (struct call *call, struct evhttp_request *req, int status)
 {
@@ -265,6 +281,7 @@
   return_lane (call->lane, !wants_close (headers));
   if (status != 200)
     {
+      count_code (call, req);
       fail (call, verdict, status, false);
       return;
     }
--- a/standins/load_report_lib.c
+++ b/standins/load_report_lib.c
@@ -35,6 +35,31 @@
   ab_histogram_free (counts->latency);
 }
 
+void
+load_counts_code (struct load_counts *counts, const char *code)
+{
+  for (int i = 0; i < LOAD_CODES_MAX; i++)
+    {
+      if (!counts->codes[i].code[0])
+        snprintf (counts->codes[i].code, LOAD_NAME_BYTES, "%s", code);
+      if (strcmp (counts->codes[i].code, code) != 0)
+        continue;
+      counts->codes[i].count++;
+      return;
+    }
+}
+
+static json_t *
+codes_json (const struct load_counts *counts)
+{
+  json_t *codes = json_object ();
+
+  for (int i = 0; i < LOAD_CODES_MAX && counts->codes[i].code[0]; i++)
+    json_object_set_new (codes, counts->codes[i].code,
+                         json_integer ((json_int_t)counts->codes[i].count));
+  return codes;
+}
+
 static json_t *
 failed_json (const struct load_counts *counts)
 {
@@ -77,12 +102,12 @@
   double seconds = (double)duration_us / 1e6;
 
   return json_pack (
-      "{s:I, s:I, s:o, s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:f}", "sent",
+      "{s:I, s:I, s:o, s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:o, s:f}", "sent",
       (json_int_t)counts->sent, "ok", (json_int_t)counts->ok, "failed",
       failed_json (counts), "cut", (json_int_t)counts->cut, "wrong",
       (json_int_t)counts->wrong, "resent", (json_int_t)counts->resent,
       "replayed", (json_int_t)counts->replayed, "skipped",
-      (json_int_t)counts->skipped, "statuses", statuses_json (counts),
-      "latency_us", latency_json (counts->latency), "goodput_per_s",
-      seconds > 0 ? (double)counts->ok / seconds : 0.0);
+      (json_int_t)counts->skipped, "statuses", statuses_json (counts), "codes",
+      codes_json (counts), "latency_us", latency_json (counts->latency),
+      "goodput_per_s", seconds > 0 ? (double)counts->ok / seconds : 0.0);
 }
--- a/standins/load_report_lib.h
+++ b/standins/load_report_lib.h
@@ -11,6 +11,7 @@
 
 #define LOAD_NAME_BYTES 64
 #define LOAD_STATUS_MAX 600
+#define LOAD_CODES_MAX 32
 
 enum load_verdict
 {
@@ -33,6 +34,12 @@
   uint64_t replayed;
   uint64_t skipped; /* Not sent in time: all connections were busy.  */
   uint64_t statuses[LOAD_STATUS_MAX];
+  /* Failures by the code of their error; the rest is not counted.  */
+  struct
+  {
+    char code[LOAD_NAME_BYTES];
+    uint64_t count;
+  } codes[LOAD_CODES_MAX];
   struct ab_histogram *latency; /* Of successes, from the scheduled time.  */
 };
 
@@ -42,6 +49,9 @@
 void load_counts_init (struct load_counts *counts, const char *name);
 void load_counts_free (struct load_counts *counts);
 
+/* Counts a failure with the error CODE.  */
+void load_counts_code (struct load_counts *counts, const char *code);
+
 /* One object of all figures; DURATION_US is for the goodput.  */
 json_t *load_counts_json (const struct load_counts *counts,
                           uint64_t duration_us);
