--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -58,7 +58,7 @@
 }
 
 static void
-add (struct row *row, const struct fake_result *result)
+add (struct row *row, const struct policy_result *result)
 {
   if (result->detection_ms >= 0)
     row->detection[row->detections++] = result->detection_ms;
@@ -70,8 +70,8 @@
   row->refused += (double)result->refused;
   row->slow += (double)result->slow;
   row->retries += (double)result->retries;
-  row->goodput += fake_goodput (result, FAULT_FROM_S + 2, FAULT_TO_S);
-  row->goodput_before += fake_goodput (result, 2, FAULT_FROM_S);
+  row->goodput += policy_goodput (result, FAULT_FROM_S + 2, FAULT_TO_S);
+  row->goodput_before += policy_goodput (result, 2, FAULT_FROM_S);
   row->recovery_ms = fmax (row->recovery_ms, result->recovery_ms);
   row->violations += result->floor_violations;
   row->bytes_per_host_s
@@ -91,11 +91,11 @@
 }
 
 static void
-print_row (const struct fake_setup *setup, struct row *row, unsigned seeds)
+print_row (const struct policy_setup *setup, struct row *row, unsigned seeds)
 {
   qsort (row->detection, row->detections, sizeof row->detection[0], compare);
-  printf ("| %-10s | %2.0f%% | %-11s |", fake_fault_name (setup->fault),
-          setup->utilisation * 100, fake_policy_name (setup->policy));
+  printf ("| %-10s | %2.0f%% | %-11s |", policy_fault_name (setup->fault),
+          setup->utilisation * 100, policy_policy_name (setup->policy));
   print_detection (row, 0.5);
   print_detection (row, 0.99);
   printf (" %5.1f | %5.2f%% | %5.2f%% | %7.0f | %5.1f%% | %3u | %6.0f |\n",
@@ -107,28 +107,28 @@
 }
 
 static void
-run_row (const struct deployment *deployment, enum fake_policy policy,
-         enum fake_fault fault, double utilisation, unsigned seeds)
+run_row (const struct deployment *deployment, enum policy_policy policy,
+         enum policy_fault fault, double utilisation, unsigned seeds)
 {
   struct row row = { .detections = 0 };
-  struct fake_setup setup = { .policy = policy,
-                              .fault = fault,
-                              .slots = deployment->slots,
-                              .detection_weight = deployment->weight,
-                              .floor = floor_fraction,
-                              .utilisation = utilisation,
-                              .seconds = SECONDS,
-                              .fault_from_s = FAULT_FROM_S,
-                              .fault_to_s = FAULT_TO_S };
+  struct policy_setup setup = { .policy = policy,
+                                .fault = fault,
+                                .slots = deployment->slots,
+                                .detection_weight = deployment->weight,
+                                .floor = floor_fraction,
+                                .utilisation = utilisation,
+                                .seconds = SECONDS,
+                                .fault_from_s = FAULT_FROM_S,
+                                .fault_to_s = FAULT_TO_S };
 
   for (unsigned s = 0; s < seeds; s++)
     for (size_t i = 0; i < sizeof services / sizeof services[0]; i++)
       {
-        struct fake_result result;
+        struct policy_result result;
 
         setup.targets = services[i];
         setup.seed = FIRST_SEED + s;
-        fake_run (&setup, &result);
+        policy_run (&setup, &result);
         add (&row, &result);
       }
   print_row (&setup, &row, seeds);
@@ -160,10 +160,11 @@
       for (int policy = 0; policy < FAKE_POLICY_COUNT; policy++)
         {
           if (only && *only
-              && strcmp (only, fake_fault_name ((enum fake_fault)fault)) != 0)
+              && strcmp (only, policy_fault_name ((enum policy_fault)fault))
+                     != 0)
             continue;
-          run_row (deployment, (enum fake_policy)policy,
-                   (enum fake_fault)fault, loads[i], seeds);
+          run_row (deployment, (enum policy_policy)policy,
+                   (enum policy_fault)fault, loads[i], seeds);
         }
 }
 
@@ -182,31 +183,31 @@
     {
       struct row full = { .detections = 0 };
       struct row over = { .detections = 0 };
-      struct fake_setup setup = { .policy = (enum fake_policy)policy,
-                                  .slots = deployment->slots,
-                                  .detection_weight = deployment->weight,
-                                  .floor = floor_fraction,
-                                  .seconds = SECONDS,
-                                  .fault_from_s = FAULT_FROM_S,
-                                  .fault_to_s = FAULT_TO_S,
-                                  .targets = services[0] };
+      struct policy_setup setup = { .policy = (enum policy_policy)policy,
+                                    .slots = deployment->slots,
+                                    .detection_weight = deployment->weight,
+                                    .floor = floor_fraction,
+                                    .seconds = SECONDS,
+                                    .fault_from_s = FAULT_FROM_S,
+                                    .fault_to_s = FAULT_TO_S,
+                                    .targets = services[0] };
 
       for (unsigned s = 0; s < seeds; s++)
         {
-          struct fake_result result;
+          struct policy_result result;
 
           setup.seed = FIRST_SEED + s;
           setup.fault = FAKE_HEALTHY;
           setup.utilisation = 1;
-          fake_run (&setup, &result);
+          policy_run (&setup, &result);
           add (&full, &result);
           setup.fault = FAKE_OVERLOAD;
           setup.utilisation = 0.6;
-          fake_run (&setup, &result);
+          policy_run (&setup, &result);
           add (&over, &result);
         }
       printf ("| %-11s | %6.0f | %6.0f | %5.1f%% | %6.0f | %5.1f%% |\n",
-              fake_policy_name ((enum fake_policy)policy),
+              policy_policy_name ((enum policy_policy)policy),
               full.goodput / seeds, over.goodput / seeds,
               100 * over.goodput / full.goodput, over.recovery_ms,
               100 * over.retries / over.requests);
--- a/bench/policy_choice_lib.c
+++ b/bench/policy_choice_lib.c
@@ -9,7 +9,7 @@
 #define HOSTS_PER_DOMAIN (FAKE_HOSTS / FAKE_DOMAINS)
 
 static bool
-is_excluded (const struct fake_request *request, int target)
+is_excluded (const struct policy_request *request, int target)
 {
   for (size_t i = 0; i < request->excluded_count; i++)
     if (request->excluded[i] == target)
@@ -18,19 +18,19 @@
 }
 
 static bool
-is_open (const struct fake_world *world, const struct fake_request *request,
-         int target)
+is_open (const struct policy_world *world,
+         const struct policy_request *request, int target)
 {
-  const struct fake_host *host = &world->hosts[request->host];
+  const struct policy_host *host = &world->hosts[request->host];
 
   return world->now_us >= host->out_until_us[target]
          && !is_excluded (request, target);
 }
 
 static int
-round_robin (struct fake_world *world, const struct fake_request *request)
+round_robin (struct policy_world *world, const struct policy_request *request)
 {
-  struct fake_host *host = &world->hosts[request->host];
+  struct policy_host *host = &world->hosts[request->host];
   int count = world->setup.targets ? (int)world->setup.targets : 1;
 
   for (int i = 0; i < count; i++)
@@ -44,10 +44,10 @@
 }
 
 static int
-least_outstanding (struct fake_world *world,
-                   const struct fake_request *request)
+least_outstanding (struct policy_world *world,
+                   const struct policy_request *request)
 {
-  const struct fake_host *host = &world->hosts[request->host];
+  const struct policy_host *host = &world->hosts[request->host];
   int best = -1;
   uint64_t ties = 0;
 
@@ -65,9 +65,10 @@
 }
 
 static int
-better_of_two (struct fake_world *world, const struct fake_request *request)
+better_of_two (struct policy_world *world,
+               const struct policy_request *request)
 {
-  const struct fake_host *host = &world->hosts[request->host];
+  const struct policy_host *host = &world->hosts[request->host];
   uint64_t near = world->setup.targets / FAKE_DOMAINS;
   int domain = request->host % FAKE_DOMAINS;
   int first
@@ -83,10 +84,10 @@
 }
 
 static bool
-use_lease (struct fake_world *world, int id)
+use_lease (struct policy_world *world, int id)
 {
-  struct fake_request *request = &world->requests[id];
-  struct fake_host *host = &world->hosts[request->host];
+  struct policy_request *request = &world->requests[id];
+  struct policy_host *host = &world->hosts[request->host];
   int best = -1;
 
   for (int i = 0; i < (int)world->setup.targets; i++)
@@ -98,32 +99,32 @@
   if (best < 0)
     return false;
   host->outstanding[best]++;
-  fake_send (world, id, best);
+  policy_send (world, id, best);
   return true;
 }
 
 static void
-wait_for_lease (struct fake_world *world, int id)
+wait_for_lease (struct policy_world *world, int id)
 {
-  struct fake_host *host = &world->hosts[world->requests[id].host];
+  struct policy_host *host = &world->hosts[world->requests[id].host];
   size_t max = sizeof host->waiting / sizeof host->waiting[0];
 
   host->demand++;
   if (host->waiting_count == 0 && use_lease (world, id))
     return;
   if (host->waiting_count == max)
-    fake_finish (world, id, false, true);
+    policy_finish (world, id, false, true);
   else
     host->waiting[host->waiting_count++] = id;
 }
 
 static void
-serve_waiting (struct fake_world *world, struct fake_host *host)
+serve_waiting (struct policy_world *world, struct policy_host *host)
 {
   while (host->waiting_count > 0)
     {
       int id = host->waiting[0];
-      const struct fake_request *request = &world->requests[id];
+      const struct policy_request *request = &world->requests[id];
       bool gone = !request->used || request->sent
                   || &world->hosts[request->host] != host;
 
@@ -137,7 +138,7 @@
 
 /* Deals each slot of a failure domain to a host of it, by demand.  */
 void
-fake_divide_leases (struct fake_world *world)
+policy_divide_leases (struct policy_world *world)
 {
   double given[FAKE_HOSTS] = { 0 };
 
@@ -169,9 +170,9 @@
 }
 
 void
-fake_choose (struct fake_world *world, int id)
+policy_choose (struct policy_world *world, int id)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
   int target;
 
   if (world->setup.policy == FAKE_LEASES)
@@ -186,11 +187,11 @@
   else
     target = better_of_two (world, request);
   world->hosts[request->host].outstanding[target]++;
-  fake_send (world, id, target);
+  policy_send (world, id, target);
 }
 
 static void
-eject (struct fake_world *world, struct fake_host *host, int target)
+eject (struct policy_world *world, struct policy_host *host, int target)
 {
   int out = 0;
 
@@ -203,15 +204,16 @@
       = world->now_us + OUT_US * (uint64_t)host->times[target];
   world->result->ejections++;
   /* One host of 30: counts as that part of an ejection.  */
-  if (target != world->sick || !fake_fault_on (world))
+  if (target != world->sick || !policy_fault_on (world))
     world->result->false_ejections += 1.0 / FAKE_HOSTS;
 }
 
 void
-fake_chosen_done (struct fake_world *world, int id, enum ab_outcome_kind kind)
+policy_chosen_done (struct policy_world *world, int id,
+                    enum ab_outcome_kind kind)
 {
-  struct fake_request *request = &world->requests[id];
-  struct fake_host *host = &world->hosts[request->host];
+  struct policy_request *request = &world->requests[id];
+  struct policy_host *host = &world->hosts[request->host];
   int target = request->target;
 
   host->outstanding[target]--;
--- a/bench/policy_dispatch_lib.c
+++ b/bench/policy_dispatch_lib.c
@@ -21,7 +21,7 @@
 #define DISPATCHER_HOST 0 /* First host of each domain.  */
 
 static uint64_t
-now_ms (const struct fake_world *world)
+now_ms (const struct policy_world *world)
 {
   return world->now_us / 1000;
 }
@@ -37,7 +37,7 @@
 }
 
 static int
-target_of (const struct fake_world *world, const char *name)
+target_of (const struct policy_world *world, const char *name)
 {
   int at = 0;
 
@@ -50,53 +50,53 @@
 on_grant (struct ab_dispatcher_env *env,
           const struct ab_dispatcher_grant *grant)
 {
-  struct fake_env *self = (struct fake_env *)env;
-  struct fake_world *world = self->world;
+  struct policy_env *self = (struct policy_env *)env;
+  struct policy_world *world = self->world;
   int id = (int)(uint32_t)grant->ask;
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
 
   request->granted = true;
   request->grant = grant->id;
   request->domain = self->domain;
-  fake_push (world, world->now_us + hop_us (request->host, self->domain),
-             FAKE_EV_GRANTED, id, target_of (world, grant->target),
-             (uint32_t)(grant->ask >> GEN_SHIFT));
+  policy_push (world, world->now_us + hop_us (request->host, self->domain),
+               FAKE_EV_GRANTED, id, target_of (world, grant->target),
+               (uint32_t)(grant->ask >> GEN_SHIFT));
 }
 
 static void
 on_refuse (struct ab_dispatcher_env *env, uint64_t ask, const char *asker,
            int rc, bool spill, const char *reason)
 {
-  struct fake_env *self = (struct fake_env *)env;
-  struct fake_world *world = self->world;
+  struct policy_env *self = (struct policy_env *)env;
+  struct policy_world *world = self->world;
   int id = (int)(uint32_t)ask;
 
   (void)asker;
   (void)rc;
   (void)reason;
-  fake_push (world,
-             world->now_us + hop_us (world->requests[id].host, self->domain),
-             FAKE_EV_REFUSED, id, spill, (uint32_t)(ask >> GEN_SHIFT));
+  policy_push (world,
+               world->now_us + hop_us (world->requests[id].host, self->domain),
+               FAKE_EV_REFUSED, id, spill, (uint32_t)(ask >> GEN_SHIFT));
 }
 
 static void
 on_acquire (struct ab_dispatcher_env *env)
 {
-  struct fake_env *self = (struct fake_env *)env;
-  struct fake_world *world = self->world;
+  struct policy_env *self = (struct policy_env *)env;
+  struct policy_world *world = self->world;
   size_t max
       = (size_t)((1 - world->setup.floor) * (double)world->setup.targets);
   bool granted = world->permits_out < max;
 
   world->permits_out += granted;
-  fake_push (world, world->now_us + PERMIT_US, FAKE_EV_PERMIT, self->domain,
-             granted, 0);
+  policy_push (world, world->now_us + PERMIT_US, FAKE_EV_PERMIT, self->domain,
+               granted, 0);
 }
 
 static void
 on_release (struct ab_dispatcher_env *env)
 {
-  struct fake_env *self = (struct fake_env *)env;
+  struct policy_env *self = (struct policy_env *)env;
 
   self->world->permits_out--;
 }
@@ -104,21 +104,21 @@
 static void
 on_probe (struct ab_dispatcher_env *env, const char *name)
 {
-  struct fake_env *self = (struct fake_env *)env;
-  struct fake_world *world = self->world;
+  struct policy_env *self = (struct policy_env *)env;
+  struct policy_world *world = self->world;
   int target = target_of (world, name);
-  bool touched = fake_touches (world, 0, target);
+  bool touched = policy_touches (world, 0, target);
   bool healthy = !world->targets[target].down
                  && !(world->setup.fault == FAKE_HANG && touched);
 
   if (world->setup.fault == FAKE_LIE_BAD && target == world->sick)
     healthy = false;
-  fake_push (world, world->now_us + PROBE_US, FAKE_EV_PROBED, target, healthy,
-             0);
+  policy_push (world, world->now_us + PROBE_US, FAKE_EV_PROBED, target,
+               healthy, 0);
 }
 
 static bool
-deserved (const struct fake_world *world, int target)
+deserved (const struct policy_world *world, int target)
 {
   if (world->targets[target].down)
     return true;
@@ -126,7 +126,7 @@
   if (world->targets[target].started_us
       && world->now_us < world->targets[target].started_us + 1000000)
     return true;
-  return fake_fault_on (world) && target == world->sick
+  return policy_fault_on (world) && target == world->sick
          && world->setup.fault != FAKE_TAIL
          && world->setup.fault != FAKE_HEALTHY
          && world->setup.fault != FAKE_OVERLOAD
@@ -139,8 +139,8 @@
 static void
 on_event (struct ab_dispatcher_env *env, const struct ab_dispatch_event *event)
 {
-  struct fake_env *self = (struct fake_env *)env;
-  struct fake_world *world = self->world;
+  struct policy_env *self = (struct policy_env *)env;
+  struct policy_world *world = self->world;
   int target = target_of (world, event->target);
 
   if (getenv ("POLICY_TRACE"))
@@ -173,9 +173,9 @@
                                               .event = on_event };
 
 void
-fake_dispatch_target (struct fake_world *world, int target, bool warm)
+policy_dispatch_target (struct policy_world *world, int target, bool warm)
 {
-  struct fake_target *at = &world->targets[target];
+  struct policy_target *at = &world->targets[target];
   struct ab_dispatcher_target spec = { .address = at->name,
                                        .slots = world->setup.slots,
                                        .incarnation = at->incarnation };
@@ -187,7 +187,7 @@
 }
 
 static void
-share_capacity (struct fake_world *world)
+share_capacity (struct policy_world *world)
 {
   struct ab_dispatcher_totals all = { .in_use = 0 };
   struct ab_dispatcher_totals one[FAKE_DOMAINS];
@@ -207,7 +207,7 @@
 }
 
 void
-fake_dispatch_new (struct fake_world *world)
+policy_dispatch_new (struct policy_world *world)
 {
   struct ab_dispatcher_options options
       = { .detection_weight = world->setup.detection_weight,
@@ -217,7 +217,7 @@
 
   for (int i = 0; i < FAKE_DOMAINS; i++)
     {
-      struct fake_env *env = &world->domains[i];
+      struct policy_env *env = &world->domains[i];
 
       env->env.ops = &ops;
       env->world = world;
@@ -228,34 +228,34 @@
         abort ();
     }
   for (size_t i = 0; i < world->setup.targets; i++)
-    fake_dispatch_target (world, (int)i, true);
+    policy_dispatch_target (world, (int)i, true);
   share_capacity (world);
 }
 
 void
-fake_dispatch_free (struct fake_world *world)
+policy_dispatch_free (struct policy_world *world)
 {
   for (int i = 0; i < FAKE_DOMAINS; i++)
     ab_dispatcher_free (world->domains[i].dispatcher);
 }
 
 void
-fake_dispatch_start (struct fake_world *world, int id)
+policy_dispatch_start (struct policy_world *world, int id)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
   int domain = request->host % FAKE_DOMAINS;
 
   if (request->host / FAKE_DOMAINS != DISPATCHER_HOST)
     world->result->control_bytes += ASK_BYTES;
   request->domain = domain;
-  fake_push (world, world->now_us + hop_us (request->host, domain),
-             FAKE_EV_ASK, id, domain, request->gen);
+  policy_push (world, world->now_us + hop_us (request->host, domain),
+               FAKE_EV_ASK, id, domain, request->gen);
 }
 
 void
-fake_dispatch_ask (struct fake_world *world, int id, int domain)
+policy_dispatch_ask (struct policy_world *world, int id, int domain)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
   struct ab_dispatcher_ask ask
       = { .id = (uint64_t)request->gen << GEN_SHIFT | (uint32_t)id,
           .asker = world->hosts[request->host].name,
@@ -286,27 +286,27 @@
 }
 
 void
-fake_dispatch_refused (struct fake_world *world, int id, bool spill)
+policy_dispatch_refused (struct policy_world *world, int id, bool spill)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
 
   if (!spill || request->spills > SPILLS)
     {
-      fake_finish (world, id, false, true);
+      policy_finish (world, id, false, true);
       return;
     }
   request->spills++;
   request->domain = spill_domain (request->host, request->spills);
   world->result->control_bytes += ASK_BYTES;
-  fake_push (world, world->now_us + hop_us (request->host, request->domain),
-             FAKE_EV_ASK, id, request->domain, request->gen);
+  policy_push (world, world->now_us + hop_us (request->host, request->domain),
+               FAKE_EV_ASK, id, request->domain, request->gen);
 }
 
 void
-fake_dispatch_outcome (struct fake_world *world, int id,
-                       enum ab_outcome_kind kind)
+policy_dispatch_outcome (struct policy_world *world, int id,
+                         enum ab_outcome_kind kind)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
   struct ab_outcome outcome
       = { .kind = kind, .latency_us = world->now_us - request->sent_us };
 
@@ -317,9 +317,9 @@
 }
 
 void
-fake_dispatch_cancel (struct fake_world *world, int id)
+policy_dispatch_cancel (struct policy_world *world, int id)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
   static const struct ab_outcome unused = { .kind = AB_OUTCOME_UNUSED };
 
   if (request->granted)
@@ -332,7 +332,7 @@
 }
 
 void
-fake_dispatch_tick (struct fake_world *world)
+policy_dispatch_tick (struct policy_world *world)
 {
   size_t in_service = 0;
 
@@ -344,16 +344,16 @@
     world->result->floor_violations++;
 }
 
-struct fake_share
+struct policy_share
 {
-  struct fake_world *world;
+  struct policy_world *world;
   int from;
 };
 
 static void
 pass_on (void *ctx, const struct ab_peer_evidence *report)
 {
-  struct fake_share *share = ctx;
+  struct policy_share *share = ctx;
 
   for (int i = 0; i < FAKE_DOMAINS; i++)
     if (i != share->from)
@@ -366,11 +366,11 @@
 }
 
 void
-fake_dispatch_evidence (struct fake_world *world)
+policy_dispatch_evidence (struct policy_world *world)
 {
   for (int i = 0; i < FAKE_DOMAINS; i++)
     {
-      struct fake_share share = { .world = world, .from = i };
+      struct policy_share share = { .world = world, .from = i };
 
       ab_detector_export (
           ab_dispatcher_detector (world->domains[i].dispatcher),
--- a/bench/policy_fake_lib.c
+++ b/bench/policy_fake_lib.c
@@ -16,21 +16,21 @@
 #define GONE_SHARE 0.05
 
 static bool
-before (const struct fake_event *a, const struct fake_event *b)
+before (const struct policy_event *a, const struct policy_event *b)
 {
   return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
 }
 
 void
-fake_push (struct fake_world *world, uint64_t at_us, enum fake_event_kind kind,
-           int a, int b, uint32_t gen)
+policy_push (struct policy_world *world, uint64_t at_us,
+             enum policy_event_kind kind, int a, int b, uint32_t gen)
 {
-  struct fake_event event = { .at_us = at_us,
-                              .order = world->order++,
-                              .kind = kind,
-                              .a = a,
-                              .b = b,
-                              .gen = gen };
+  struct policy_event event = { .at_us = at_us,
+                                .order = world->order++,
+                                .kind = kind,
+                                .a = a,
+                                .b = b,
+                                .gen = gen };
   size_t at = world->heap_count++;
 
   if (at == world->heap_size)
@@ -47,11 +47,11 @@
   world->heap[at] = event;
 }
 
-static struct fake_event
-pop (struct fake_world *world)
+static struct policy_event
+pop (struct policy_world *world)
 {
-  struct fake_event first = world->heap[0];
-  struct fake_event last = world->heap[--world->heap_count];
+  struct policy_event first = world->heap[0];
+  struct policy_event last = world->heap[--world->heap_count];
   size_t at = 0;
 
   for (;;)
@@ -73,42 +73,43 @@
 }
 
 bool
-fake_fault_on (const struct fake_world *world)
+policy_fault_on (const struct policy_world *world)
 {
   return world->now_us >= world->setup.fault_from_s * US_PER_S
          && world->now_us < world->setup.fault_to_s * US_PER_S;
 }
 
 static int
-new_request (struct fake_world *world)
+new_request (struct policy_world *world)
 {
-  struct fake_request *grown;
-  size_t at = 0;
+  struct policy_request *grown;
+  size_t at = world->free_request;
 
   while (at < world->request_count && world->requests[at].used)
     at++;
+  world->free_request = at + 1;
   if (at == world->request_count)
     {
       grown = realloc (world->requests, (at + 1) * sizeof *grown);
       if (!grown)
         abort ();
       world->requests = grown;
-      world->requests[at] = (struct fake_request){ .gen = 0 };
+      world->requests[at] = (struct policy_request){ .gen = 0 };
       world->request_count++;
     }
   world->requests[at]
-      = (struct fake_request){ .used = true,
-                               .gen = world->requests[at].gen + 1,
-                               .arrival_us = world->now_us,
-                               .target = -1 };
+      = (struct policy_request){ .used = true,
+                                 .gen = world->requests[at].gen + 1,
+                                 .arrival_us = world->now_us,
+                                 .target = -1 };
   return (int)at;
 }
 
 static void
-start_request (struct fake_world *world, bool killer)
+start_request (struct policy_world *world, bool killer)
 {
   int id = new_request (world);
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
 
   request->host = (int)ab_rng_below (&world->rng, FAKE_HOSTS);
   request->deadline_us = world->now_us + FAKE_DEADLINE_MS * 1000;
@@ -117,14 +118,14 @@
   world->result->arrived[world->now_us / US_PER_S]++;
   ab_retry_budget_request (&world->hosts[request->host].budget,
                            world->now_us / 1000);
-  fake_push (world, request->deadline_us, FAKE_EV_DEADLINE, id, 0, 0);
-  fake_start_attempt (world, id);
+  policy_push (world, request->deadline_us, FAKE_EV_DEADLINE, id, 0, 0);
+  policy_start_attempt (world, id);
 }
 
 void
-fake_start_attempt (struct fake_world *world, int id)
+policy_start_attempt (struct policy_world *world, int id)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
 
   request->gen++;
   request->attempts++;
@@ -132,34 +133,36 @@
   request->granted = false;
   request->spills = 0;
   if (world->setup.policy == FAKE_DISPATCHER)
-    fake_dispatch_start (world, id);
+    policy_dispatch_start (world, id);
   else
-    fake_choose (world, id);
+    policy_choose (world, id);
 }
 
 static void
-arrive (struct fake_world *world)
+arrive (struct policy_world *world)
 {
   double rate = world->setup.utilisation * (double)world->setup.targets
                 * (double)world->setup.slots / (FAKE_MEAN_MS / 1000);
 
-  if (world->setup.fault == FAKE_OVERLOAD && fake_fault_on (world))
+  if (world->setup.fault == FAKE_OVERLOAD && policy_fault_on (world))
     rate *= 3 / world->setup.utilisation;
-  fake_push (world,
-             world->now_us
-                 + (uint64_t)(-log (1 - ab_rng_unit (&world->rng)) / rate
-                              * (double)US_PER_S),
-             FAKE_EV_ARRIVAL, 0, 0, 0);
+  policy_push (world,
+               world->now_us
+                   + (uint64_t)(-log (1 - ab_rng_unit (&world->rng)) / rate
+                                * (double)US_PER_S),
+               FAKE_EV_ARRIVAL, 0, 0, 0);
   start_request (world, false);
 }
 
 void
-fake_finish (struct fake_world *world, int id, bool good, bool refused)
+policy_finish (struct policy_world *world, int id, bool good, bool refused)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
 
   request->used = false;
   request->gen++;
+  if ((size_t)id < world->free_request)
+    world->free_request = (size_t)id;
   if (good)
     world->result->good[world->now_us / US_PER_S]++;
   else if (!request->killer)
@@ -171,34 +174,34 @@
 }
 
 void
-fake_send (struct fake_world *world, int id, int target)
+policy_send (struct policy_world *world, int id, int target)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
 
   request->target = target;
   request->sent = true;
   request->sent_us = world->now_us;
-  if (fake_touches (world, request->host, target))
+  if (policy_touches (world, request->host, target))
     {
       if (!world->first_bad_us)
         world->first_bad_us = world->now_us;
       world->sick_sends[world->now_us * FAKE_BINS_PER_S / US_PER_S]++;
     }
-  fake_push (world, world->now_us + FAKE_TARGET_US, FAKE_EV_REACH, id, target,
-             request->gen);
+  policy_push (world, world->now_us + FAKE_TARGET_US, FAKE_EV_REACH, id,
+               target, request->gen);
 }
 
 static void
-report (struct fake_world *world, int id, enum ab_outcome_kind kind)
+report (struct policy_world *world, int id, enum ab_outcome_kind kind)
 {
   if (world->setup.policy == FAKE_DISPATCHER)
-    fake_dispatch_outcome (world, id, kind);
+    policy_dispatch_outcome (world, id, kind);
   else
-    fake_chosen_done (world, id, kind);
+    policy_chosen_done (world, id, kind);
 }
 
 static bool
-may_retry (struct fake_world *world, const struct fake_request *request,
+may_retry (struct policy_world *world, const struct policy_request *request,
            enum ab_outcome_kind kind)
 {
   struct ab_retry_budget *budget = &world->hosts[request->host].budget;
@@ -212,77 +215,77 @@
 }
 
 static void
-answer (struct fake_world *world, int id, enum ab_outcome_kind kind)
+answer (struct policy_world *world, int id, enum ab_outcome_kind kind)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
 
   report (world, id, kind);
   request->sent = false;
   if (kind == AB_OUTCOME_OK)
     {
-      fake_finish (world, id, true, false);
+      policy_finish (world, id, true, false);
       return;
     }
   if (!may_retry (world, request, kind))
     {
-      fake_finish (world, id, false, false);
+      policy_finish (world, id, false, false);
       return;
     }
   world->result->retries++;
   if (request->excluded_count < AB_DISPATCHER_EXCLUDED_MAX)
     request->excluded[request->excluded_count++] = request->target;
-  fake_start_attempt (world, id);
+  policy_start_attempt (world, id);
 }
 
 static void
-expire (struct fake_world *world, int id)
+expire (struct policy_world *world, int id)
 {
-  struct fake_request *request = &world->requests[id];
+  struct policy_request *request = &world->requests[id];
 
   if (!request->used || world->now_us < request->deadline_us)
     return;
   if (request->sent)
     {
-      fake_cancel (world, id);
+      policy_cancel (world, id);
       report (world, id, AB_OUTCOME_TIMEOUT);
     }
   else if (world->setup.policy == FAKE_DISPATCHER)
-    fake_dispatch_cancel (world, id);
-  fake_finish (world, id, false, false);
+    policy_dispatch_cancel (world, id);
+  policy_finish (world, id, false, false);
 }
 
 static void
-tick (struct fake_world *world)
+tick (struct policy_world *world)
 {
   if (world->setup.policy == FAKE_DISPATCHER)
-    fake_dispatch_tick (world);
-  fake_push (world, world->now_us + AB_DISPATCHER_TICK_MS * 1000, FAKE_EV_TICK,
-             0, 0, 0);
+    policy_dispatch_tick (world);
+  policy_push (world, world->now_us + AB_DISPATCHER_TICK_MS * 1000,
+               FAKE_EV_TICK, 0, 0, 0);
 }
 
 static void
-each_second (struct fake_world *world)
+each_second (struct policy_world *world)
 {
   if (world->setup.policy == FAKE_DISPATCHER)
-    fake_dispatch_evidence (world);
+    policy_dispatch_evidence (world);
   if (world->setup.policy == FAKE_LEASES)
-    fake_divide_leases (world);
-  fake_push (world, world->now_us + US_PER_S, FAKE_EV_EVIDENCE, 0, 0, 0);
+    policy_divide_leases (world);
+  policy_push (world, world->now_us + US_PER_S, FAKE_EV_EVIDENCE, 0, 0, 0);
 }
 
 static void
-kill_something (struct fake_world *world)
+kill_something (struct policy_world *world)
 {
-  if (fake_fault_on (world))
+  if (policy_fault_on (world))
     start_request (world, true);
-  fake_push (world, world->now_us + DEATH_PERIOD_US, FAKE_EV_DEATH, 0, 0, 0);
+  policy_push (world, world->now_us + DEATH_PERIOD_US, FAKE_EV_DEATH, 0, 0, 0);
 }
 
 static void
-handle (struct fake_world *world, const struct fake_event *event)
+handle (struct policy_world *world, const struct policy_event *event)
 {
-  struct fake_request *request = &world->requests[event->a];
-  struct fake_env *domain = &world->domains[event->a % FAKE_DOMAINS];
+  struct policy_request *request = &world->requests[event->a];
+  struct policy_env *domain = &world->domains[event->a % FAKE_DOMAINS];
 
   switch (event->kind)
     {
@@ -293,7 +296,7 @@
       expire (world, event->a);
       return;
     case FAKE_EV_DONE:
-      fake_done (world, event->a, event->b, event->gen);
+      policy_done (world, event->a, event->b, event->gen);
       return;
     case FAKE_EV_TICK:
       tick (world);
@@ -311,11 +314,11 @@
                             event->b, world->now_us / 1000);
       return;
     case FAKE_EV_CRASH:
-      fake_crash (world, world->sick,
-                  world->setup.fault == FAKE_CRASH ? DOWN_MS : 0);
+      policy_crash (world, world->sick,
+                    world->setup.fault == FAKE_CRASH ? DOWN_MS : 0);
       return;
     case FAKE_EV_RESTART:
-      fake_restart (world, event->a);
+      policy_restart (world, event->a);
       return;
     case FAKE_EV_DEATH:
       kill_something (world);
@@ -326,26 +329,26 @@
   if (!request->used || request->gen != event->gen)
     return;
   if (event->kind == FAKE_EV_ASK)
-    fake_dispatch_ask (world, event->a, event->b);
+    policy_dispatch_ask (world, event->a, event->b);
   else if (event->kind == FAKE_EV_GRANTED)
-    fake_send (world, event->a, event->b);
+    policy_send (world, event->a, event->b);
   else if (event->kind == FAKE_EV_REFUSED)
-    fake_dispatch_refused (world, event->a, event->b);
+    policy_dispatch_refused (world, event->a, event->b);
   else if (event->kind == FAKE_EV_REACH)
-    fake_reach (world, event->a, event->b, event->gen);
+    policy_reach (world, event->a, event->b, event->gen);
   else
     answer (world, event->a, (enum ab_outcome_kind)event->b);
 }
 
 static void
-init (struct fake_world *world)
+init (struct policy_world *world)
 {
   ab_rng_init_seeded (&world->rng, world->setup.seed);
   ab_rng_init_seeded (&world->choice_rng, world->setup.seed ^ 0x5bd1e995);
   world->sick = 7 % (int)world->setup.targets;
   for (size_t i = 0; i < world->setup.targets; i++)
     {
-      struct fake_target *target = &world->targets[i];
+      struct policy_target *target = &world->targets[i];
 
       snprintf (target->name, sizeof target->name, "10.0.%u.%u:80",
                 (unsigned)i % FAKE_DOMAINS, (unsigned)i);
@@ -354,36 +357,36 @@
     }
   for (int i = 0; i < FAKE_HOSTS; i++)
     {
-      struct fake_host *host = &world->hosts[i];
+      struct policy_host *host = &world->hosts[i];
 
       snprintf (host->name, sizeof host->name, "entry-%u", (unsigned)i);
       ab_retry_budget_init (&host->budget, RETRY_FRACTION, 0);
       host->next = i;
     }
   if (world->setup.policy == FAKE_DISPATCHER)
-    fake_dispatch_new (world);
+    policy_dispatch_new (world);
   if (world->setup.policy == FAKE_LEASES)
-    fake_divide_leases (world);
+    policy_divide_leases (world);
 }
 
 static void
-push_first (struct fake_world *world)
+push_first (struct policy_world *world)
 {
   uint64_t from_us = world->setup.fault_from_s * US_PER_S;
 
-  fake_push (world, 0, FAKE_EV_ARRIVAL, 0, 0, 0);
-  fake_push (world, 0, FAKE_EV_TICK, 0, 0, 0);
-  fake_push (world, US_PER_S, FAKE_EV_EVIDENCE, 0, 0, 0);
+  policy_push (world, 0, FAKE_EV_ARRIVAL, 0, 0, 0);
+  policy_push (world, 0, FAKE_EV_TICK, 0, 0, 0);
+  policy_push (world, US_PER_S, FAKE_EV_EVIDENCE, 0, 0, 0);
   if (world->setup.fault == FAKE_CRASH || world->setup.fault == FAKE_COLD)
-    fake_push (world, from_us, FAKE_EV_CRASH, 0, 0, 0);
+    policy_push (world, from_us, FAKE_EV_CRASH, 0, 0, 0);
   if (world->setup.fault == FAKE_DEATH)
-    fake_push (world, from_us, FAKE_EV_DEATH, 0, 0, 0);
+    policy_push (world, from_us, FAKE_EV_DEATH, 0, 0, 0);
 }
 
 /* From the first bad request to the start of the first period in which the
    target gets at most 5% of its normal work.  */
 static void
-measure_detection (struct fake_world *world)
+measure_detection (struct policy_world *world)
 {
   /* A flapping target is bad half of the time.  */
   bool flaps = world->setup.fault == FAKE_FLAP;
@@ -418,7 +421,7 @@
 }
 
 static void
-measure_recovery (struct fake_world *world)
+measure_recovery (struct policy_world *world)
 {
   unsigned from = world->setup.fault_to_s;
   unsigned normal = from;
@@ -431,20 +434,20 @@
 }
 
 void
-fake_run (const struct fake_setup *setup, struct fake_result *result)
+policy_run (const struct policy_setup *setup, struct policy_result *result)
 {
-  struct fake_world *world = calloc (1, sizeof *world);
+  struct policy_world *world = calloc (1, sizeof *world);
 
   if (!world)
     abort ();
-  *result = (struct fake_result){ .requests = 0 };
+  *result = (struct policy_result){ .requests = 0 };
   world->setup = *setup;
   world->result = result;
   init (world);
   push_first (world);
   while (world->heap[0].at_us < setup->seconds * US_PER_S)
     {
-      struct fake_event event = pop (world);
+      struct policy_event event = pop (world);
 
       world->now_us = event.at_us;
       handle (world, &event);
@@ -452,14 +455,14 @@
   measure_detection (world);
   measure_recovery (world);
   if (setup->policy == FAKE_DISPATCHER)
-    fake_dispatch_free (world);
+    policy_dispatch_free (world);
   free (world->heap);
   free (world->requests);
   free (world);
 }
 
 double
-fake_goodput (const struct fake_result *result, unsigned from, unsigned to)
+policy_goodput (const struct policy_result *result, unsigned from, unsigned to)
 {
   uint64_t sum = 0;
 
@@ -469,7 +472,7 @@
 }
 
 const char *
-fake_policy_name (enum fake_policy policy)
+policy_policy_name (enum policy_policy policy)
 {
   static const char *const names[]
       = { "dispatcher", "round-robin", "least-out", "leases", "two-choices" };
@@ -478,7 +481,7 @@
 }
 
 const char *
-fake_fault_name (enum fake_fault fault)
+policy_fault_name (enum policy_fault fault)
 {
   static const char *const names[]
       = { "healthy",   "slow-10x",    "slow-3x",  "errors-30%",
--- a/bench/policy_fake_lib.h
+++ b/bench/policy_fake_lib.h
@@ -22,7 +22,7 @@
 #define FAKE_DEADLINE_MS 2000
 #define FAKE_SLOW_MS 500 /* Answers later than this count as slow.  */
 
-enum fake_policy
+enum policy_policy
 {
   FAKE_DISPATCHER,  /* Dispatcher per service and failure domain.  */
   FAKE_ROUND_ROBIN, /* Each host for itself; ejects after 5 errors.  */
@@ -32,7 +32,7 @@
   FAKE_POLICY_COUNT
 };
 
-enum fake_fault
+enum policy_fault
 {
   FAKE_HEALTHY,
   FAKE_SLOW_10,
@@ -53,10 +53,10 @@
   FAKE_FAULT_COUNT
 };
 
-struct fake_setup
+struct policy_setup
 {
-  enum fake_policy policy;
-  enum fake_fault fault;
+  enum policy_policy policy;
+  enum policy_fault fault;
   size_t targets;
   size_t slots;
   double detection_weight;
@@ -68,7 +68,7 @@
   uint64_t seed;
 };
 
-struct fake_result
+struct policy_result
 {
   double detection_ms; /* -1: not within the run.  */
   double false_ejections;
@@ -85,13 +85,14 @@
   uint64_t good[FAKE_SECONDS_MAX];
 };
 
-void fake_run (const struct fake_setup *setup, struct fake_result *result);
+void policy_run (const struct policy_setup *setup,
+                 struct policy_result *result);
 
 /* Mean good requests a second from second FROM up to second TO.  */
-double fake_goodput (const struct fake_result *result, unsigned from,
-                     unsigned to);
+double policy_goodput (const struct policy_result *result, unsigned from,
+                       unsigned to);
 
-const char *fake_policy_name (enum fake_policy policy);
-const char *fake_fault_name (enum fake_fault fault);
+const char *policy_policy_name (enum policy_policy policy);
+const char *policy_fault_name (enum policy_fault fault);
 
 #endif
--- a/bench/policy_target_lib.c
+++ b/bench/policy_target_lib.c
@@ -24,7 +24,7 @@
 
 /* A service time with the mean FAKE_MEAN_MS.  */
 static double
-service_ms (struct fake_world *world)
+service_ms (struct policy_world *world)
 {
   bool tail = world->setup.fault == FAKE_TAIL;
   double sigma = tail ? TAIL_SIGMA : SIGMA;
@@ -38,7 +38,7 @@
 }
 
 static bool
-flaps_now (const struct fake_world *world)
+flaps_now (const struct policy_world *world)
 {
   uint64_t since = world->now_us - world->setup.fault_from_s * US_PER_S;
 
@@ -46,25 +46,25 @@
 }
 
 static bool
-lie_bad_slow (const struct fake_world *world)
+lie_bad_slow (const struct policy_world *world)
 {
   return world->now_us < world->setup.fault_from_s * US_PER_S + LIE_BAD_US;
 }
 
 bool
-fake_lost (const struct fake_world *world, int host, int target)
+policy_lost (const struct policy_world *world, int host, int target)
 {
-  return world->setup.fault == FAKE_PARTITION && fake_fault_on (world)
+  return world->setup.fault == FAKE_PARTITION && policy_fault_on (world)
          && world->targets[target].domain == 0 && host % FAKE_DOMAINS != 0;
 }
 
 bool
-fake_touches (const struct fake_world *world, int host, int target)
+policy_touches (const struct policy_world *world, int host, int target)
 {
-  if (!fake_fault_on (world))
+  if (!policy_fault_on (world))
     return false;
   if (world->setup.fault == FAKE_PARTITION)
-    return fake_lost (world, host, target);
+    return policy_lost (world, host, target);
   if (world->setup.fault == FAKE_DOMAIN_SLOW)
     return world->targets[target].domain == 0;
   if (target != world->sick)
@@ -91,16 +91,16 @@
 }
 
 static double
-factor_of (const struct fake_world *world, int target)
+factor_of (const struct policy_world *world, int target)
 {
-  const struct fake_target *at = &world->targets[target];
+  const struct policy_target *at = &world->targets[target];
 
   if (at->started_us && world->now_us < at->started_us + COLD_US
       && world->setup.fault != FAKE_DEATH)
     return COLD_FACTOR;
-  if (world->setup.fault == FAKE_DOMAIN_SLOW && fake_fault_on (world))
+  if (world->setup.fault == FAKE_DOMAIN_SLOW && policy_fault_on (world))
     return at->domain == 0 ? 10 : 1;
-  if (target != world->sick || !fake_fault_on (world))
+  if (target != world->sick || !policy_fault_on (world))
     return 1;
   switch (world->setup.fault)
     {
@@ -119,62 +119,63 @@
 }
 
 static void
-begin (struct fake_world *world, int id, int target, uint32_t gen)
+begin (struct policy_world *world, int id, int target, uint32_t gen)
 {
-  struct fake_target *at = &world->targets[target];
-  const struct fake_request *request = &world->requests[id];
+  struct policy_target *at = &world->targets[target];
+  const struct policy_request *request = &world->requests[id];
   double ms = service_ms (world) * factor_of (world, target);
   bool hangs = (world->setup.fault == FAKE_HANG
                 || world->setup.fault == FAKE_SOME_CALLERS)
-               && fake_touches (world, request->host, target);
+               && policy_touches (world, request->host, target);
 
-  at->busy[at->busy_count++] = (struct fake_job){ .request = id, .gen = gen };
+  at->busy[at->busy_count++]
+      = (struct policy_job){ .request = id, .gen = gen };
   if (!hangs)
-    fake_push (world, world->now_us + (uint64_t)(ms * 1000), FAKE_EV_DONE, id,
-               target, gen);
+    policy_push (world, world->now_us + (uint64_t)(ms * 1000), FAKE_EV_DONE,
+                 id, target, gen);
 }
 
 static void
-reply (struct fake_world *world, int id, uint32_t gen,
+reply (struct policy_world *world, int id, uint32_t gen,
        enum ab_outcome_kind kind)
 {
-  fake_push (world, world->now_us + FAKE_TARGET_US, FAKE_EV_ANSWER, id,
-             (int)kind, gen);
+  policy_push (world, world->now_us + FAKE_TARGET_US, FAKE_EV_ANSWER, id,
+               (int)kind, gen);
 }
 
 void
-fake_reach (struct fake_world *world, int id, int target, uint32_t gen)
+policy_reach (struct policy_world *world, int id, int target, uint32_t gen)
 {
-  struct fake_target *at = &world->targets[target];
-  struct fake_request *request = &world->requests[id];
+  struct policy_target *at = &world->targets[target];
+  struct policy_request *request = &world->requests[id];
   size_t room = world->setup.policy == FAKE_TWO_CHOICES
                     ? 0
                     : world->setup.slots * QUEUE_FACTOR;
 
-  if (fake_lost (world, request->host, target))
+  if (policy_lost (world, request->host, target))
     return;
   if (at->down)
     reply (world, id, gen, AB_OUTCOME_REFUSED);
   else if (request->killer)
     {
       request->kills++;
-      fake_crash (world, target, DEATH_DOWN_MS);
+      policy_crash (world, target, DEATH_DOWN_MS);
       reply (world, id, gen, AB_OUTCOME_RESET);
     }
   else if (at->busy_count < world->setup.slots)
     begin (world, id, target, gen);
   else if (at->queue_count < room && at->queue_count < FAKE_QUEUE_MAX)
     at->queue[at->queue_count++]
-        = (struct fake_job){ .request = id, .gen = gen };
+        = (struct policy_job){ .request = id, .gen = gen };
   else
     reply (world, id, gen, AB_OUTCOME_SHED);
 }
 
 static void
-begin_next (struct fake_world *world, int target)
+begin_next (struct policy_world *world, int target)
 {
-  struct fake_target *at = &world->targets[target];
-  struct fake_job job;
+  struct policy_target *at = &world->targets[target];
+  struct policy_job job;
 
   while (at->queue_count > 0 && at->busy_count < world->setup.slots)
     {
@@ -187,7 +188,7 @@
 }
 
 static bool
-remove_job (struct fake_job *jobs, size_t *count, int request, uint32_t gen)
+remove_job (struct policy_job *jobs, size_t *count, int request, uint32_t gen)
 {
   for (size_t i = 0; i < *count; i++)
     if (jobs[i].request == request && jobs[i].gen == gen)
@@ -201,11 +202,11 @@
 }
 
 void
-fake_done (struct fake_world *world, int id, int target, uint32_t gen)
+policy_done (struct policy_world *world, int id, int target, uint32_t gen)
 {
-  struct fake_target *at = &world->targets[target];
+  struct policy_target *at = &world->targets[target];
   bool error = world->setup.fault == FAKE_ERRORS
-               && fake_touches (world, 0, target)
+               && policy_touches (world, 0, target)
                && ab_rng_unit (&world->rng) < 0.3;
 
   if (!remove_job (at->busy, &at->busy_count, id, gen))
@@ -215,10 +216,10 @@
 }
 
 void
-fake_cancel (struct fake_world *world, int id)
+policy_cancel (struct policy_world *world, int id)
 {
-  const struct fake_request *request = &world->requests[id];
-  struct fake_target *at = &world->targets[request->target];
+  const struct policy_request *request = &world->requests[id];
+  struct policy_target *at = &world->targets[request->target];
 
   if (!remove_job (at->busy, &at->busy_count, id, request->gen))
     remove_job (at->queue, &at->queue_count, id, request->gen);
@@ -226,9 +227,9 @@
 }
 
 void
-fake_crash (struct fake_world *world, int target, uint64_t down_ms)
+policy_crash (struct policy_world *world, int target, uint64_t down_ms)
 {
-  struct fake_target *at = &world->targets[target];
+  struct policy_target *at = &world->targets[target];
 
   for (size_t i = 0; i < at->busy_count; i++)
     reply (world, at->busy[i].request, at->busy[i].gen, AB_OUTCOME_RESET);
@@ -237,14 +238,14 @@
   at->busy_count = 0;
   at->queue_count = 0;
   at->down = true;
-  fake_push (world, world->now_us + down_ms * 1000, FAKE_EV_RESTART, target, 0,
-             0);
+  policy_push (world, world->now_us + down_ms * 1000, FAKE_EV_RESTART, target,
+               0, 0);
 }
 
 void
-fake_restart (struct fake_world *world, int target)
+policy_restart (struct policy_world *world, int target)
 {
-  struct fake_target *at = &world->targets[target];
+  struct policy_target *at = &world->targets[target];
 
   if (!at->down)
     return;
@@ -252,5 +253,5 @@
   at->started_us = world->now_us;
   at->incarnation++;
   if (world->setup.policy == FAKE_DISPATCHER)
-    fake_dispatch_target (world, target, false);
+    policy_dispatch_target (world, target, false);
 }
--- a/bench/policy_world_lib.h
+++ b/bench/policy_world_lib.h
@@ -16,7 +16,7 @@
 #define FAKE_BINS_PER_S 10
 #define FAKE_BINS (FAKE_SECONDS_MAX * FAKE_BINS_PER_S)
 
-enum fake_event_kind
+enum policy_event_kind
 {
   FAKE_EV_ARRIVAL,
   FAKE_EV_ASK,      /* A: request; B: domain.  */
@@ -35,17 +35,17 @@
   FAKE_EV_DEATH
 };
 
-struct fake_event
+struct policy_event
 {
   uint64_t at_us;
   uint64_t order;
-  enum fake_event_kind kind;
+  enum policy_event_kind kind;
   int a;
   int b;
   uint32_t gen;
 };
 
-struct fake_request
+struct policy_request
 {
   bool used;
   bool sent;
@@ -66,13 +66,13 @@
   size_t excluded_count;
 };
 
-struct fake_job
+struct policy_job
 {
   int request;
   uint32_t gen;
 };
 
-struct fake_target
+struct policy_target
 {
   char name[16];
   int domain;
@@ -80,14 +80,14 @@
   bool down;
   bool out; /* Ejected by the dispatcher.  */
   uint64_t started_us;
-  struct fake_job busy[FAKE_SLOTS_MAX];
+  struct policy_job busy[FAKE_SLOTS_MAX];
   size_t busy_count;
-  struct fake_job queue[FAKE_QUEUE_MAX];
+  struct policy_job queue[FAKE_QUEUE_MAX];
   size_t queue_count;
 };
 
 /* What one host keeps for the policies without dispatcher.  */
-struct fake_host
+struct policy_host
 {
   char name[16];
   struct ab_retry_budget budget;
@@ -102,32 +102,33 @@
   size_t waiting_count;
 };
 
-struct fake_world;
+struct policy_world;
 
-struct fake_env
+struct policy_env
 {
   struct ab_dispatcher_env env;
-  struct fake_world *world;
+  struct policy_world *world;
   int domain;
   struct ab_dispatcher *dispatcher;
 };
 
-struct fake_world
+struct policy_world
 {
-  struct fake_setup setup;
-  struct fake_result *result;
+  struct policy_setup setup;
+  struct policy_result *result;
   uint64_t now_us;
   uint64_t order;
   struct ab_rng rng;
   struct ab_rng choice_rng;
-  struct fake_event *heap;
+  struct policy_event *heap;
   size_t heap_count;
   size_t heap_size;
-  struct fake_request *requests;
+  struct policy_request *requests;
   size_t request_count;
-  struct fake_target targets[FAKE_TARGETS_MAX];
-  struct fake_host hosts[FAKE_HOSTS];
-  struct fake_env domains[FAKE_DOMAINS];
+  size_t free_request; /* No request below this is free.  */
+  struct policy_target targets[FAKE_TARGETS_MAX];
+  struct policy_host hosts[FAKE_HOSTS];
+  struct policy_env domains[FAKE_DOMAINS];
   size_t permits_out;
   int sick;
   uint64_t first_bad_us;
@@ -135,43 +136,45 @@
 };
 
 /* policy_fake_lib.c  */
-void fake_push (struct fake_world *world, uint64_t at_us,
-                enum fake_event_kind kind, int a, int b, uint32_t gen);
-bool fake_fault_on (const struct fake_world *world);
-void fake_start_attempt (struct fake_world *world, int request);
-void fake_finish (struct fake_world *world, int request, bool good,
-                  bool refused);
+void policy_push (struct policy_world *world, uint64_t at_us,
+                  enum policy_event_kind kind, int a, int b, uint32_t gen);
+bool policy_fault_on (const struct policy_world *world);
+void policy_start_attempt (struct policy_world *world, int request);
+void policy_finish (struct policy_world *world, int request, bool good,
+                    bool refused);
 /* Sends REQUEST to TARGET.  */
-void fake_send (struct fake_world *world, int request, int target);
+void policy_send (struct policy_world *world, int request, int target);
 
 /* policy_target_lib.c  */
-void fake_reach (struct fake_world *world, int request, int target,
-                 uint32_t gen);
-void fake_done (struct fake_world *world, int request, int target,
-                uint32_t gen);
-void fake_cancel (struct fake_world *world, int request);
-void fake_crash (struct fake_world *world, int target, uint64_t down_ms);
-void fake_restart (struct fake_world *world, int target);
-bool fake_touches (const struct fake_world *world, int host, int target);
-bool fake_lost (const struct fake_world *world, int host, int target);
+void policy_reach (struct policy_world *world, int request, int target,
+                   uint32_t gen);
+void policy_done (struct policy_world *world, int request, int target,
+                  uint32_t gen);
+void policy_cancel (struct policy_world *world, int request);
+void policy_crash (struct policy_world *world, int target, uint64_t down_ms);
+void policy_restart (struct policy_world *world, int target);
+bool policy_touches (const struct policy_world *world, int host, int target);
+bool policy_lost (const struct policy_world *world, int host, int target);
 
 /* policy_choice_lib.c: policies without dispatcher.  */
-void fake_choose (struct fake_world *world, int request);
-void fake_chosen_done (struct fake_world *world, int request,
-                       enum ab_outcome_kind kind);
-void fake_divide_leases (struct fake_world *world);
+void policy_choose (struct policy_world *world, int request);
+void policy_chosen_done (struct policy_world *world, int request,
+                         enum ab_outcome_kind kind);
+void policy_divide_leases (struct policy_world *world);
 
 /* policy_dispatch_lib.c: the dispatchers.  */
-void fake_dispatch_new (struct fake_world *world);
-void fake_dispatch_free (struct fake_world *world);
-void fake_dispatch_start (struct fake_world *world, int request);
-void fake_dispatch_ask (struct fake_world *world, int request, int domain);
-void fake_dispatch_refused (struct fake_world *world, int request, bool spill);
-void fake_dispatch_outcome (struct fake_world *world, int request,
-                            enum ab_outcome_kind kind);
-void fake_dispatch_cancel (struct fake_world *world, int request);
-void fake_dispatch_tick (struct fake_world *world);
-void fake_dispatch_evidence (struct fake_world *world);
-void fake_dispatch_target (struct fake_world *world, int target, bool warm);
+void policy_dispatch_new (struct policy_world *world);
+void policy_dispatch_free (struct policy_world *world);
+void policy_dispatch_start (struct policy_world *world, int request);
+void policy_dispatch_ask (struct policy_world *world, int request, int domain);
+void policy_dispatch_refused (struct policy_world *world, int request,
+                              bool spill);
+void policy_dispatch_outcome (struct policy_world *world, int request,
+                              enum ab_outcome_kind kind);
+void policy_dispatch_cancel (struct policy_world *world, int request);
+void policy_dispatch_tick (struct policy_world *world);
+void policy_dispatch_evidence (struct policy_world *world);
+void policy_dispatch_target (struct policy_world *world, int target,
+                             bool warm);
 
 #endif
--- a/src/almondbridge.h
+++ b/src/almondbridge.h
@@ -1,12 +1,20 @@
 /* Public interface of libalmondbridge.
 
    Error numbers, verdicts, and the coordination parts that other programs may
-   embed.  */
+   embed: the detector, which judges targets by the outcomes of requests, and
+   the dispatcher, which grants their slots.  Neither does I/O; time and
+   randomness are arguments, and effects go through a vtable.
+   examples/embed_dispatcher.c shows their use.  */
 
 #ifndef ALMONDBRIDGE_H
 #define ALMONDBRIDGE_H
 
+#include "chunk.h"
+#include "detector.h"
+#include "dispatcher.h"
 #include "error.h"
+#include "outcome.h"
+#include "rng.h"
 #include "verdict.h"
 
 #endif
--- a/src/detector.c
+++ b/src/detector.c
@@ -26,8 +26,8 @@
    every 2 s would clear itself each time.  */
 #define SLOW_FORGET_FROM (1.0 / 3)
 #define SLOW_FORGET 0.5
-/* Bad requests that overlap in time may have one cause, such as a pause for
-   garbage collection; all but the first count for less.  */
+/* Bad requests that were in flight together may have one cause, such as a
+   pause for garbage collection; all but the first to end count for less.  */
 #define OVERLAP_LATENCY 0.35
 #define OVERLAP_ERROR 0.5
 /* Old evidence fades with this time constant.  */
@@ -336,7 +336,8 @@
   if (llr > 1)
     {
       at->bad++;
-      at->bad_end_ms = now_ms;
+      if (entry.start_ms >= at->bad_end_ms)
+        at->bad_end_ms = now_ms;
     }
   return llr;
 }
--- a/src/detector_impl.h
+++ b/src/detector_impl.h
@@ -38,9 +38,9 @@
   uint64_t wary_until_ms;
   double latency_score;
   double error_score;
-  uint64_t scored_ms;        /* When the scores were decayed last.  */
-  uint64_t bad_end_ms;       /* End of the last bad request.  */
-  uint64_t answer_ms;        /* Start of the last request with a good end.  */
+  uint64_t scored_ms;  /* When the scores were decayed last.  */
+  uint64_t bad_end_ms; /* End of the first bad request of the last group.  */
+  uint64_t answer_ms;  /* Start of the last request with a good end.  */
   uint64_t suspect_since_ms; /* 0 while it is not suspect.  */
   uint64_t outcomes;
   uint64_t bad;
--- a/src/detector_query.c
+++ b/src/detector_query.c
@@ -105,6 +105,9 @@
     return 0;
   residual = log ((double)(now_ms - entry->start_ms) * 1000)
              - view->peer_location - view->tolerance;
+  /* Half of the requests take longer than the median.  */
+  if (residual <= 0)
+    return 0;
   p = ab_baseline_tail (baseline, residual);
   if (p >= 1)
     return 0;
--- a/src/dispatch_task.c
+++ b/src/dispatch_task.c
@@ -39,7 +39,7 @@
 }
 
 static struct ab_dispatch_service *
-add_service (struct ab_dispatch_task *task, const char *name)
+new_service (struct ab_dispatch_task *task, const char *name)
 {
   struct ab_dispatch_service *service = calloc (1, sizeof *service);
 
@@ -47,7 +47,20 @@
     return NULL;
   service->task = task;
   ab_chunk_copy (ab_chunk_str (name), service->name, sizeof service->name);
-  HASH_ADD_STR (task->services, name, service);
+  return service;
+}
+
+static struct ab_dispatch_service *
+get_service (struct ab_dispatch_task *task, const char *name)
+{
+  struct ab_dispatch_service *service;
+
+  HASH_FIND (hh, task->services, name, strlen (name), service);
+  if (service)
+    return service;
+  service = new_service (task, name);
+  if (service)
+    HASH_ADD_STR (task->services, name, service);
   return service;
 }
 
@@ -98,11 +111,8 @@
 on_target (void *ctx, const struct ab_target_view *view)
 {
   struct ab_dispatch_task *task = ctx;
-  struct ab_dispatch_service *service
-      = ab_dispatch_find_service (task, view->service);
+  struct ab_dispatch_service *service = get_service (task, view->service);
 
-  if (!service)
-    service = add_service (task, view->service);
   if (!service)
     return;
   keep_target (service, view);
--- a/src/limit_task.c
+++ b/src/limit_task.c
@@ -23,6 +23,9 @@
 #define SENT_MAX 4
 /* Larger numbers in frames are taken for corrupt.  */
 #define RATE_MAX 1e9
+/* A holder that must refuse asks again after this time at the earliest.  */
+#define EARLY_MS 200
+
 struct sent_demand
 {
   uint64_t number;
@@ -35,6 +38,7 @@
   struct ab_limit limit;
   struct ab_limit_holder holder;
   uint64_t used_ms;
+  uint64_t asked_ms;
   uint64_t next_number;
   struct sent_demand sent[SENT_MAX];
   struct ab_limit_owner *owner; /* Null until a demand comes.  */
@@ -169,16 +173,18 @@
   struct ab_limit_demand demand;
   struct ab_buf body = AB_BUF_INIT;
 
+  team->asked_ms = now_ms;
   ab_limit_holder_demand (&team->holder, now_ms, &demand);
   if (!owner)
     return;
   team->sent[team->next_number % SENT_MAX]
       = (struct sent_demand){ .number = team->next_number, .at_ms = now_ms };
-  ab_pack_array (&body, 4);
+  ab_pack_array (&body, 5);
   ab_pack_bytes (&body, ab_chunk_str (team->name));
   ab_pack_u64 (&body, team->next_number++);
   ab_pack_real (&body, demand.rate);
   ab_pack_u64 (&body, demand.concurrency);
+  ab_pack_u64 (&body, demand.in_flight);
   if (body.error == 0)
     ab_peer_task_send (task->daemon->peer, ab_chunk_str (owner),
                        AB_FRAME_LIMIT_DEMAND, ab_buf_chunk (&body));
@@ -286,8 +292,10 @@
   number = ab_reader_u64 (&reader);
   demand.rate = ab_reader_real (&reader);
   demand.concurrency = ab_reader_u64 (&reader);
+  demand.in_flight = ab_reader_u64 (&reader);
   if (ab_reader_error (&reader) == 0 && demand.rate >= 0
-      && demand.rate < RATE_MAX && demand.concurrency < RATE_MAX)
+      && demand.rate < RATE_MAX && demand.concurrency < RATE_MAX
+      && demand.in_flight < RATE_MAX)
     {
       list_hosts (task);
       team = owned_team (task, name);
@@ -413,11 +421,12 @@
       team = add_team (task, ab_chunk_str (spec->name), &limit);
       if (!team)
         return AB_ERR_MEMORY;
-      team->used_ms = now ();
-      send_demand (task, team);
     }
   team->used_ms = now ();
   rc = ab_limit_holder_take (&team->holder, team->used_ms, retry_ms);
+  /* Demand has grown beyond the share, which others may not use.  */
+  if (rc < 0 && team->used_ms >= team->asked_ms + EARLY_MS)
+    send_demand (task, team);
   return rc;
 }
 
--- a/src/limiter.c
+++ b/src/limiter.c
@@ -11,7 +11,7 @@
 #define BURST_MS 100.0
 /* Part of the rate that is divided equally, so that a host whose first
    requests come need not wait for the next division.  */
-#define EQUAL_PART 0.1
+#define EQUAL_PART 0.05
 /* Hosts get this much more than they asked for while there is enough.  */
 #define HEADROOM 1.25
 #define FILL_ROUNDS 8
@@ -138,17 +138,35 @@
   return level;
 }
 
-/* What HOST may get of TOTAL while others hold USED of it.  */
+/* What HOST may get of TOTAL while others hold USED of it.  What nobody asked
+   for is spread over all HOSTS.  */
 static double
 divide (const struct ab_limit_owner *owner, const struct lease *lease,
-        double total, double used, double (*wish) (const struct lease *))
+        size_t hosts, double total, double used,
+        double (*wish) (const struct lease *))
 {
   double level = fill_level (owner, total, wish);
   double share = fmin (wish (lease), level);
+  double sum = 0;
 
+  for (size_t i = 0; i < owner->count; i++)
+    sum += wish (&owner->leases[i]);
+  if (sum < total)
+    share += (total - sum)
+             / (double)(hosts > owner->count ? hosts : owner->count);
   return fmax (0, fmin (share, total - used));
 }
 
+/* What the holder of LEASE may have in flight: its share, or more when the
+   share shrank below what was in flight then.  */
+static uint64_t
+concurrency_used (const struct lease *lease)
+{
+  return lease->demand.in_flight > lease->share.concurrency
+             ? lease->demand.in_flight
+             : lease->share.concurrency;
+}
+
 static void
 sum_others (const struct ab_limit_owner *owner, const struct lease *self,
             struct ab_limit_share *used)
@@ -158,7 +176,7 @@
     if (&owner->leases[i] != self)
       {
         used->rate += owner->leases[i].share.rate;
-        used->concurrency += owner->leases[i].share.concurrency;
+        used->concurrency += concurrency_used (&owner->leases[i]);
       }
 }
 
@@ -191,13 +209,13 @@
     return rc;
   lease->demand = *demand;
   sum_others (owner, lease, &used);
-  share->rate = divide (owner, lease, owner->limit.rate - spread, used.rate,
-                        demand_rate);
+  share->rate = divide (owner, lease, hosts, owner->limit.rate - spread,
+                        used.rate, demand_rate);
   share->rate += spread / (double)(hosts > 0 ? hosts : 1);
   share->rate = fmax (0, fmin (share->rate, owner->limit.rate - used.rate));
-  share->concurrency
-      = (uint64_t)divide (owner, lease, (double)owner->limit.concurrency,
-                          (double)used.concurrency, demand_concurrency);
+  share->concurrency = (uint64_t)divide (
+      owner, lease, hosts, (double)owner->limit.concurrency,
+      (double)used.concurrency, demand_concurrency);
   cap_first_lease (owner, hosts, now_ms, share);
   lease->share = *share;
   lease->until_ms = now_ms + AB_LIMIT_LEASE_MS;
@@ -309,6 +327,7 @@
 
   demand->rate = seconds > 0 ? (double)holder->wanted / seconds : 0;
   demand->concurrency = holder->most;
+  demand->in_flight = holder->in_flight;
   holder->wanted = 0;
   holder->most = holder->in_flight;
   holder->counted_ms = now_ms;
--- a/src/limiter.h
+++ b/src/limiter.h
@@ -32,6 +32,7 @@
 {
   double rate; /* Requests a second that came, refused ones included.  */
   uint64_t concurrency; /* Most in flight, refused ones included.  */
+  uint64_t in_flight;   /* Now; may be more than a share that shrank.  */
 };
 
 struct ab_limit_share
--- /dev/null
+++ b/tests/test_detector.c
@@ -0,0 +1,322 @@
+/* Detector: verdicts for sick, healthy and misleading patterns.  */
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "detector.h"
+#include "rng.h"
+#include "suite_lib.h"
+
+#define TARGETS 4
+#define PATHS 5
+#define CAREFUL 0.0
+#define FAST 1.0
+
+struct bench
+{
+  struct ab_detector *detector;
+  struct ab_rng rng;
+  int targets[TARGETS];
+  int class_id;
+  uint64_t now_ms;
+  uint64_t gap_ms; /* Between two requests of the service.  */
+};
+
+static void
+bench_init (struct bench *bench, double weight, uint64_t seed)
+{
+  bench->detector = ab_detector_new (weight);
+  ab_rng_init_seeded (&bench->rng, seed);
+  bench->now_ms = 1000;
+  bench->gap_ms = 20;
+  for (uint32_t i = 0; i < TARGETS; i++)
+    bench->targets[i] = ab_detector_add (bench->detector, i, 0, bench->now_ms);
+  bench->class_id = ab_detector_class (bench->detector, AB_CHUNK ("lookup"));
+}
+
+static double
+normal (struct ab_rng *rng)
+{
+  return sqrt (-2 * log (1 - ab_rng_unit (rng)))
+         * cos (2 * 3.14159265358979 * ab_rng_unit (rng));
+}
+
+/* One request of TARGET through PATH; ends after MS.  */
+static void
+request (struct bench *bench, int target, uint32_t path, double ms,
+         enum ab_outcome_kind kind)
+{
+  struct ab_outcome outcome
+      = { .kind = kind, .latency_us = (uint64_t)(ms * 1000) };
+  int ticket = ab_detector_start (bench->detector, bench->targets[target],
+                                  bench->class_id, path,
+                                  bench->now_ms - (uint64_t)ms);
+
+  ab_detector_finish (bench->detector, bench->targets[target], ticket,
+                      &outcome, bench->now_ms);
+}
+
+/* ROUNDS requests to each target; those of target 0 take FACTOR
+   times as long, SIGMA is the spread of the log latency.  */
+static void
+run (struct bench *bench, int rounds, double factor, double all, double sigma)
+{
+  for (int i = 0; i < rounds; i++)
+    for (int t = 0; t < TARGETS; t++)
+      {
+        double ms = 40 * exp (sigma * normal (&bench->rng)) * all;
+
+        bench->now_ms += bench->gap_ms;
+        request (bench, t, (uint32_t)ab_rng_below (&bench->rng, PATHS),
+                 t == 0 ? ms * factor : ms, AB_OUTCOME_OK);
+      }
+}
+
+static enum ab_health
+health_of (struct bench *bench, int target, struct ab_evidence *evidence)
+{
+  ab_detector_assess (bench->detector, bench->targets[target], bench->now_ms,
+                      evidence);
+  return evidence->health;
+}
+
+/* Guards against missing a slow target within 3 s (weight 0) and 1 s (weight
+   1) at the rate of 20% utilisation, and against blaming its peers.  */
+START_TEST (finds_slow_target)
+{
+  static const uint64_t gaps_ms[] = { 25, 8 };
+  static const int rounds[] = { 30, 31 };
+  struct ab_evidence evidence;
+  struct bench bench;
+
+  bench_init (&bench, _i ? FAST : CAREFUL, 1);
+  bench.gap_ms = gaps_ms[_i];
+  run (&bench, 200, 1, 1, 0.5);
+  ck_assert_int_ne (health_of (&bench, 0, &evidence), AB_HEALTH_SICK);
+  for (int i = 0; i < rounds[_i] && evidence.health != AB_HEALTH_SICK; i++)
+    {
+      run (&bench, 1, 10, 1, 0.5);
+      health_of (&bench, 0, &evidence);
+    }
+  ck_assert_msg (evidence.health == AB_HEALTH_SICK, "%s, score %.1f of %.1f",
+                 ab_cause_name (evidence.cause), evidence.score,
+                 evidence.threshold);
+  ck_assert_int_eq (evidence.cause, AB_CAUSE_LATENCY);
+  for (int t = 1; t < TARGETS; t++)
+    ck_assert_int_ne (health_of (&bench, t, &evidence), AB_HEALTH_SICK);
+  ab_detector_free (bench.detector);
+}
+END_TEST
+
+/* Guards against ejections for heavy-tailed latency: 200,000 requests with a
+   log-normal spread of 1.2, assessed after each round.  */
+START_TEST (heavy_tail_is_healthy)
+{
+  struct ab_evidence evidence;
+  struct bench bench;
+
+  bench_init (&bench, CAREFUL, 7);
+  for (int i = 0; i < 50000; i++)
+    {
+      run (&bench, 1, 1, 1, 1.2);
+      for (int t = 0; t < TARGETS; t++)
+        ck_assert_int_ne (health_of (&bench, t, &evidence), AB_HEALTH_SICK);
+    }
+  ab_detector_free (bench.detector);
+}
+END_TEST
+
+/* Guards against ejecting targets when all slow down at once.  */
+START_TEST (common_slowness_is_no_verdict)
+{
+  struct ab_evidence evidence;
+  struct bench bench;
+
+  bench_init (&bench, FAST, 3);
+  run (&bench, 200, 1, 1, 0.5);
+  for (int i = 0; i < 100; i++)
+    {
+      run (&bench, 1, 1, 10, 0.5);
+      for (int t = 0; t < TARGETS; t++)
+        ck_assert_int_ne (health_of (&bench, t, &evidence), AB_HEALTH_SICK);
+    }
+  ab_detector_free (bench.detector);
+}
+END_TEST
+
+/* Guards against waiting for the end of requests that hang.  */
+START_TEST (overdue_requests_count)
+{
+  struct ab_evidence evidence;
+  struct bench bench;
+
+  bench_init (&bench, FAST, 4);
+  run (&bench, 100, 1, 1, 0.5);
+  for (uint32_t i = 0; i < 4; i++)
+    ab_detector_start (bench.detector, bench.targets[0], bench.class_id, i,
+                       bench.now_ms);
+  for (int i = 0; i < 75; i++)
+    {
+      bench.now_ms += 20;
+      request (&bench, 1 + i % 3, 0, 40, AB_OUTCOME_OK);
+      health_of (&bench, 0, &evidence);
+    }
+  ck_assert_int_eq (evidence.health, AB_HEALTH_SICK);
+  ck_assert_uint_eq (evidence.overdue, 4);
+  ab_detector_free (bench.detector);
+}
+END_TEST
+
+/* Guards against taking one request that never ends for a sick target.  */
+START_TEST (one_hung_request_is_no_verdict)
+{
+  struct ab_evidence evidence;
+  struct bench bench;
+
+  bench_init (&bench, FAST, 5);
+  run (&bench, 100, 1, 1, 0.5);
+  ab_detector_start (bench.detector, bench.targets[0], bench.class_id, 0,
+                     bench.now_ms);
+  for (int i = 0; i < 300; i++)
+    {
+      bench.now_ms += 100;
+      request (&bench, i % TARGETS, 1, 40, AB_OUTCOME_OK);
+      ck_assert_int_ne (health_of (&bench, 0, &evidence), AB_HEALTH_SICK);
+    }
+  ab_detector_free (bench.detector);
+}
+END_TEST
+
+/* Guards against ejecting a target that fails for some hosts only, and
+   against sending those hosts' requests there.  */
+START_TEST (bad_path_is_avoided)
+{
+  struct ab_evidence evidence;
+  struct bench bench;
+
+  bench_init (&bench, CAREFUL, 6);
+  run (&bench, 100, 1, 1, 0.5);
+  for (uint32_t i = 0; i < 200; i++)
+    {
+      uint32_t path = i % PATHS;
+
+      bench.now_ms += 20;
+      if (!ab_detector_path_bad (bench.detector, bench.targets[0], path,
+                                 bench.now_ms))
+        request (&bench, 0, path, 40,
+                 path < 2 ? AB_OUTCOME_RESET : AB_OUTCOME_OK);
+      request (&bench, 1 + (int)(i % 3), path, 40, AB_OUTCOME_OK);
+      ck_assert_int_ne (health_of (&bench, 0, &evidence), AB_HEALTH_SICK);
+    }
+  for (uint32_t path = 0; path < PATHS; path++)
+    ck_assert_int_eq (ab_detector_path_bad (bench.detector, bench.targets[0],
+                                            path, bench.now_ms),
+                      path < 2);
+  ab_detector_free (bench.detector);
+}
+END_TEST
+
+/* Guards against taking errors at random for bad paths.  */
+START_TEST (errors_on_all_paths_are_sick)
+{
+  struct ab_evidence evidence = { .health = AB_HEALTH_UNKNOWN };
+  struct bench bench;
+  int rounds = 0;
+
+  bench_init (&bench, CAREFUL, 8);
+  run (&bench, 100, 1, 1, 0.5);
+  for (; rounds < 200 && evidence.health != AB_HEALTH_SICK; rounds++)
+    for (int t = 0; t < TARGETS; t++)
+      {
+        bool error = t == 0 && ab_rng_unit (&bench.rng) < 0.3;
+
+        bench.now_ms += 10;
+        request (&bench, t, (uint32_t)ab_rng_below (&bench.rng, PATHS), 40,
+                 error ? AB_OUTCOME_ERROR : AB_OUTCOME_OK);
+        health_of (&bench, 0, &evidence);
+      }
+  ck_assert_int_eq (evidence.health, AB_HEALTH_SICK);
+  ck_assert_int_eq (evidence.cause, AB_CAUSE_ERRORS);
+  ab_detector_free (bench.detector);
+}
+END_TEST
+
+/* Guards against a verdict on a target that has just started.  */
+START_TEST (cold_target_is_no_verdict)
+{
+  struct ab_evidence evidence;
+  struct bench bench;
+
+  bench_init (&bench, FAST, 9);
+  run (&bench, 100, 1, 1, 0.5);
+  ab_detector_reset (bench.detector, bench.targets[0], false, 5000,
+                     bench.now_ms);
+  for (int i = 0; i < 50; i++)
+    {
+      run (&bench, 1, 10, 1, 0.5);
+      ck_assert_int_ne (health_of (&bench, 0, &evidence), AB_HEALTH_SICK);
+    }
+  ck_assert_int_eq (evidence.cause, AB_CAUSE_COLD);
+  ab_detector_free (bench.detector);
+}
+END_TEST
+
+static void
+import_report (void *ctx, const struct ab_peer_evidence *report)
+{
+  ab_detector_import (ctx, report, 20000);
+}
+
+/* Guards against a dispatcher with one target of its own that has nothing to
+   compare it with: others' reports must serve as peers.  */
+START_TEST (reports_of_others_serve_as_peers)
+{
+  struct ab_evidence evidence;
+  struct bench others;
+  struct bench lone;
+
+  bench_init (&others, FAST, 10);
+  bench_init (&lone, FAST, 11);
+  for (int t = 1; t < TARGETS; t++)
+    ab_detector_remove (lone.detector, lone.targets[t]);
+  run (&others, 100, 1, 1, 0.5);
+  lone.now_ms = 20000;
+  ab_detector_export (others.detector, others.now_ms, import_report,
+                      lone.detector);
+  for (int i = 0; i < 200; i++)
+    {
+      lone.now_ms += 15;
+      request (&lone, 0, 0, 400 * exp (0.5 * normal (&lone.rng)),
+               AB_OUTCOME_OK);
+    }
+  health_of (&lone, 0, &evidence);
+  ck_assert (evidence.slowdown > 5);
+  ab_detector_free (others.detector);
+  ab_detector_free (lone.detector);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("detector");
+  TCase *tcase = tcase_create ("detector");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, finds_slow_target, 0, 2);
+  tcase_add_test (tcase, heavy_tail_is_healthy);
+  tcase_add_test (tcase, common_slowness_is_no_verdict);
+  tcase_add_test (tcase, overdue_requests_count);
+  tcase_add_test (tcase, one_hung_request_is_no_verdict);
+  tcase_add_test (tcase, bad_path_is_avoided);
+  tcase_add_test (tcase, errors_on_all_paths_are_sick);
+  tcase_add_test (tcase, cold_target_is_no_verdict);
+  tcase_add_test (tcase, reports_of_others_serve_as_peers);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
