Free the reader when its input does not parse; free services of the task

Cause: under the address sanitiser test_dispatch_frame showed 24 MB lost in 2930 zones: ab_reader_init left the zone of an incomplete value, or of one with trailing bytes, to a caller that must not free it after a failure. A peer could use up memory with corrupt frames. After: no leak in test_dispatch_frame and test_frame.

--- a/src/dispatch_task.c
+++ b/src/dispatch_task.c
@@ -65,13 +65,20 @@
 }
 
 static void
-free_service (struct ab_dispatch_task *task,
-              struct ab_dispatch_service *service)
+free_services (struct ab_dispatch_task *task)
 {
-  ab_dispatch_drop (service);
-  HASH_DEL (task->services, service);
-  free (service->targets);
-  free (service);
+  struct ab_dispatch_service *service = task->services;
+
+  HASH_CLEAR (hh, task->services);
+  while (service)
+    {
+      struct ab_dispatch_service *next = service->hh.next;
+
+      ab_dispatch_drop (service);
+      free (service->targets);
+      free (service);
+      service = next;
+    }
 }
 
 static struct ab_known_target *
@@ -242,15 +249,11 @@
 void
 ab_dispatch_task_free (struct ab_dispatch_task *task)
 {
-  struct ab_dispatch_service *service;
-  struct ab_dispatch_service *next;
-
   if (!task)
     return;
   ab_dispatch_free_probes (task);
   ab_dispatch_free_asks (task);
-  HASH_ITER (hh, task->services, service, next)
-  free_service (task, service);
+  free_services (task);
   ab_bundle_unref (task->bundle);
   if (task->tick)
     event_free (task->tick);
--- a/src/pack.c
+++ b/src/pack.c
@@ -158,7 +158,12 @@
     return reader->error = AB_ERR_CORRUPT;
   rc = msgpack_unpack_next (&reader->unpacked, input.data, input.len, &offset);
   if (rc != MSGPACK_UNPACK_SUCCESS || offset != input.len)
-    return reader->error = AB_ERR_CORRUPT;
+    {
+      /* Callers free a reader only after a successful start, and a value
+         before trailing bytes or an incomplete one has been allocated.  */
+      msgpack_unpacked_destroy (&reader->unpacked);
+      return reader->error = AB_ERR_CORRUPT;
+    }
   /* The outermost level holds the one top value.  */
   reader->stack[0].items = &reader->unpacked.data;
   reader->stack[0].count = 1;
