--- a/bench/policy_dispatch_lib.c
+++ b/bench/policy_dispatch_lib.c
@@ -17,7 +17,7 @@
 /* Bits of a request number in an ask's identifier.  */
 #define GEN_SHIFT 32
 /* Other domains that are asked before the own one is asked again.  */
-#define SPILLS 3
+#define SPILLS 4
 #define DISPATCHER_HOST 0 /* First host of each domain.  */
 
 static uint64_t
--- a/src/dispatch_choose_task.c
+++ b/src/dispatch_choose_task.c
@@ -4,7 +4,7 @@
 #include "dispatch_parts.h"
 
 #define HOSTS_PER_DOMAIN 2
-#define SPILL_DOMAINS 3
+#define SPILL_DOMAINS 4
 
 struct domain
 {
