Time the slow-request stop test against the listeners' hold; lint fixes

Cause: the load tool's requests have a deadline of 3 s, and 2.5 s of delay behind a 2.5 s hold proved nothing about the wait. Change: a 300 ms answer lifetime and 1.5 s of delay.

--- a/src/member_choice_task.c
+++ b/src/member_choice_task.c
@@ -106,7 +106,8 @@
 {
   if (in_domain (host, candidates->domain))
     return 0;
-  return candidates->region && strcmp (candidates->region, host->region) == 0
+  return ab_chunk_equal (ab_chunk_str (candidates->region),
+                         ab_chunk_str (host->region))
              ? 1
              : 2;
 }
--- a/tests/fleet_stop.c
+++ b/tests/fleet_stop.c
@@ -45,18 +45,23 @@
 }
 END_TEST
 
-/* Guards against a stop that does not wait for a slow request.  */
+/* Guards against a stop that does not wait for a slow request: it takes longer
+   than the time that the listeners are held open.  */
 START_TEST (slow_request_finishes)
 {
-  struct fleet *fleet = test_fleet_start ("fleet_stop_slow", 1, 1, false);
+  struct fleet_options options = { .controls = TEST_CONTROLS,
+                                   .entries = 1,
+                                   .regions = 3,
+                                   .address_ttl = "300ms" };
+  struct fleet *fleet = test_fleet_start_with ("fleet_stop_slow", options, 1);
   int entry = test_entry (fleet, 1);
-  char path[] = "/fault?kind=late&delay_ms=2500";
-  pid_t load;
   struct test_load_result result;
+  pid_t load;
 
-  ck_assert_int_eq (
-      fleet_http (fleet_target (fleet, 1), "PUT", path, NULL, NULL, NULL),
-      200);
+  ck_assert_int_eq (fleet_http (fleet_target (fleet, 1), "PUT",
+                                "/fault?kind=late&delay_ms=1500", NULL, NULL,
+                                NULL),
+                    200);
   load = test_load_start (fleet, "slow", 1, 1, 0, 1, 1500);
   fleet_sleep_ms (1200);
   fleet_signal_host (fleet, entry, SIGTERM);
--- a/tests/test_bundle.c
+++ b/tests/test_bundle.c
@@ -11,7 +11,7 @@
   "0000000000000000000000000000000000000000000000000000000000000001"
 #define SERVICE                                                               \
   "services:\n  - name: shop\n    floor: 75%\n    credentials: [" DIGEST "]"  \
-                                                                         "\n"
+  "\n"
 #define ROUTE                                                                 \
   "routes:\n  - prefix: /a\n    service: shop\n    idempotent: true\n"
 
