--- /dev/null
+++ b/bench/bench_idle.c
@@ -0,0 +1,198 @@
+/* What an idle fleet costs, as functions of its entry hosts and targets:
+   bytes a second between the hosts, processor time and memory of an entry
+   host and of the control group's leader.  Usage: bench_idle.  */
+
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "settings.h"
+#include "fleet_bench_lib.h"
+
+#define SETTLE_MS 4000
+/* Digests are exchanged every 5 s, so that the window is a multiple.  */
+#define WINDOW_MS 10000
+#define POINTS 4
+#define REGIONS 3
+#define HOSTS_FOR_TARGETS 6
+#define TARGETS_FOR_HOSTS 4
+
+struct cost
+{
+  double sent_bytes_s;
+  double received_bytes_s;
+  double cpu_percent; /* Of one core.  */
+  double resident_mib;
+};
+
+struct point
+{
+  double x;
+  struct cost entry;  /* Mean over the entry hosts.  */
+  struct cost leader; /* Of the control group.  */
+};
+
+static struct cost
+difference (const struct bench_usage *before, const struct bench_usage *after)
+{
+  double seconds = after->time_s - before->time_s;
+
+  return (struct cost){
+    .sent_bytes_s = (after->sent_bytes - before->sent_bytes) / seconds,
+    .received_bytes_s
+    = (after->received_bytes - before->received_bytes) / seconds,
+    .cpu_percent = 100 * (after->cpu_s - before->cpu_s) / seconds,
+    .resident_mib = after->resident_mib
+  };
+}
+
+static void
+print_cost (const struct cost *cost)
+{
+  printf ("  %8.0f %8.0f %7.2f %7.1f", cost->sent_bytes_s,
+          cost->received_bytes_s, cost->cpu_percent, cost->resident_mib);
+}
+
+static struct point
+measure (struct fleet *fleet, int entries, int targets, int x)
+{
+  struct bench_usage before[FLEET_HOSTS_MAX + 1];
+  struct point point = { .x = x };
+  int leader;
+
+  fleet_sleep_ms (SETTLE_MS);
+  leader = bench_leader (fleet);
+  for (int i = 1; i <= BENCH_CONTROLS + entries; i++)
+    before[i] = bench_usage_of (fleet, i);
+  fleet_sleep_ms (WINDOW_MS);
+  for (int i = 1; i <= BENCH_CONTROLS + entries; i++)
+    {
+      struct bench_usage after = bench_usage_of (fleet, i);
+      struct cost cost = difference (&before[i], &after);
+      if (i == leader)
+        point.leader = cost;
+      if (i <= BENCH_CONTROLS)
+        continue;
+      point.entry.sent_bytes_s += cost.sent_bytes_s / entries;
+      point.entry.received_bytes_s += cost.received_bytes_s / entries;
+      point.entry.cpu_percent += cost.cpu_percent / entries;
+      point.entry.resident_mib += cost.resident_mib / entries;
+    }
+  printf ("%7d %7d", entries, targets);
+  print_cost (&point.entry);
+  print_cost (&point.leader);
+  printf ("\n");
+  fflush (stdout);
+  return point;
+}
+
+/* The slope of the member at OFFSET.  */
+static double
+slope (const struct point *points, size_t offset)
+{
+  double x[POINTS];
+  double y[POINTS];
+
+  for (int i = 0; i < POINTS; i++)
+    {
+      x[i] = points[i].x;
+      y[i] = *(const double *)((const char *)&points[i] + offset);
+    }
+  return bench_slope (x, y, POINTS);
+}
+
+static void
+print_slopes (const struct point *points, const char *unit)
+{
+  static const struct
+  {
+    const char *name;
+    size_t offset;
+  } rows[]
+      = { { "entry sent B/s", offsetof (struct point, entry.sent_bytes_s) },
+          { "entry received B/s",
+            offsetof (struct point, entry.received_bytes_s) },
+          { "entry core %", offsetof (struct point, entry.cpu_percent) },
+          { "entry MiB", offsetof (struct point, entry.resident_mib) },
+          { "leader sent B/s", offsetof (struct point, leader.sent_bytes_s) },
+          { "leader received B/s",
+            offsetof (struct point, leader.received_bytes_s) },
+          { "leader core %", offsetof (struct point, leader.cpu_percent) },
+          { "leader MiB", offsetof (struct point, leader.resident_mib) } };
+
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    printf ("slope: %-20s %10.4f per %s\n", rows[i].name,
+            slope (points, rows[i].offset), unit);
+}
+
+static void
+print_head (void)
+{
+  printf (
+      "                 entry host (mean)                  control leader\n"
+      "%7s %7s  %8s %8s %7s %7s  %8s %8s %7s %7s\n",
+      "entries", "targets", "sent B/s", "rec. B/s", "core %", "MiB",
+      "sent B/s", "rec. B/s", "core %", "MiB");
+}
+
+static void
+by_hosts (const char *build)
+{
+  static const int entries[POINTS] = { 3, 6, 12, 24 };
+  struct fleet *fleet = bench_fleet_new (build, "bench-idle-hosts",
+                                         entries[POINTS - 1], REGIONS, false);
+  /* Hosts that the stand-in asks first may not run yet.  */
+  const char *arguments[]
+      = { "--entry", fleet_callers (fleet, BENCH_CONTROLS + 1), NULL };
+  struct point points[POINTS];
+  int running = entries[0];
+
+  bench_fleet_start (fleet, running);
+  bench_start_targets (fleet, 1, TARGETS_FOR_HOSTS, arguments);
+  print_head ();
+  for (int i = 0; i < POINTS; i++)
+    {
+      while (running < entries[i])
+        bench_require (fleet_start_host (fleet, BENCH_CONTROLS + ++running),
+                       "a host does not start");
+      bench_require (fleet_wait_ready (fleet, 1, BENCH_START_MS),
+                     "a host is not ready");
+      points[i] = measure (fleet, running, TARGETS_FOR_HOSTS, running);
+    }
+  print_slopes (points, "entry host");
+  fleet_free (fleet);
+}
+
+static void
+by_targets (const char *build)
+{
+  static const int targets[POINTS] = { 4, 16, 32, 64 };
+  static const char *const arguments[] = { NULL };
+  struct fleet *fleet = bench_fleet_new (build, "bench-idle-targets",
+                                         HOSTS_FOR_TARGETS, REGIONS, false);
+  struct point points[POINTS];
+  int running = 0;
+
+  bench_fleet_start (fleet, HOSTS_FOR_TARGETS);
+  print_head ();
+  for (int i = 0; i < POINTS; i++)
+    {
+      bench_start_targets (fleet, running + 1, targets[i], arguments);
+      running = targets[i];
+      points[i] = measure (fleet, HOSTS_FOR_TARGETS, running, running);
+    }
+  print_slopes (points, "target");
+  fleet_free (fleet);
+}
+
+int
+main (int argc, char **argv)
+{
+  char build[AB_PATH_BYTES];
+
+  (void)argc;
+  bench_build_folder (argv[0], build, sizeof build);
+  by_hosts (build);
+  by_targets (build);
+  return EXIT_SUCCESS;
+}
--- a/standins/fleet_lib.c
+++ b/standins/fleet_lib.c
@@ -378,6 +378,12 @@
   return host <= fleet->options.controls;
 }
 
+pid_t
+fleet_host_pid (const struct fleet *fleet, int host)
+{
+  return fleet->hosts[host].pid;
+}
+
 const char *
 fleet_folder (const struct fleet *fleet)
 {
--- a/standins/fleet_lib.h
+++ b/standins/fleet_lib.h
@@ -44,6 +44,9 @@
 
 int fleet_host_count (const struct fleet *fleet);
 bool fleet_is_control (const struct fleet *fleet, int host);
+
+/* The process of host N, 0 while it does not run.  */
+pid_t fleet_host_pid (const struct fleet *fleet, int host);
 const char *fleet_folder (const struct fleet *fleet);
 
 /* Sends SIGNAL to host N.  */
