--- a/src/dispatch_task.c
+++ b/src/dispatch_task.c
@@ -39,7 +39,7 @@
 }
 
 static struct ab_dispatch_service *
-add_service (struct ab_dispatch_task *task, const char *name)
+new_service (struct ab_dispatch_task *task, const char *name)
 {
   struct ab_dispatch_service *service = calloc (1, sizeof *service);
 
@@ -47,18 +47,38 @@
     return NULL;
   service->task = task;
   ab_chunk_copy (ab_chunk_str (name), service->name, sizeof service->name);
-  HASH_ADD_STR (task->services, name, service);
+  return service;
+}
+
+static struct ab_dispatch_service *
+get_service (struct ab_dispatch_task *task, const char *name)
+{
+  struct ab_dispatch_service *service;
+
+  HASH_FIND (hh, task->services, name, strlen (name), service);
+  if (service)
+    return service;
+  service = new_service (task, name);
+  if (service)
+    HASH_ADD_STR (task->services, name, service);
   return service;
 }
 
 static void
-free_service (struct ab_dispatch_task *task,
-              struct ab_dispatch_service *service)
+free_services (struct ab_dispatch_task *task)
 {
-  ab_dispatch_drop (service);
-  HASH_DEL (task->services, service);
-  free (service->targets);
-  free (service);
+  struct ab_dispatch_service *service = task->services;
+
+  HASH_CLEAR (hh, task->services);
+  while (service)
+    {
+      struct ab_dispatch_service *next = service->hh.next;
+
+      ab_dispatch_drop (service);
+      free (service->targets);
+      free (service);
+      service = next;
+    }
 }
 
 static struct ab_known_target *
@@ -98,11 +118,8 @@
 on_target (void *ctx, const struct ab_target_view *view)
 {
   struct ab_dispatch_task *task = ctx;
-  struct ab_dispatch_service *service
-      = ab_dispatch_find_service (task, view->service);
+  struct ab_dispatch_service *service = get_service (task, view->service);
 
-  if (!service)
-    service = add_service (task, view->service);
   if (!service)
     return;
   keep_target (service, view);
@@ -232,15 +249,11 @@
 void
 ab_dispatch_task_free (struct ab_dispatch_task *task)
 {
-  struct ab_dispatch_service *service;
-  struct ab_dispatch_service *next;
-
   if (!task)
     return;
   ab_dispatch_free_probes (task);
   ab_dispatch_free_asks (task);
-  HASH_ITER (hh, task->services, service, next)
-  free_service (task, service);
+  free_services (task);
   ab_bundle_unref (task->bundle);
   if (task->tick)
     event_free (task->tick);
--- a/tests/test_control_tasks.c
+++ b/tests/test_control_tasks.c
@@ -14,12 +14,12 @@
 #define OTHER 4
 #define LONG_MS 15000
 
-static struct group_fake_group group;
+static struct fake_group group;
 static const struct ab_digest content = { { 1 } };
 
 struct delivery
 {
-  struct group_fake_group *group;
+  struct fake_group *group;
   size_t from;
   size_t to;
   enum ab_frame_type type;
@@ -58,7 +58,7 @@
 deliver (evutil_socket_t fd, short events, void *ctx)
 {
   struct delivery *d = ctx;
-  struct group_fake_host *to = &d->group->hosts[d->to];
+  struct fake_host *to = &d->group->hosts[d->to];
   char sender[8];
   struct ab_frame frame = { .type = d->type,
                             .incarnation = d->incarnation,
@@ -75,29 +75,45 @@
   free (d);
 }
 
-int
-ab_peer_task_send (struct ab_peer_task *task, struct ab_chunk host,
-                   enum ab_frame_type type, struct ab_chunk body)
+static int
+send_once (struct ab_peer_task *task, struct ab_chunk host,
+           enum ab_frame_type type, struct ab_chunk body)
 {
-  const struct timeval delay = { .tv_usec = 1000 };
+  struct fake_group *fake = task->group;
+  struct timeval delay = { .tv_usec = 1000 };
   struct delivery *d = malloc (sizeof *d + body.len);
 
-  d->group = task->group;
+  if (fake->chaos)
+    delay.tv_usec += (suseconds_t)ab_rng_below (
+        &fake->rng, ab_rng_below (&fake->rng, 10) ? 5000 : 400000);
+  d->group = fake;
   d->from = task->host;
   d->to = host_number (host);
   d->type = type;
-  d->incarnation = task->group->hosts[task->host].daemon.incarnation;
+  d->incarnation = fake->hosts[task->host].daemon.incarnation;
   d->len = body.len;
   if (body.len > 0)
     memcpy (d->body, body.data, body.len);
-  return event_base_once (task->group->base, -1, EV_TIMEOUT, deliver, d,
-                          &delay);
+  return event_base_once (fake->base, -1, EV_TIMEOUT, deliver, d, &delay);
+}
+
+int
+ab_peer_task_send (struct ab_peer_task *task, struct ab_chunk host,
+                   enum ab_frame_type type, struct ab_chunk body)
+{
+  uint64_t draw = ab_rng_below (&task->group->rng, 20);
+
+  if (task->group->chaos && draw == 0)
+    return 0;
+  if (task->group->chaos && draw == 1)
+    send_once (task, host, type, body);
+  return send_once (task, host, type, body);
 }
 
 /* Membership view.  */
 
 static struct ab_host_view
-view_of (const struct group_fake_host *host)
+view_of (const struct fake_host *host)
 {
   struct ab_host_view view = { .state = AB_HOST_ALIVE,
                                .role = host->settings.role,
@@ -169,18 +185,6 @@
   return ab_clock_monotonic_ms (ab_clock_system ()) + ms;
 }
 
-static struct ab_ledger_key
-make_key (uint8_t number)
-{
-  uint64_t time_ms = ab_clock_wall_ms (ab_clock_system ());
-  struct ab_ledger_key key = { "team", "shop", { 0 } };
-
-  for (size_t i = 0; i < 6; i++)
-    key.key[i] = (uint8_t)(time_ms >> (8 * (5 - i)));
-  key.key[15] = number;
-  return key;
-}
-
 static void
 on_claim (void *ctx, enum ab_claim_result result, uint64_t token,
           const struct ab_recorded_response *response, struct ab_chunk holder)
@@ -210,7 +214,7 @@
   struct outcome outcome;
 
   start_claim (host, key, ms, &outcome);
-  group_fake_run_until (&group, is_done, &outcome);
+  group_run_until (&group, is_done, &outcome);
   return outcome;
 }
 
@@ -238,7 +242,7 @@
   ab_signed_bundle_approve (&bundle, &group.approver_key);
   ab_control_client_apply (client (host), &bundle, "olga", in_ms (LONG_MS),
                            on_change, &outcome);
-  group_fake_run_until (&group, is_done, &outcome);
+  group_run_until (&group, is_done, &outcome);
   ab_signed_bundle_free (&bundle);
   return outcome;
 }
@@ -252,7 +256,7 @@
 static void
 wait_confirmed (size_t host)
 {
-  group_fake_run_until (&group, nothing_pending, &host);
+  group_run_until (&group, nothing_pending, &host);
 }
 
 static bool
@@ -273,10 +277,10 @@
 static void
 setup (void)
 {
-  struct ab_ledger_key key = make_key (0);
+  struct ab_ledger_key key = group_make_key (0);
 
-  group_fake_group_open (&group);
-  group_fake_wait_leader (&group);
+  group_open (&group);
+  group_wait_leader (&group);
   /* The first leader must have recorded the members' disks: until then an
      election needs the votes of all.  */
   ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result, AB_CLAIM_GRANTED);
@@ -285,7 +289,7 @@
 static void
 teardown (void)
 {
-  group_fake_group_close (&group);
+  group_close (&group);
 }
 
 /* Guards against a bundle that is accepted but not in force everywhere, and
@@ -296,7 +300,7 @@
   struct outcome outcome = apply (ENTRY, 2, "50%");
 
   ck_assert_msg (outcome.rc == 0, "%s", outcome.message);
-  group_fake_run_until (&group, all_have, &version);
+  group_run_until (&group, all_have, &version);
   ck_assert_int_eq (apply (OTHER, 2, "50%").rc, 0);
   outcome = apply (OTHER, 2, "60%");
   ck_assert_int_eq (outcome.rc, AB_ERR_CONFLICT);
@@ -305,15 +309,15 @@
   ck_assert_int_eq (apply (OTHER, 9, "hello").rc, AB_ERR_INVALID);
   /* A host that starts while control is away has its saved copy.  */
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
-    group_fake_isolate (&group, i, true);
-  group_fake_stop (&group, ENTRY);
-  group_fake_start (&group, ENTRY);
+    group_isolate (&group, i, true);
+  group_stop (&group, ENTRY);
+  group_start (&group, ENTRY);
   ck_assert (all_have (&version));
   /* Without the copy, it gets the bundle from a peer.  */
-  group_fake_stop (&group, ENTRY);
-  group_fake_empty_disk (&group, ENTRY);
-  group_fake_start (&group, ENTRY);
-  group_fake_run_until (&group, all_have, &version);
+  group_stop (&group, ENTRY);
+  group_empty_disk (&group, ENTRY);
+  group_start (&group, ENTRY);
+  group_run_until (&group, all_have, &version);
 }
 END_TEST
 
@@ -323,23 +327,23 @@
 {
   struct ab_recorded_response response
       = { .status = 201, .body = AB_CHUNK ("done") };
-  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key key = group_make_key (1);
   struct outcome first = claim (ENTRY, &key, LONG_MS);
   struct outcome second;
 
   ck_assert_int_eq (first.result, AB_CLAIM_GRANTED);
   start_claim (OTHER, &key, LONG_MS, &second);
-  group_fake_run_ms (&group, 100);
+  group_run_ms (&group, 100);
   ck_assert (!second.done);
   ab_control_client_complete (client (ENTRY), &key, first.token, &response);
-  group_fake_run_until (&group, is_done, &second);
+  group_run_until (&group, is_done, &second);
   ck_assert_int_eq (second.result, AB_CLAIM_RECORDED);
   ck_assert_int_eq (second.status, 201);
   wait_confirmed (ENTRY);
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
-    group_fake_stop (&group, i);
+    group_stop (&group, i);
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
-    group_fake_start (&group, i);
+    group_start (&group, i);
   ck_assert_int_eq (claim (0, &key, LONG_MS).result, AB_CLAIM_RECORDED);
 }
 END_TEST
@@ -348,14 +352,14 @@
    was not run.  */
 START_TEST (released_key_goes_to_who_waits)
 {
-  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key key = group_make_key (1);
   struct outcome first = claim (ENTRY, &key, LONG_MS);
   struct outcome second;
 
   start_claim (OTHER, &key, LONG_MS, &second);
-  group_fake_run_ms (&group, 50);
+  group_run_ms (&group, 50);
   ab_control_client_release (client (ENTRY), &key, first.token);
-  group_fake_run_until (&group, is_done, &second);
+  group_run_until (&group, is_done, &second);
   ck_assert_int_eq (second.result, AB_CLAIM_GRANTED);
   ck_assert_uint_gt (second.token, first.token);
   /* At its deadline, who waits learns that another may run it.  */
@@ -363,22 +367,30 @@
 }
 END_TEST
 
+/* The group has granted a claim besides that of the setup.  */
+static bool
+second_record (void *ctx)
+{
+  (void)ctx;
+  return group_ledger_records (&group) == 2;
+}
+
 /* Guards against a key that stays claimed by an attempt whose host answered
    "not run" because the grant's answer was lost.  */
 START_TEST (lost_grant_is_given_back)
 {
-  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key key = group_make_key (1);
   struct outcome lost;
 
   for (size_t i = 0; i < FAKE_CONTROL_HOSTS; i++)
     group.cut[i][ENTRY] = true;
-  start_claim (ENTRY, &key, 1000, &lost);
-  group_fake_run_ms (&group, 700);
-  group_fake_isolate (&group, ENTRY, true);
-  group_fake_run_until (&group, is_done, &lost);
+  start_claim (ENTRY, &key, 5000, &lost);
+  group_run_until (&group, second_record, NULL);
+  group_isolate (&group, ENTRY, true);
+  group_run_until (&group, is_done, &lost);
   ck_assert_int_eq (lost.result, AB_CLAIM_UNAVAILABLE);
   ck_assert_int_eq (claim (OTHER, &key, 300).result, AB_CLAIM_MAY_HAVE_RUN);
-  group_fake_isolate (&group, ENTRY, false);
+  group_isolate (&group, ENTRY, false);
   wait_confirmed (ENTRY);
   ck_assert_int_eq (claim (OTHER, &key, LONG_MS).result, AB_CLAIM_GRANTED);
 }
@@ -388,17 +400,17 @@
    from a leader that has lost its majority.  */
 START_TEST (isolated_leader_grants_nothing)
 {
-  struct ab_ledger_key key = make_key (1);
-  struct ab_ledger_key other = make_key (2);
-  size_t leader = group_fake_leader (&group);
+  struct ab_ledger_key key = group_make_key (1);
+  struct ab_ledger_key other = group_make_key (2);
+  size_t leader = group_leader (&group);
   struct outcome alone;
 
-  group_fake_isolate (&group, leader, true);
+  group_isolate (&group, leader, true);
   start_claim (leader, &other, 1000, &alone);
   ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result, AB_CLAIM_GRANTED);
-  group_fake_run_until (&group, is_done, &alone);
+  group_run_until (&group, is_done, &alone);
   ck_assert_int_eq (alone.result, AB_CLAIM_UNAVAILABLE);
-  group_fake_isolate (&group, leader, false);
+  group_isolate (&group, leader, false);
   wait_confirmed (leader);
   ck_assert_int_eq (claim (ENTRY, &other, LONG_MS).result, AB_CLAIM_GRANTED);
 }
@@ -407,7 +419,7 @@
 /* Guards against a cancelled claim that is granted to nobody.  */
 START_TEST (cancelled_claim_is_given_back)
 {
-  struct ab_ledger_key key = make_key (1);
+  struct ab_ledger_key key = group_make_key (1);
   struct outcome unused = { .done = false };
   struct ab_claim *cancelled = ab_control_client_claim (
       client (ENTRY), &key, &content, in_ms (LONG_MS), on_claim, &unused);
@@ -441,7 +453,7 @@
 static void
 on_revoked (void *ctx, struct ab_chunk service)
 {
-  (void)service;
+  ck_assert_uint_eq (service.len, 4);
   ((struct permits *)ctx)->revoked++;
 }
 
@@ -466,7 +478,7 @@
   for (unsigned i = 0; i < count; i++)
     ab_control_client_permit_acquire (client (host), AB_CHUNK ("shop"),
                                       in_ms (LONG_MS), on_permit, permits);
-  group_fake_run_until (&group, permits_answered, permits);
+  group_run_until (&group, permits_answered, permits);
 }
 
 static bool
@@ -488,21 +500,21 @@
 
   group.targets = 4;
   ck_assert_int_eq (apply (ENTRY, 1, "50%").rc, 0);
-  group_fake_run_until (&group, capacity_known, &other);
+  group_run_until (&group, capacity_known, &other);
   ab_control_client_on_revoke (client (ENTRY), on_revoked, &entry);
   acquire (ENTRY, &entry, 3);
   ck_assert_uint_eq (entry.granted, 1);
   ck_assert_uint_eq (entry.refused, 2);
   /* The permit of a process that is gone is free again.  */
-  group_fake_stop (&group, OTHER);
-  group_fake_start (&group, OTHER);
-  group_fake_run_ms (&group, 500);
+  group_stop (&group, OTHER);
+  group_start (&group, OTHER);
+  group_run_ms (&group, 500);
   acquire (ENTRY, &entry, 1);
   ck_assert_uint_eq (entry.granted, 2);
   ck_assert_int_eq (apply (ENTRY, 2, "75%").rc, 0);
-  group_fake_run_until (&group, was_revoked, &entry);
+  group_run_until (&group, was_revoked, &entry);
   ab_control_client_permit_release (client (ENTRY), AB_CHUNK ("shop"));
-  group_fake_run_ms (&group, 500);
+  group_run_ms (&group, 500);
   ck_assert_uint_eq (entry.revoked, 1);
 }
 END_TEST
@@ -512,30 +524,151 @@
 START_TEST (member_with_an_empty_disk_is_replaced)
 {
   struct outcome outcome = { .done = false };
-  struct ab_ledger_key key = make_key (1);
-  struct ab_ledger_key other = make_key (2);
-  size_t leader = group_fake_leader (&group);
+  struct ab_ledger_key key = group_make_key (1);
+  struct ab_ledger_key other = group_make_key (2);
+  size_t leader = group_leader (&group);
   size_t broken = (leader + 1) % FAKE_CONTROL_HOSTS;
   size_t second = (leader + 2) % FAKE_CONTROL_HOSTS;
   struct outcome granted = claim (ENTRY, &key, LONG_MS);
 
   ab_control_client_complete (client (ENTRY), &key, granted.token, NULL);
   wait_confirmed (ENTRY);
-  group_fake_stop (&group, broken);
-  group_fake_empty_disk (&group, broken);
-  group_fake_start (&group, broken);
+  group_stop (&group, broken);
+  group_empty_disk (&group, broken);
+  group_start (&group, broken);
   ab_control_client_change_member (
       client (ENTRY), AB_CHUNK ("replace"), group.hosts[broken].settings.host,
       group.control[broken].address, in_ms (LONG_MS), on_change, &outcome);
-  group_fake_run_until (&group, is_done, &outcome);
+  group_run_until (&group, is_done, &outcome);
   ck_assert_msg (outcome.rc == 0, "%s", outcome.message);
-  group_fake_stop (&group, second);
+  group_stop (&group, second);
   ck_assert_int_eq (claim (ENTRY, &other, LONG_MS).result, AB_CLAIM_GRANTED);
   ck_assert_int_eq (claim (ENTRY, &key, LONG_MS).result,
                     AB_CLAIM_MAY_HAVE_RUN);
 }
 END_TEST
 
+#define KEYS 40
+#define CLAIMS 64
+#define CHAOS_STEPS 600
+
+struct random_claim
+{
+  bool active, granted, ran;
+  size_t host, key;
+  uint64_t token, end_ms;
+};
+
+static struct random_claim random_claims[CLAIMS];
+static struct ab_ledger_key random_keys[KEYS];
+static unsigned random_runs[KEYS];
+static unsigned random_results[AB_CLAIM_UNAVAILABLE + 1];
+
+static void
+on_random_claim (void *ctx, enum ab_claim_result result, uint64_t token,
+                 const struct ab_recorded_response *response,
+                 struct ab_chunk holder)
+{
+  struct random_claim *c = ctx;
+
+  (void)holder;
+  random_results[result]++;
+  c->active = result == AB_CLAIM_GRANTED;
+  c->granted = c->active;
+  if (response)
+    ck_assert_int_eq (response->status, 200 + (int)c->key);
+  if (!c->granted)
+    return;
+  c->token = token;
+  c->end_ms = in_ms (ab_rng_below (&group.rng, 400));
+  c->ran = ab_rng_below (&group.rng, 3) > 0;
+  if (c->ran)
+    ck_assert_msg (++random_runs[c->key] == 1, "key %zu ran again", c->key);
+}
+
+static void
+start_random_claim (void)
+{
+  struct random_claim *c = &random_claims[ab_rng_below (&group.rng, CLAIMS)];
+
+  if (c->active)
+    return;
+  *c = (struct random_claim){ .active = true,
+                              .host = ab_rng_below (&group.rng, FAKE_HOSTS),
+                              .key = ab_rng_below (&group.rng, KEYS) };
+  ab_control_client_claim (client (c->host), &random_keys[c->key], &content,
+                           in_ms (50 + ab_rng_below (&group.rng, 1500)),
+                           on_random_claim, c);
+}
+
+static void
+end_random_claims (void)
+{
+  for (size_t i = 0; i < CLAIMS; i++)
+    {
+      struct random_claim *c = &random_claims[i];
+      struct ab_recorded_response response = { .status = 200 + (int)c->key };
+      if (!c->active || !c->granted || in_ms (0) < c->end_ms)
+        continue;
+      c->active = false;
+      if (c->ran)
+        ab_control_client_complete (client (c->host), &random_keys[c->key],
+                                    c->token, &response);
+      else
+        ab_control_client_release (client (c->host), &random_keys[c->key],
+                                   c->token);
+    }
+}
+
+static void
+random_fault (void)
+{
+  size_t host = ab_rng_below (&group.rng, FAKE_HOSTS);
+
+  switch (ab_rng_below (&group.rng, 4))
+    {
+    case 0:
+      group_isolate (&group, host, true);
+      break;
+    case 1:
+      group.cut[host][ab_rng_below (&group.rng, FAKE_HOSTS)] = true;
+      break;
+    case 2:
+      memset (group.cut, 0, sizeof group.cut);
+      break;
+    default:
+      for (size_t i = 0; i < CLAIMS; i++)
+        if (random_claims[i].host == host)
+          random_claims[i].active = false;
+      group_stop (&group, host);
+      group_start (&group, host);
+    }
+}
+
+/* Guards against a second run of a key under restarts, partitions, and lost,
+   repeated and late frames; the timing differs from run to run.  */
+START_TEST (random_faults_run_nothing_twice)
+{
+  for (size_t i = 0; i < KEYS; i++)
+    random_keys[i] = group_make_key ((uint8_t)(i + 1));
+  group.chaos = true;
+  for (int i = 0; i < CHAOS_STEPS; i++)
+    {
+      start_random_claim ();
+      end_random_claims ();
+      if (ab_rng_below (&group.rng, 40) == 0)
+        random_fault ();
+      group_run_ms (&group, 10);
+    }
+  group.chaos = false;
+  memset (group.cut, 0, sizeof group.cut);
+  for (size_t i = 0; i < FAKE_HOSTS; i++)
+    wait_confirmed (i);
+  ck_assert_uint_gt (random_results[AB_CLAIM_GRANTED], 0);
+  ck_assert_uint_gt (random_results[AB_CLAIM_RECORDED], 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -554,6 +687,7 @@
   tcase_add_test (tcase, cancelled_claim_is_given_back);
   tcase_add_test (tcase, permits_follow_floor_and_capacity);
   tcase_add_test (tcase, member_with_an_empty_disk_is_replaced);
+  tcase_add_test (tcase, random_faults_run_nothing_twice);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
