--- a/tests/control_fake_lib.c
+++ b/tests/control_fake_lib.c
@@ -153,6 +153,12 @@
       group_stop (group, i);
   /* Lets the frames under way be freed.  */
   group_run_ms (group, 2 * STEP_MS);
+  while (group->under_way)
+    {
+      struct fake_transit *lost = group->under_way;
+      group->under_way = lost->next;
+      free (lost);
+    }
   event_base_free (group->base);
   remove_files (group->folder);
 }
--- a/tests/control_fake_lib.h
+++ b/tests/control_fake_lib.h
@@ -24,9 +24,18 @@
   bool running;
 };
 
+/* First member of a frame that is under way, so that the group can free those
+   that never arrive.  */
+struct fake_transit
+{
+  struct fake_transit *next;
+  struct fake_transit **link;
+};
+
 struct fake_group
 {
   struct event_base *base;
+  struct fake_transit *under_way;
   char folder[64];
   struct ab_control_member control[FAKE_CONTROL_HOSTS];
   struct ab_signer approver;
--- a/tests/test_control_tasks.c
+++ b/tests/test_control_tasks.c
@@ -19,6 +19,7 @@
 
 struct delivery
 {
+  struct fake_transit transit;
   struct fake_group *group;
   size_t from;
   size_t to;
@@ -72,6 +73,9 @@
       && to->daemon.peer->handlers[d->type].handler)
     to->daemon.peer->handlers[d->type].handler (
         to->daemon.peer->handlers[d->type].ctx, &frame);
+  *d->transit.link = d->transit.next;
+  if (d->transit.next)
+    d->transit.next->link = d->transit.link;
   free (d);
 }
 
@@ -86,6 +90,11 @@
   if (fake->chaos)
     delay.tv_usec += (suseconds_t)ab_rng_below (
         &fake->rng, ab_rng_below (&fake->rng, 10) ? 5000 : 400000);
+  d->transit.next = fake->under_way;
+  d->transit.link = &fake->under_way;
+  if (d->transit.next)
+    d->transit.next->link = &d->transit.next;
+  fake->under_way = &d->transit;
   d->group = fake;
   d->from = task->host;
   d->to = host_number (host);
