--- a/src/member_core.h
+++ b/src/member_core.h
@@ -146,6 +146,8 @@
 /* Counts a copy that another host sent: it need not be sent to as many.  */
 void member_heard_again (struct ab_membership *m, struct ab_member *member);
 void member_gossip_tick (struct ab_membership *m);
+/* Sends NEWS to the live entry hosts at once, beside the gossip.  */
+void member_broadcast (struct ab_membership *m, struct ab_member *news);
 /* Sends the packet in M's buffer and charges it.  */
 void member_send (struct ab_membership *m, struct ab_member *host,
                   enum ab_frame_type type);
--- a/src/member_gossip.c
+++ b/src/member_gossip.c
@@ -8,6 +8,7 @@
 #define FANOUT 3
 /* Hosts of a region that pass changes on to each other region.  */
 #define BRIDGES 2
+#define BROADCAST_HOSTS 64
 #define ITEMS_PER_PACKET_MAX 256
 /* Tokens that changes leave for probes and answers.  */
 #define PROBE_RESERVE 300
@@ -288,6 +289,29 @@
   member_send (m, host, AB_FRAME_DELTA);
 }
 
+/* A caller sends a request that failed again within a round trip, to any host;
+   gossip takes hundreds of milliseconds.  Such news is rare, so it goes to
+   each entry host at once, up to a bound, out of the unused budget.  */
+void
+member_broadcast (struct ab_membership *m, struct ab_member *news)
+{
+  bool on_credit = m->on_credit;
+  size_t sent = 0;
+
+  m->on_credit = m->credit > 0;
+  for (size_t i = 0; i < m->host_count && sent < BROADCAST_HOSTS; i++)
+    {
+      struct ab_member *host = m->hosts[i];
+      if (!may_help (m, host) || host->item.host.role != AB_ROLE_ENTRY)
+        continue;
+      ab_buf_clear (&m->packet);
+      member_pack_hot (m, news, 0, false);
+      member_send (m, host, AB_FRAME_DELTA);
+      sent++;
+    }
+  m->on_credit = on_credit;
+}
+
 /* Passes changes on to one host of each region that this host serves as a
    bridge.  */
 static void
--- a/src/membership.c
+++ b/src/membership.c
@@ -378,11 +378,17 @@
   const struct ab_member *known
       = member_find (m, ab_item_quarantine_key (&view->content));
   struct ab_item item = { .kind = AB_ITEM_QUARANTINE, .version = wall_ms };
+  struct ab_member *published;
+  int rc;
 
   m->now_ms = now_ms;
   m->wall_ms = wall_ms;
   if (known && known->item.version >= item.version)
     item.version = known->item.version + 1;
   item.quarantine = *view;
-  return member_publish (m, &item, true);
+  rc = member_publish (m, &item, true);
+  published = member_find (m, ab_item_quarantine_key (&view->content));
+  if (rc == 0 && published)
+    member_broadcast (m, published);
+  return rc;
 }
