--- a/src/ctl.h
+++ b/src/ctl.h
@@ -19,8 +19,11 @@
   CTL_NOT_FOUND = 4
 };
 
+struct ctl_command;
+
 struct ctl_options
 {
+  const struct ctl_command *command; /* The one that runs.  */
   const char *host;     /* Admin address of the host that is asked.  */
   const char *key_file; /* The operator's key.  */
   bool json;
@@ -29,18 +32,17 @@
   const char *output;
 };
 
-/* A command or query: ARGV holds COUNT words after its name.  */
-typedef enum ctl_exit (*ctl_function) (const struct ctl_options *options,
-                                       int count, char **argv);
-
 struct ctl_command
 {
   const char *name;      /* One or two words.  */
   const char *arguments; /* For the usage text.  */
   int min_arguments;
   int max_arguments;
-  ctl_function run;
+  /* ARGV holds COUNT words after the name.  */
+  enum ctl_exit (*run) (const struct ctl_options *options, int count,
+                        char **argv);
   const char *help;
+  const char *path; /* Of commands and queries that are one request.  */
 };
 
 /* The commands that change something, and the queries; each list ends with a
--- a/src/ctl_command.c
+++ b/src/ctl_command.c
@@ -21,27 +21,11 @@
 }
 
 static enum ctl_exit
-command_drain (const struct ctl_options *options, int count, char **argv)
+command_path (const struct ctl_options *options, int count, char **argv)
 {
   (void)count;
   (void)argv;
-  return post (options, "/v1/drain");
-}
-
-static enum ctl_exit
-command_undrain (const struct ctl_options *options, int count, char **argv)
-{
-  (void)count;
-  (void)argv;
-  return post (options, "/v1/undrain");
-}
-
-static enum ctl_exit
-command_stop (const struct ctl_options *options, int count, char **argv)
-{
-  (void)count;
-  (void)argv;
-  return post (options, "/v1/stop");
+  return post (options, options->command->path);
 }
 
 static enum ctl_exit
@@ -162,25 +146,26 @@
 
 const struct ctl_command ctl_commands[] = {
   { "bundle sign", "FILE APPROVER-KEY", 2, 2, ctl_bundle_sign,
-    "approve a bundle; writes FILE.signed" },
+    "approve a bundle; writes FILE.signed", NULL },
   { "bundle apply", "SIGNED-FILE", 1, 1, ctl_bundle_apply,
-    "have a signed bundle accepted" },
-  { "drain", "", 0, 0, command_drain, "take the host out of answers" },
-  { "undrain", "", 0, 0, command_undrain, "put it back" },
-  { "stop", "", 0, 0, command_stop, "planned stop of the host" },
+    "have a signed bundle accepted", NULL },
+  { "drain", "", 0, 0, command_path, "take the host out of answers",
+    "/v1/drain" },
+  { "undrain", "", 0, 0, command_path, "put it back", "/v1/undrain" },
+  { "stop", "", 0, 0, command_path, "planned stop of the host", "/v1/stop" },
   { "quarantine release", "DIGEST", 1, 1, command_release,
-    "let a quarantined request run again" },
+    "let a quarantined request run again", NULL },
   { "members add", "HOST IP:PORT", 2, 2, command_member_add,
-    "add a control host" },
+    "add a control host", NULL },
   { "members remove", "HOST", 1, 1, command_member_remove,
-    "remove a control host" },
+    "remove a control host", NULL },
   { "members replace", "HOST IP:PORT", 2, 2, command_member_replace,
-    "take a control host's new disk in place of the old" },
+    "take a control host's new disk in place of the old", NULL },
   { "keys new", "KIND FILE", 2, 2, command_keys_new,
-    "make a key: fleet, host, approver or operator" },
+    "make a key: fleet, host, approver or operator", NULL },
   { "tokens new", "", 0, 0, command_token_new,
-    "make a token for a team or a service's targets" },
-  { "idempotency-key", "", 0, 0, command_key_id,
-    "print a new idempotency key" },
-  { NULL, NULL, 0, 0, NULL, NULL },
+    "make a token for a team or a service's targets", NULL },
+  { "idempotency-key", "", 0, 0, command_key_id, "print a new idempotency key",
+    NULL },
+  { NULL, NULL, 0, 0, NULL, NULL, NULL },
 };
--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -112,7 +112,7 @@
 }
 
 static enum ctl_exit
-run_command (const struct ctl_options *options, int count, char **argv)
+run_command (struct ctl_options *options, int count, char **argv)
 {
   int words;
   const struct ctl_command *command = find_command (count, argv, &words);
@@ -125,6 +125,7 @@
       ctl_error ("usage: almondctl %s %s", command->name, command->arguments);
       return CTL_USAGE;
     }
+  options->command = command;
   return command->run (options, arguments, argv + words);
 }
 
--- a/src/ctl_query.c
+++ b/src/ctl_query.c
@@ -5,57 +5,12 @@
 #include "error.h"
 
 static enum ctl_exit
-query (const struct ctl_options *options, const char *path)
-{
-  return ctl_simple (options, "GET", path, ab_chunk (NULL, 0));
-}
-
-static enum ctl_exit
-query_state (const struct ctl_options *options, int count, char **argv)
-{
-  (void)count;
-  (void)argv;
-  return query (options, "/v1/state");
-}
-
-static enum ctl_exit
-query_hosts (const struct ctl_options *options, int count, char **argv)
-{
-  (void)count;
-  (void)argv;
-  return query (options, "/v1/hosts");
-}
-
-static enum ctl_exit
-query_targets (const struct ctl_options *options, int count, char **argv)
-{
-  (void)count;
-  (void)argv;
-  return query (options, "/v1/targets");
-}
-
-static enum ctl_exit
-query_services (const struct ctl_options *options, int count, char **argv)
-{
-  (void)count;
-  (void)argv;
-  return query (options, "/v1/services");
-}
-
-static enum ctl_exit
-query_bundle (const struct ctl_options *options, int count, char **argv)
-{
-  (void)count;
-  (void)argv;
-  return query (options, "/v1/bundle");
-}
-
-static enum ctl_exit
-query_history (const struct ctl_options *options, int count, char **argv)
+query (const struct ctl_options *options, int count, char **argv)
 {
   (void)count;
   (void)argv;
-  return query (options, "/v1/bundle/history");
+  return ctl_simple (options, "GET", options->command->path,
+                     ab_chunk (NULL, 0));
 }
 
 /* Asks every host in LIST for PATH and gathers the answers that say
@@ -188,19 +143,22 @@
 }
 
 const struct ctl_command ctl_queries[] = {
-  { "state", "", 0, 0, query_state, "state dump of the host" },
-  { "hosts", "", 0, 0, query_hosts, "hosts as the host sees them" },
-  { "targets", "", 0, 0, query_targets, "targets as the host sees them" },
-  { "services", "", 0, 0, query_services, "services of the bundle in force" },
+  { "state", "", 0, 0, query, "state dump of the host", "/v1/state" },
+  { "hosts", "", 0, 0, query, "hosts as the host sees them", "/v1/hosts" },
+  { "targets", "", 0, 0, query, "targets as the host sees them",
+    "/v1/targets" },
+  { "services", "", 0, 0, query, "services of the bundle in force",
+    "/v1/services" },
   { "explain", "REQUEST-ID", 1, 1, ctl_explain_request,
-    "what was decided for a request, and why" },
+    "what was decided for a request, and why", NULL },
   { "explain target", "IP:PORT", 1, 1, ctl_explain_target,
-    "why a target is in or out" },
-  { "bundle status", "", 0, 0, query_bundle, "the bundle in force" },
-  { "bundle history", "", 0, 0, query_history,
-    "accepted bundles; ask a control host" },
-  { "bundle check", "FILE", 1, 1, ctl_bundle_check, "check a bundle file" },
+    "why a target is in or out", NULL },
+  { "bundle status", "", 0, 0, query, "the bundle in force", "/v1/bundle" },
+  { "bundle history", "", 0, 0, query, "accepted bundles; ask a control host",
+    "/v1/bundle/history" },
+  { "bundle check", "FILE", 1, 1, ctl_bundle_check, "check a bundle file",
+    NULL },
   { "bundle diff", "FILE FILE", 2, 2, ctl_bundle_diff,
-    "what differs between two bundle files" },
-  { NULL, NULL, 0, 0, NULL, NULL },
+    "what differs between two bundle files", NULL },
+  { NULL, NULL, 0, 0, NULL, NULL, NULL },
 };
