--- a/tests/fleet_targets.c
+++ b/tests/fleet_targets.c
@@ -135,6 +135,58 @@
 }
 END_TEST
 
+/* Slots out of service by the decision of the dispatchers on all hosts.  */
+static long
+slots_out (struct fleet *fleet)
+{
+  const char *query[] = { "state", NULL };
+  long out = 0;
+
+  for (int i = 1; i <= ENTRIES; i++)
+    {
+      json_t *state = fleet_query (fleet, test_entry (fleet, i), query);
+      size_t index;
+      json_t *row;
+      json_array_foreach (
+          json_object_get (json_object_get (state, "dispatch"), "dispatchers"),
+          index, row) out
+          += (long)json_integer_value (json_object_get (row, "out_slots"));
+      json_decref (state);
+    }
+  return out;
+}
+
+/* Guards against dispatchers on several hosts that together eject more than
+   the floor of 50% allows, also while the control group is away.  */
+START_TEST (floor_held)
+{
+  struct fleet *fleet
+      = test_fleet_start ("fleet_targets_floor", ENTRIES, TARGETS, false);
+  pid_t load = test_load_start (fleet, "floor", ENTRIES, 1, 0, 100, 9000);
+  struct test_load_result result;
+  long most = 0;
+
+  fleet_sleep_ms (2000);
+  for (int i = 1; i <= 4; i++)
+    set_fault (fleet, i, "kind=reset&rate=1");
+  for (int i = 0; i < 20; i++)
+    {
+      long out = slots_out (fleet);
+      most = out > most ? out : most;
+      /* 6 targets of 2 slots; half of them may be out.  */
+      ck_assert_int_le (out, TARGETS);
+      if (i == 10)
+        for (int c = 1; c <= TEST_CONTROLS; c++)
+          fleet_kill_host (fleet, c);
+      fleet_sleep_ms (250);
+    }
+  ck_assert_int_gt (most, 0);
+  result = test_load_end (fleet, "floor", load, TARGETS);
+  test_assert_promises (&result);
+  fleet_free (fleet);
+}
+END_TEST
+
 /* Guards against lost targets when the host they announced to is gone.  */
 START_TEST (registrar_killed)
 {
@@ -153,4 +205,5 @@
 END_TEST
 
 SUITE_MAIN ("fleet_targets", 120, drained_target_idle, slow_target_loses_work,
-            broken_answers_not_delivered, request_of_death, registrar_killed)
+            broken_answers_not_delivered, request_of_death, floor_held,
+            registrar_killed)
