Serve targets of failure domains without entry hosts

Cause: found by floor_held: with 4 of 6 targets resetting every request, 492 to 594 of 900 lookups were answered not-run (no-target), although two targets were healthy. Ruled out: ejection (3 targets out, as the floor allows) and quarantine (none). Change: a dispatcher also serves the targets of domains for which its host is first in order, and gives them back when hosts return; checked each second. The test now requires work on the two targets.

--- a/src/dispatch_serve_task.c
+++ b/src/dispatch_serve_task.c
@@ -184,13 +184,24 @@
     ab_dispatcher_configure (service->dispatcher, &options);
 }
 
+/* Whether this host's dispatcher serves the target: it is of the own failure
+   domain, or of one whose hosts are all gone and for which this host is first
+   in order.  */
 static bool
 is_near (const struct ab_dispatch_service *service,
          const struct ab_target_view *view)
 {
-  return strcmp (view->failure_domain,
-                 service->task->daemon->settings->failure_domain)
-         == 0;
+  const struct ab_daemon *daemon = service->task->daemon;
+  const struct ab_host_view *host;
+
+  if (strcmp (view->failure_domain, daemon->settings->failure_domain) == 0)
+    return true;
+  if (ab_member_task_dispatchers (daemon->member, ab_chunk_str (service->name),
+                                  ab_chunk_str (view->failure_domain), &host,
+                                  1)
+      == 0)
+    return false;
+  return strcmp (host->name, daemon->settings->host) == 0;
 }
 
 /* A target that this host has known for its whole slow start is warm; a new
@@ -499,6 +510,25 @@
   free (evidence);
 }
 
+/* Takes over and gives back the targets of other failure domains, as hosts
+   come and go there.  */
+static void
+update_reach (struct ab_dispatch_service *service)
+{
+  struct ab_dispatcher_options options;
+
+  read_options (service, &options);
+  for (size_t i = 0; i < service->target_count; i++)
+    {
+      const struct ab_target_view *view = &service->targets[i].view;
+      if (is_near (service, view))
+        pass_target (service, view, options.slow_start_ms);
+      else
+        ab_dispatcher_remove_target (service->dispatcher, view->address,
+                                     ab_dispatch_now ());
+    }
+}
+
 void
 ab_dispatch_each_second (struct ab_dispatch_service *service)
 {
@@ -509,6 +539,7 @@
       ab_dispatch_drop (service);
       return;
     }
+  update_reach (service);
   update_elsewhere (service);
   send_evidence (service);
 }
--- a/tests/fleet_targets.c
+++ b/tests/fleet_targets.c
@@ -183,6 +183,10 @@
   ck_assert_int_gt (most, 0);
   result = test_load_end (fleet, "floor", load, TARGETS);
   test_assert_promises (&result);
+  /* Targets 5 and 6 are healthy, in failure domains without entry hosts.  */
+  ck_assert_int_gt (test_target_stat (fleet, 5, "runs")
+                        + test_target_stat (fleet, 6, "runs"),
+                    0);
   fleet_free (fleet);
 }
 END_TEST
