Reconnect to peers within half a second after a partition

Change: connection attempts end after 500 ms, the interval is at most 400 ms, heartbeats every 600 ms with a limit of 1,200 ms.

--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -55,7 +55,7 @@
   struct ab_upstream_call *attempt;
   uint64_t sent_us;
   uint64_t ask_us;  /* Time spent in asks.  */
-  uint64_t sent_at_us;
+  uint64_t body_bytes;
   unsigned sends;   /* Attempts that went to a target.  */
   unsigned ran;     /* Of them, those that may have run.  */
   enum ab_verdict verdict;
@@ -121,6 +121,7 @@
           ab_log_str ("target", flow->grant.target),
           ab_log_str ("trust", ab_target_trust_name (flow->grant.trust)),
           ab_log_str ("scheduler", flow->grant.scheduler),
+          ab_log_int ("bytes", (int64_t)flow->body_bytes),
           ab_log_int ("sends", flow->sends),
           ab_log_int ("ask_us", (int64_t)flow->ask_us),
           ab_log_int ("took_us", (int64_t)took_us),
@@ -636,6 +637,8 @@
   env->flow_count++;
   ab_caller_conns_begin (env->conns, req);
   ++*counter (flow, "ab_gateway_requests_total");
+  flow->body_bytes
+      = evbuffer_get_length (evhttp_request_get_input_buffer (req));
   id = header (flow, env->settings->headers.request_id);
   if (id)
     ab_chunk_copy (ab_chunk_str (id), flow->id, sizeof flow->id);
--- a/src/peer_link_task.c
+++ b/src/peer_link_task.c
@@ -13,12 +13,15 @@
 #include "peer_socket_task.h"
 
 #define RECONNECT_MS 100
-#define RECONNECT_MAX_MS 2000
+#define RECONNECT_MAX_MS 400
+/* A connection attempt into a partition hangs; the system's own repetitions
+   come seconds apart, so a new attempt is made instead.  */
+#define CONNECT_MS 500
 /* A frozen peer keeps its TCP connection, whose buffers would hold stale
    frames; missing heartbeats close it.  */
-#define HEARTBEAT_MS 1000
-#define HEARTBEAT_TIMEOUT_MS 3000
-#define HANDSHAKE_MS 2000
+#define HEARTBEAT_MS 600
+#define HEARTBEAT_TIMEOUT_MS 1200
+#define HANDSHAKE_MS 1000
 #define LINGER_MS 200
 #define MONITOR_BYTES 48
 
@@ -175,6 +178,8 @@
                   { ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS },
                   { ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS },
                   { ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS },
+                  { ZMQ_CONNECT_TIMEOUT, CONNECT_MS },
+                  { ZMQ_TCP_MAXRT, HEARTBEAT_TIMEOUT_MS },
                   { ZMQ_IPV6, link->address[0] == '[' } };
   const struct ab_peer_links *links = link->owner;
   const char *server;
