Suspect a target for one failure, refuse early, and send fewer control bytes

Cause: a single failure took a target that had just worked out for seconds, so that under load a seventh of the healthy slots was missing; requests of low priority waited until their time was over, as the estimate left out what arrives with a higher priority; every gateway was sent every change by every control host that it asked, and reads of the bundle woke the learners.

Ruled out: a slower detector (the first failure of a target that was not just proven is nearly always a sick one).

Change: a suspect is trusted again after one success; the queue's estimate subtracts higher priorities' arrivals and is made again at every tick; hosts that only look at a control host are sent nothing else; rounds for reads go to voters.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -75,9 +75,8 @@
 ab_attempt_name (enum ab_attempt_end end)
 {
   static const char *const names[]
-      = { "response",  "refused",   "full",    "lost",
-          "malformed", "too-large", "timeout", "cancelled",
-          "unreachable" };
+      = { "response",  "refused", "full",      "lost",       "malformed",
+          "too-large", "timeout", "cancelled", "unreachable" };
 
   return names[end];
 }
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -15,15 +15,15 @@
 
 enum ab_attempt_end
 {
-  AB_ATTEMPT_RESPONSE,  /* A whole response.  */
-  AB_ATTEMPT_REFUSED,   /* No connection.  */
-  AB_ATTEMPT_FULL,      /* No connection was free below the bound.  */
-  AB_ATTEMPT_LOST,      /* Connection lost before a whole response.  */
-  AB_ATTEMPT_MALFORMED, /* A response that breaks a rule of HTTP, or whose
-                           body differs from its announced length.  */
-  AB_ATTEMPT_TOO_LARGE, /* A response over the bound.  */
-  AB_ATTEMPT_TIMEOUT,   /* The deadline passed.  */
-  AB_ATTEMPT_CANCELLED, /* The caller went away.  */
+  AB_ATTEMPT_RESPONSE,   /* A whole response.  */
+  AB_ATTEMPT_REFUSED,    /* No connection.  */
+  AB_ATTEMPT_FULL,       /* No connection was free below the bound.  */
+  AB_ATTEMPT_LOST,       /* Connection lost before a whole response.  */
+  AB_ATTEMPT_MALFORMED,  /* A response that breaks a rule of HTTP, or whose
+                            body differs from its announced length.  */
+  AB_ATTEMPT_TOO_LARGE,  /* A response over the bound.  */
+  AB_ATTEMPT_TIMEOUT,    /* The deadline passed.  */
+  AB_ATTEMPT_CANCELLED,  /* The caller went away.  */
   AB_ATTEMPT_UNREACHABLE /* No answer to the connection attempt.  */
 };
 
--- a/src/fleet_api_task.c
+++ b/src/fleet_api_task.c
@@ -139,14 +139,14 @@
   struct call *call = ctx;
   bool ok = rc == 0 && result <= AB_FLEET_REPEATED;
 
-  AB_LOG (AB_LOG_INFO, "target_change", ab_log_str ("target", call->target.id),
-          ab_log_str ("service", call->target.service),
-          ab_log_str ("address", call->target.address),
-          ab_log_str ("state", target_state_name (call->target.state)),
-          ab_log_int ("born", (int64_t)call->target.born),
-          ab_log_str ("result", ok ? "acknowledged" : ab_strerror (rc)),
-          ab_log_int ("after_ms",
-                      (int64_t)(ab_fleet_now_ms () - call->begin_ms)));
+  AB_LOG (
+      AB_LOG_INFO, "target_change", ab_log_str ("target", call->target.id),
+      ab_log_str ("service", call->target.service),
+      ab_log_str ("address", call->target.address),
+      ab_log_str ("state", target_state_name (call->target.state)),
+      ab_log_int ("born", (int64_t)call->target.born),
+      ab_log_str ("result", ok ? "acknowledged" : ab_strerror (rc)),
+      ab_log_int ("after_ms", (int64_t)(ab_fleet_now_ms () - call->begin_ms)));
   if (ok)
     reply_target (call->api, call->req, &call->target);
   else
@@ -162,9 +162,9 @@
 
   return json_is_string (item) && json_string_length (item) > 0
          && !memchr (json_string_value (item), 0, json_string_length (item))
-         && ab_chunk_copy (ab_chunk (json_string_value (item),
-                                     json_string_length (item)),
-                           dst, size);
+         && ab_chunk_copy (
+             ab_chunk (json_string_value (item), json_string_length (item)),
+             dst, size);
 }
 
 static bool
@@ -187,8 +187,9 @@
 {
   const char *state = json_string_value (json_object_get (object, "state"));
 
-  if (!state || !take_text (object, "service", target->service,
-                            sizeof target->service)
+  if (!state
+      || !take_text (object, "service", target->service,
+                     sizeof target->service)
       || !take_text (object, "address", target->address,
                      sizeof target->address)
       || !ab_address_valid (ab_chunk_str (target->address))
@@ -351,13 +352,13 @@
 
   if (rc < 0)
     result = AB_FLEET_UNUSABLE;
-  AB_LOG (AB_LOG_INFO, "bundle_change",
-          ab_log_int ("version", (int64_t)call->version),
-          ab_log_int ("base", (int64_t)call->base),
-          ab_log_int ("status", answers[result].status),
-          ab_log_str ("result", answers[result].text),
-          ab_log_int ("after_ms",
-                      (int64_t)(ab_fleet_now_ms () - call->begin_ms)));
+  AB_LOG (
+      AB_LOG_INFO, "bundle_change",
+      ab_log_int ("version", (int64_t)call->version),
+      ab_log_int ("base", (int64_t)call->base),
+      ab_log_int ("status", answers[result].status),
+      ab_log_str ("result", answers[result].text),
+      ab_log_int ("after_ms", (int64_t)(ab_fleet_now_ms () - call->begin_ms)));
   if (answers[result].status == 200)
     reply_json (call->req, 200,
                 json_pack ("{s:I}", "version", (json_int_t)call->version));
@@ -436,8 +437,7 @@
 on_request (struct evhttp_request *req, void *arg)
 {
   struct ab_fleet_api *api = arg;
-  const char *path
-      = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (req));
+  const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (req));
   enum evhttp_cmd_type method = evhttp_request_get_command (req);
 
   if (api->control->stopping)
--- a/src/fleet_control_task.c
+++ b/src/fleet_control_task.c
@@ -419,8 +419,7 @@
 {
   return json_pack (
       "{s:o, s:I, s:I, s:o}", "group", ab_group_state_dump (control->group),
-      "bundle_version",
-      (json_int_t)ab_fleet_state_version (control->state), "targets",
-      (json_int_t)ab_fleet_state_target_count (control->state), "watchers",
-      ab_fleet_watch_state (control->watch));
+      "bundle_version", (json_int_t)ab_fleet_state_version (control->state),
+      "targets", (json_int_t)ab_fleet_state_target_count (control->state),
+      "watchers", ab_fleet_watch_state (control->watch));
 }
--- a/src/fleet_run.c
+++ b/src/fleet_run.c
@@ -50,7 +50,8 @@
 
   json_object_set_new (state, "host", json_string (runner->settings->name));
   json_object_set_new (
-      state, "role", json_string (ab_fleet_role_name (runner->settings->role)));
+      state, "role",
+      json_string (ab_fleet_role_name (runner->settings->role)));
   json_object_set_new (state, "peer_keys", json_string ("none"));
   json_object_set_new (state, "peers",
                        ab_peer_task_state (runner->daemon.peer));
--- a/src/fleet_settings.c
+++ b/src/fleet_settings.c
@@ -217,8 +217,8 @@
 {
   struct ab_settings *base = &settings->base;
 
-  base->role = settings->role == AB_FLEET_CONTROL ? AB_ROLE_CONTROL
-                                                  : AB_ROLE_ENTRY;
+  base->role
+      = settings->role == AB_FLEET_CONTROL ? AB_ROLE_CONTROL : AB_ROLE_ENTRY;
   memcpy (base->host, settings->listen.peers, sizeof base->host);
   memcpy (base->listen.peers, settings->listen.peers,
           sizeof base->listen.peers);
--- a/src/fleet_settings.h
+++ b/src/fleet_settings.h
@@ -58,8 +58,8 @@
   struct ab_domain *domains;
   size_t domain_count;
   struct ab_header_names headers;
-  bool first_start;          /* The whole fleet starts with empty disks.  */
-  uint64_t tolerated_losses; /* Control hosts lost at once.  */
+  bool first_start;            /* The whole fleet starts with empty disks.  */
+  uint64_t tolerated_losses;   /* Control hosts lost at once.  */
   uint64_t answer_lifetime_ms; /* Longest life of an address answer.  */
   uint64_t stop_time_ms;       /* From SIGTERM to SIGKILL.  */
   double repeat_fraction;      /* Repeated attempts by request, fleet-wide.  */
--- a/src/fleet_state.c
+++ b/src/fleet_state.c
@@ -257,7 +257,8 @@
 ab_fleet_state_is_news (const struct ab_fleet_state *state,
                         const struct ab_fleet_target *target)
 {
-  const struct ab_fleet_target *known = ab_fleet_state_find (state, target->id);
+  const struct ab_fleet_target *known
+      = ab_fleet_state_find (state, target->id);
 
   if (!known)
     return target->state == AB_FLEET_TARGET_GONE
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -98,11 +98,9 @@
                              const struct ab_fleet_target *target);
 
 /* Calls VISIT for each target changed after INDEX, in any order.  */
-void ab_fleet_state_changes (const struct ab_fleet_state *state,
-                             uint64_t index,
-                             void (*visit) (void *ctx,
-                                            const struct ab_fleet_target *),
-                             void *ctx);
+void ab_fleet_state_changes (
+    const struct ab_fleet_state *state, uint64_t index,
+    void (*visit) (void *ctx, const struct ab_fleet_target *), void *ctx);
 size_t ab_fleet_state_target_count (const struct ab_fleet_state *state);
 
 /* A target as an array; for snapshots and messages.  */
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -98,9 +98,11 @@
 static void
 send_watch (struct ab_fleet_view *view, const struct control *control)
 {
-  struct ab_fleet_watch_frame watch = { .ready = view->ready,
-                                        .index = view->index,
-                                        .hosts_version = view->hosts_version };
+  struct ab_fleet_watch_frame watch
+      = { .follow = control == &view->controls[view->followed],
+          .ready = view->ready,
+          .index = view->index,
+          .hosts_version = view->hosts_version };
   struct ab_buf body = AB_BUF_INIT;
 
   ab_chunk_copy (ab_chunk_str (view->daemon->settings->host), watch.host.peer,
@@ -313,6 +315,7 @@
   uint64_t now = now_ms ();
   uint64_t bundle_index;
   struct ab_chunk bundle;
+  bool look;
 
   ab_reader_enter (reader, 6);
   ab_fleet_read_view (reader, &frame);
@@ -324,8 +327,9 @@
           sizeof control->failure_domain);
   control->heard_ms = now;
   control->age_ms = frame.age_ms;
+  look = frame.from == UINT64_MAX;
   /* A gap: the next watch message asks for what is between.  */
-  if (frame.from > view->index)
+  if (frame.from > view->index && !look)
     {
       send_watch (view, control);
       return;
@@ -334,7 +338,7 @@
   take_targets (view, reader);
   take_hosts (view, reader, &frame);
   take_members (view, reader);
-  if (ab_reader_error (reader) < 0)
+  if (ab_reader_error (reader) < 0 || look)
     return;
   if (frame.upto > view->index)
     view->index = frame.upto;
--- a/src/fleet_watch.h
+++ b/src/fleet_watch.h
@@ -26,6 +26,7 @@
 struct ab_fleet_watch_frame
 {
   struct ab_fleet_host host;
+  bool follow;    /* False: only asks how the control host is.  */
   bool ready;     /* Takes callers.  */
   uint64_t index; /* All changes up to this log index are known.  */
   uint64_t hosts_version;
@@ -35,7 +36,9 @@
 struct ab_fleet_view_frame
 {
   char failure_domain[AB_NAME_BYTES]; /* Of the control host.  */
-  uint64_t from; /* What changed after this index is in the frame.  */
+  /* What changed after this index is in the frame.  UINT64_MAX answers one
+     that does not follow, with nothing.  */
+  uint64_t from;
   uint64_t upto;
   uint64_t age_ms; /* How long ago the control host was known current.  */
   uint64_t hosts_version;
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -77,7 +77,8 @@
    name.  */
 static void
 visit_hosts (const struct ab_fleet_watch *watch, uint64_t now,
-             void (*visit) (void *ctx, const struct ab_fleet_host *), void *ctx)
+             void (*visit) (void *ctx, const struct ab_fleet_host *),
+             void *ctx)
 {
   for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
     if (w->ready)
@@ -182,8 +183,9 @@
   ab_fleet_pack_view (&body, &view);
   pack_lists (&body, watch, &view, now);
   if (!body.error)
-    ab_peer_task_send (control->daemon->peer, ab_chunk_str (watcher->host.peer),
-                       AB_FRAME_FLEET_VIEW, ab_buf_chunk (&body));
+    ab_peer_task_send (control->daemon->peer,
+                       ab_chunk_str (watcher->host.peer), AB_FRAME_FLEET_VIEW,
+                       ab_buf_chunk (&body));
   watcher->sent = view.upto;
   watcher->hosts_version = view.hosts_version;
   ab_buf_free (&body);
@@ -211,6 +213,13 @@
   ab_fleet_watch_push (watch);
 }
 
+static void
+drop_watcher (struct ab_fleet_watch *watch, struct watcher *watcher)
+{
+  HASH_DEL (watch->watchers, watcher);
+  free (watcher);
+}
+
 static void
 on_watch (void *ctx, const struct ab_frame *frame)
 {
@@ -223,6 +232,18 @@
       || !ab_chunk_equal (frame->sender, ab_chunk_str (said.host.peer)))
     return;
   HASH_FIND_STR (watch->watchers, said.host.peer, watcher);
+  if (!said.follow)
+    {
+      struct watcher asker = { .host = said.host,
+                               .index = UINT64_MAX,
+                               .hosts_version = watch->version };
+      if (watcher)
+        drop_watcher (watch, watcher);
+      ab_peer_task_set_address (watch->control->daemon->peer, frame->sender,
+                                said.host.peer);
+      send_view (watch, &asker, now);
+      return;
+    }
   if (!watcher)
     {
       if (HASH_COUNT (watch->watchers) >= AB_FLEET_HOSTS_MAX)
@@ -244,7 +265,6 @@
   watcher->sent = 0;
   watcher->hosts_version = said.hosts_version;
   watcher->heard_ms = now;
-  update_version (watch, now);
   send_view (watch, watcher, now);
 }
 
@@ -303,7 +323,6 @@
   if (ab_reader_error (&reader) == 0)
     peer->heard_ms = ab_fleet_now_ms ();
   ab_reader_free (&reader);
-  update_version (watch, ab_fleet_now_ms ());
 }
 
 static void
@@ -328,9 +347,8 @@
       ab_fleet_pack_host (&body, &w->host);
   for (size_t i = 0; i < count && !body.error; i++)
     if (strcmp (members[i].host, control->daemon->settings->host) != 0)
-      ab_peer_task_send (control->daemon->peer,
-                         ab_chunk_str (members[i].host), AB_FRAME_FLEET_HOSTS,
-                         ab_buf_chunk (&body));
+      ab_peer_task_send (control->daemon->peer, ab_chunk_str (members[i].host),
+                         AB_FRAME_FLEET_HOSTS, ab_buf_chunk (&body));
   ab_buf_free (&body);
 }
 
@@ -346,8 +364,7 @@
       AB_LOG (AB_LOG_INFO, "entry_host_lost",
               ab_log_str ("peer", watcher->host.peer),
               ab_log_int ("silent_ms", (int64_t)(now - watcher->heard_ms)));
-      HASH_DEL (watch->watchers, watcher);
-      free (watcher);
+      drop_watcher (watch, watcher);
     }
 }
 
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -54,12 +54,12 @@
   struct ab_schedule_grant grant;
   struct ab_upstream_call *attempt;
   uint64_t sent_us;
-  uint64_t ask_us;  /* Time spent in asks.  */
+  uint64_t ask_us; /* Time spent in asks.  */
   uint64_t body_bytes;
-  unsigned sends;   /* Attempts that went to a target.  */
-  unsigned ran;     /* Of them, those that may have run.  */
+  unsigned sends; /* Attempts that went to a target.  */
+  unsigned ran;   /* Of them, those that may have run.  */
   enum ab_verdict verdict;
-  /* The response to an earlier attempt, passed on when no better one comes.  */
+  /* The response to an earlier attempt, passed on when no better one comes. */
   int kept_status;
   struct ab_buf kept_headers;
   struct evbuffer *kept_body;
@@ -125,10 +125,9 @@
           ab_log_int ("sends", flow->sends),
           ab_log_int ("ask_us", (int64_t)flow->ask_us),
           ab_log_int ("took_us", (int64_t)took_us),
-          ab_log_int ("bundle",
-                      flow->table ? (int64_t)ab_route_table_version (
-                                        flow->table)
-                                  : 0),
+          ab_log_int (
+              "bundle",
+              flow->table ? (int64_t)ab_route_table_version (flow->table) : 0),
           ab_log_int ("view_age_ms",
                       (int64_t)ab_fleet_view_age_ms (flow->env->view)));
 }
@@ -271,7 +270,8 @@
   bool not_run = ab_attempt_verdict (attempt) == AB_VERDICT_NOT_RUN;
 
   if (!flow->req || time_left (flow) < REPEAT_MIN_MS
-      || flow->sends >= SENDS_MAX || flow->ask.tried_count == AB_SCHED_TRIED_MAX
+      || flow->sends >= SENDS_MAX
+      || flow->ask.tried_count == AB_SCHED_TRIED_MAX
       || attempt->end == AB_ATTEMPT_CANCELLED)
     return false;
   return not_run
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -164,8 +164,8 @@
   if (json_array_size (list) == 0)
     add_all_addresses (gateway, list);
   if (json_array_size (list) == 0 && is_ready (gateway))
-    json_array_append_new (
-        list, json_string (gateway->settings->listen.callers));
+    json_array_append_new (list,
+                           json_string (gateway->settings->listen.callers));
   return list;
 }
 
@@ -192,10 +192,9 @@
     }
   region = evhttp_find_header (&fields, "region");
   domain = evhttp_find_header (&fields, "failure_domain");
-  list = list_addresses (gateway,
-                         region ? region : gateway->settings->base.region,
-                         domain ? domain
-                                : gateway->settings->base.failure_domain);
+  list = list_addresses (
+      gateway, region ? region : gateway->settings->base.region,
+      domain ? domain : gateway->settings->base.failure_domain);
   if (json_array_size (list) == 0)
     {
       json_decref (list);
@@ -204,8 +203,8 @@
     }
   text = json_dumps (
       json_pack ("{s:o, s:f}", "addresses", list, "ttl_s",
-                 ANSWER_LIFE
-                     * (double)gateway->settings->answer_lifetime_ms / 1000),
+                 ANSWER_LIFE * (double)gateway->settings->answer_lifetime_ms
+                     / 1000),
       JSON_COMPACT);
   evhttp_add_header (evhttp_request_get_output_headers (req), "Content-Type",
                      "application/json");
@@ -294,8 +293,8 @@
   if (rc < 0)
     return rc;
   ab_schedule_task_use_view (env->schedule, env->view);
-  rc = listen_http (gateway, listen->ready, on_ready_question,
-                    &gateway->ready, error);
+  rc = listen_http (gateway, listen->ready, on_ready_question, &gateway->ready,
+                    error);
   if (rc == 0)
     rc = listen_http (gateway, listen->addresses, on_address_question,
                       &gateway->addresses, error);
--- a/src/group_plan.h
+++ b/src/group_plan.h
@@ -61,6 +61,7 @@
 struct ab_group_step ab_group_plan (const struct ab_group_member *members,
                                     size_t member_count,
                                     const struct ab_group_request *requests,
-                                    size_t request_count, size_t voters_wanted);
+                                    size_t request_count,
+                                    size_t voters_wanted);
 
 #endif
--- a/src/group_task.c
+++ b/src/group_task.c
@@ -400,9 +400,9 @@
 say_hello (struct ab_group_task *task, uint64_t now)
 {
   struct ab_raft_status status;
-  bool settled = belongs (task)
-                 && now - ab_raft_leader_heard_ms (task->raft)
-                        < LEADER_LOST_MS;
+  bool settled
+      = belongs (task)
+        && now - ab_raft_leader_heard_ms (task->raft) < LEADER_LOST_MS;
 
   if (now - task->hello_ms < (settled ? HELLO_SETTLED_MS : HELLO_MS))
     return;
@@ -497,8 +497,8 @@
   ab_raft_status (task->raft, &status);
   for (size_t i = 0; i < count; i++)
     {
-      struct ab_raft_progress progress = { .match = status.commit_index,
-                                           .heard_ms = now };
+      struct ab_raft_progress progress
+          = { .match = status.commit_index, .heard_ms = now };
       const struct host *host = find_host (task, members[i].host);
       struct ab_group_member *member = &out[i];
       memset (member, 0, sizeof *member);
@@ -515,8 +515,8 @@
                        member->region, sizeof member->region);
       member->caught_up = progress.match >= status.commit_index;
       member->other_disk = progress.other_disk;
-      member->silent_ms = now > progress.heard_ms ? now - progress.heard_ms
-                                                  : 0;
+      member->silent_ms
+          = now > progress.heard_ms ? now - progress.heard_ms : 0;
     }
   return count;
 }
@@ -572,10 +572,10 @@
   static const char *const names[] = { "none", "add", "promote", "remove" };
   struct ab_group_member members[AB_RAFT_MEMBERS_MAX];
   struct ab_group_request requests[HOSTS_MAX];
-  struct ab_group_step step = ab_group_plan (
-      members, describe_members (task, now, members), requests,
-      describe_requests (task, now, requests),
-      2 * (size_t)task->settings->tolerated_losses + 1);
+  struct ab_group_step step
+      = ab_group_plan (members, describe_members (task, now, members),
+                       requests, describe_requests (task, now, requests),
+                       2 * (size_t)task->settings->tolerated_losses + 1);
   int rc;
 
   if (step.change == AB_GROUP_NONE)
@@ -817,15 +817,14 @@
 
   ab_raft_status (task->raft, &status);
   for (size_t i = 0; i < count; i++)
-    json_array_append_new (list, json_pack ("{s:s, s:b}", "host",
-                                            members[i].host, "learner",
-                                            members[i].learner));
-  return json_pack ("{s:I, s:I, s:I, s:I, s:b, s:b, s:s, s:I, s:o}", "term",
-                    (json_int_t)status.term, "commit",
-                    (json_int_t)status.commit_index, "applied",
-                    (json_int_t)status.applied_index, "last",
-                    (json_int_t)status.last_index, "leader", status.leader,
-                    "votes", status.can_vote, "leader_host",
-                    status.leader_host, "age_ms",
-                    (json_int_t)ab_group_age_ms (task), "members", list);
+    json_array_append_new (list,
+                           json_pack ("{s:s, s:b}", "host", members[i].host,
+                                      "learner", members[i].learner));
+  return json_pack (
+      "{s:I, s:I, s:I, s:I, s:b, s:b, s:s, s:I, s:o}", "term",
+      (json_int_t)status.term, "commit", (json_int_t)status.commit_index,
+      "applied", (json_int_t)status.applied_index, "last",
+      (json_int_t)status.last_index, "leader", status.leader, "votes",
+      status.can_vote, "leader_host", status.leader_host, "age_ms",
+      (json_int_t)ab_group_age_ms (task), "members", list);
 }
--- a/src/peer_task.c
+++ b/src/peer_task.c
@@ -415,8 +415,8 @@
     rc = ab_peer_zap_new (task->context, base, &task->zap);
   if (rc < 0)
     return rc;
-  task->links = ab_peer_links_new (task->context, base,
-                                   plain ? NULL : &task->pair);
+  task->links
+      = ab_peer_links_new (task->context, base, plain ? NULL : &task->pair);
   if (!task->links)
     return AB_ERR_MEMORY;
   if (!plain)
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -146,6 +146,36 @@
     send_append (raft, peer, peer->next - 1, 0);
 }
 
+static void
+send_heartbeat (struct ab_raft *raft, struct ab_raft_peer *peer,
+                uint64_t now_ms)
+{
+  bool quiet = now_ms - peer->heard_ms > raft->election_ms;
+
+  if (quiet && peer->state == AB_RAFT_SNAPSHOT)
+    peer->state = AB_RAFT_PROBE;
+  if (peer->state == AB_RAFT_SNAPSHOT || !log_reaches (raft, peer))
+    /* Index 0 matches any log, so this only says that the leader is
+       alive.  */
+    send_append (raft, peer, 0, 0);
+  else
+    send_append (raft, peer, peer->next - 1, 0);
+  peer->paused = peer->state == AB_RAFT_PROBE;
+}
+
+/* Begins a round that confirms reads; only voters count for it.  */
+static void
+send_round (struct ab_raft *raft, uint64_t now_ms)
+{
+  for (size_t i = 0; i < raft->peer_count; i++)
+    {
+      const struct ab_raft_member *member
+          = ab_raft_find_member (&raft->members, raft->peers[i].host);
+      if (member && !member->learner)
+        send_heartbeat (raft, &raft->peers[i], now_ms);
+    }
+}
+
 void
 ab_raft_replicate (struct ab_raft *raft, uint64_t now_ms)
 {
@@ -155,7 +185,7 @@
     {
       raft->round_wanted = false;
       raft->round++;
-      ab_raft_heartbeat (raft, now_ms);
+      send_round (raft, now_ms);
     }
   for (size_t i = 0; i < raft->peer_count; i++)
     replicate_to (raft, now_ms, &raft->peers[i]);
@@ -168,19 +198,7 @@
 {
   raft->next_heartbeat_ms = now_ms + raft->heartbeat_ms;
   for (size_t i = 0; i < raft->peer_count; i++)
-    {
-      struct ab_raft_peer *peer = &raft->peers[i];
-      bool quiet = now_ms - peer->heard_ms > raft->election_ms;
-      if (quiet && peer->state == AB_RAFT_SNAPSHOT)
-        peer->state = AB_RAFT_PROBE;
-      if (peer->state == AB_RAFT_SNAPSHOT || !log_reaches (raft, peer))
-        /* Index 0 matches any log, so this only says that the leader is
-           alive.  */
-        send_append (raft, peer, 0, 0);
-      else
-        send_append (raft, peer, peer->next - 1, 0);
-      peer->paused = peer->state == AB_RAFT_PROBE;
-    }
+    send_heartbeat (raft, &raft->peers[i], now_ms);
 }
 
 void
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -112,8 +112,8 @@
         rc = read_text (item, "probe_path", service->probe_path,
                         sizeof service->probe_path, error);
       if (rc == 0)
-        rc = read_number (item, "connections", false, 0,
-                          &service->connections, error);
+        rc = read_number (item, "connections", false, 0, &service->connections,
+                          error);
       table->service_count = i + 1;
     }
   return rc;
@@ -201,8 +201,9 @@
   if (rc < 0)
     return rc;
   if (route->objective_ms >= route->timeout_ms + AB_OBJECTIVE_OVER_TIMEOUT_MS)
-    return fail (error, "'objective_ms' of route '%s' is far above its "
-                        "'timeout_ms'",
+    return fail (error,
+                 "'objective_ms' of route '%s' is far above its "
+                 "'timeout_ms'",
                  route->name);
   return 0;
 }
@@ -211,8 +212,8 @@
 read_prefix (struct ab_fleet_route *route, const json_t *item, char *error)
 {
   size_t len;
-  int rc = read_text (item, "prefix", route->prefix, sizeof route->prefix,
-                      error);
+  int rc
+      = read_text (item, "prefix", route->prefix, sizeof route->prefix, error);
 
   if (rc < 0)
     return rc;
--- a/src/schedule_frame.c
+++ b/src/schedule_frame.c
@@ -3,7 +3,7 @@
 #include "error.h"
 #include "pack.h"
 
-#define ASK_FIELDS 9
+#define ASK_FIELDS 8
 #define REPLY_FIELDS 8
 
 enum ask_flag
@@ -35,7 +35,6 @@
   ab_pack_u64 (out, ask->priority);
   ab_pack_u64 (out, ask->objective_ms);
   ab_pack_u64 (out, ask->time_ms);
-  ab_pack_bytes (out, ab_chunk_str (ask->host));
   ab_pack_array (out, ask->tried_count);
   for (size_t i = 0; i < ask->tried_count; i++)
     ab_pack_bytes (out, ab_chunk_str (ask->tried[i]));
@@ -63,7 +62,6 @@
   ask->priority = ab_reader_u64 (&reader);
   ask->objective_ms = ab_reader_u64 (&reader);
   ask->time_ms = ab_reader_u64 (&reader);
-  ab_reader_str (&reader, ask->host, sizeof ask->host);
   ask->tried_count = ab_reader_enter (&reader, AB_SCHED_TRIED_MAX);
   for (size_t i = 0; i < ask->tried_count; i++)
     ab_reader_str (&reader, ask->tried[i], sizeof ask->tried[i]);
--- a/src/schedule_frame.h
+++ b/src/schedule_frame.h
@@ -5,6 +5,7 @@
 
 #include "scheduler.h"
 
+/* The asking host is the frame's sender, and not in its body.  */
 void ab_sched_pack_ask (struct ab_buf *out, const struct ab_sched_ask *ask);
 int ab_sched_read_ask (struct ab_chunk body, struct ab_sched_ask *ask);
 
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -103,9 +103,9 @@
           uint64_t score = ab_rendezvous_score (
               subject, ab_rendezvous_hash (ab_chunk_str (hosts[i].peer)));
           if (score >= limit || score <= best_score
-              || strcmp (ab_fleet_region (task->settings,
-                                          hosts[i].failure_domain),
-                         region)
+              || strcmp (
+                     ab_fleet_region (task->settings, hosts[i].failure_domain),
+                     region)
                      != 0)
             continue;
           best = hosts[i].peer;
@@ -223,8 +223,8 @@
   call->stage = STAGE_AWAY;
   while (call->away < task->region_count)
     {
-      const char *host = scheduler_host (
-          task, task->regions[call->away++], call->ask.service, 0);
+      const char *host = scheduler_host (task, task->regions[call->away++],
+                                         call->ask.service, 0);
       if (host)
         {
           ask_host (call, host);
@@ -256,7 +256,8 @@
 {
   struct ab_schedule_task *task = call->task;
 
-  AB_LOG (AB_LOG_WARN, "scheduler_silent", ab_log_str ("scheduler", call->host),
+  AB_LOG (AB_LOG_WARN, "scheduler_silent",
+          ab_log_str ("scheduler", call->host),
           ab_log_str ("service", call->ask.service),
           ab_log_int ("after_ms", (int64_t)(now_ms () - call->asked_ms)));
   ++*ab_counter (task->daemon->counters, "ab_scheduler_silent_total");
@@ -434,7 +435,8 @@
   struct ab_schedule_task *task = ctx;
   struct ab_sched_ask ask;
 
-  if (ab_sched_read_ask (frame->body, &ask) < 0)
+  if (ab_sched_read_ask (frame->body, &ask) < 0
+      || !ab_chunk_copy (frame->sender, ask.host, sizeof ask.host))
     return;
   /* A host that is not in the view yet must get its answer too.  */
   if (strcmp (ask.host, task->daemon->settings->host) != 0)
@@ -510,14 +512,13 @@
   const struct timeval interval = { .tv_usec = AB_SCHED_TICK_MS * 1000 };
   struct ab_scheduler_config config
       = { .repeat_fraction = settings->repeat_fraction,
-          .repeat_extra = (double)settings->repeat_extra
-                          / (double)task->region_count,
+          .repeat_extra
+          = (double)settings->repeat_extra / (double)task->region_count,
           .repeat_window_ms = settings->repeat_window_ms,
           .rng = &task->rng };
 
   task->scheduler = ab_scheduler_new (&config, &scheduler_ops, task);
-  task->tick
-      = event_new (task->daemon->base, -1, EV_PERSIST, on_tick, task);
+  task->tick = event_new (task->daemon->base, -1, EV_PERSIST, on_tick, task);
   if (!task->scheduler || !task->tick || event_add (task->tick, &interval) < 0)
     return AB_ERR_MEMORY;
   return 0;
--- a/src/schedule_task.h
+++ b/src/schedule_task.h
@@ -49,9 +49,10 @@
 
 /* ASK's id and host are set here.  The callback runs from the event loop,
    exactly once unless the call is cancelled.  Null without memory.  */
-struct ab_schedule_call *
-ab_schedule_ask (struct ab_schedule_task *task, const struct ab_sched_ask *ask,
-                 ab_schedule_callback callback, void *ctx);
+struct ab_schedule_call *ab_schedule_ask (struct ab_schedule_task *task,
+                                          const struct ab_sched_ask *ask,
+                                          ab_schedule_callback callback,
+                                          void *ctx);
 void ab_schedule_cancel (struct ab_schedule_call *call);
 
 /* Reports how a granted attempt ended; exactly once for each grant.  */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -27,6 +27,16 @@
 /* Of the time that is left, kept for the way to the caller.  */
 #define REPLY_MARGIN_MS 30
 #define QUEUE_MAX 4096
+/* Ranks of priority whose arrivals are counted apart.  */
+#define PRIORITIES 4
+/* Rates of arrival are averaged over about this time.  */
+#define RATE_MS 1500
+/* Of the slots, left to a low priority when higher ones take all: such
+   requests are hardly ever served, but not refused for a short burst.  */
+#define CAPACITY_LEFT 0.1
+/* A waiting request is given up when its turn is expected this much later
+   than of use; the estimate is rough.  */
+#define HOPELESS_SLACK 0.75
 
 struct service;
 
@@ -62,6 +72,8 @@
   uint64_t asked_ms;
   uint64_t granted_ms;
   bool trial;
+  bool in_time;     /* As of the last look at the queue.  */
+  uint64_t left_ms; /* Of the objective, or of all its time.  */
   UT_hash_handle hh;
 };
 
@@ -80,6 +92,8 @@
   size_t waiting_count;
   struct request *granted;
   double latency_ms;
+  double rates[PRIORITIES]; /* Arrivals a millisecond.  */
+  uint64_t rates_ms;        /* When they were updated.  */
   struct bucket buckets[WINDOW_BUCKETS];
   UT_hash_handle hh;
 };
@@ -256,8 +270,8 @@
         || (target->paths[slot].host != host
             && target->paths[i].until_ms < target->paths[slot].until_ms))
       slot = i;
-  target->paths[slot] = (struct path){ .host = host,
-                                       .until_ms = now_ms + PATH_MS };
+  target->paths[slot]
+      = (struct path){ .host = host, .until_ms = now_ms + PATH_MS };
   for (size_t i = 0; i < PATHS_MAX; i++)
     count += now_ms < target->paths[i].until_ms;
   return count;
@@ -399,9 +413,9 @@
         first += (double)service->buckets[i].first;
         repeats += (double)service->buckets[i].repeats;
       }
-  if (repeats + 1 > BUDGET_USE
-                        * (s->config.repeat_fraction * first
-                           + s->config.repeat_extra))
+  if (repeats + 1
+      > BUDGET_USE
+            * (s->config.repeat_fraction * first + s->config.repeat_extra))
     return false;
   bucket_at (service, now_ms)->repeats++;
   return true;
@@ -456,8 +470,8 @@
   DL_APPEND (service->granted, request);
   request->target = target;
   request->granted_ms = now_ms;
-  request->trial = ab_target_health_trust (&target->health, now_ms)
-                   != AB_TRUST_PROVEN;
+  request->trial
+      = ab_target_health_trust (&target->health, now_ms) != AB_TRUST_PROVEN;
   target->in_flight++;
   target->trials += request->trial;
   target->used = true;
@@ -489,8 +503,7 @@
 
 /* Whether A is served before B.  */
 static bool
-goes_before (const struct request *a, const struct request *b,
-             uint64_t now_ms)
+goes_before (const struct request *a, const struct request *b, uint64_t now_ms)
 {
   bool a_in_time = in_time (a, now_ms);
   bool b_in_time = in_time (b, now_ms);
@@ -541,18 +554,61 @@
     }
 }
 
+/* Arrivals.  */
+
+static void
+age_rates (struct service *service, uint64_t now_ms)
+{
+  double gone = (double)(now_ms - service->rates_ms);
+  double kept = gone >= RATE_MS ? 0 : 1 - gone / RATE_MS;
+
+  for (size_t i = 0; i < PRIORITIES; i++)
+    service->rates[i] *= kept;
+  service->rates_ms = now_ms;
+}
+
+static size_t
+rank_of (const struct ab_sched_ask *ask)
+{
+  return ask->priority < PRIORITIES ? (size_t)ask->priority : PRIORITIES - 1;
+}
+
+static void
+count_arrival (struct service *service, const struct ab_sched_ask *ask,
+               uint64_t now_ms)
+{
+  age_rates (service, now_ms);
+  service->rates[rank_of (ask)] += 1.0 / RATE_MS;
+}
+
+/* Requests a millisecond that SLOTS serve for the priority of ASK: what
+   arrives with a higher one takes its part first.  */
+static double
+serving_rate (struct service *service, const struct ab_sched_ask *ask,
+              uint64_t slots, uint64_t now_ms)
+{
+  double capacity = (double)slots / usual_ms (service);
+  double rate = capacity;
+
+  age_rates (service, now_ms);
+  for (size_t i = 0; i < rank_of (ask); i++)
+    rate -= service->rates[i];
+  return rate > capacity * CAPACITY_LEFT ? rate : capacity * CAPACITY_LEFT;
+}
+
 /* When a slot is expected to be free for REQUEST.  */
 static uint64_t
 expected_wait (const struct request *request, uint64_t slots, uint64_t now_ms)
 {
-  const struct service *service = request->service;
+  struct service *service = request->service;
   const struct request *other;
   uint64_t ahead = 1;
 
   DL_FOREACH (service->waiting, other)
   if (other != request && goes_before (other, request, now_ms))
     ahead++;
-  return (uint64_t)((double)ahead * usual_ms (service) / (double)slots);
+  return (uint64_t)((double)ahead
+                    / serving_rate (service, &request->ask, slots, now_ms));
 }
 
 static void
@@ -631,6 +687,7 @@
   request = add_request (s, ask, now_ms);
   if (!request)
     return; /* The asker turns to another host.  */
+  count_arrival (request->service, ask, now_ms);
   if (!ask->repeat)
     bucket_at (request->service, now_ms)->first++;
   else if (!take_repeat (s, request->service, now_ms))
@@ -665,8 +722,7 @@
 
 static void
 note_outcome (struct target *target, const struct request *request,
-              enum ab_target_event event, uint64_t latency_ms,
-              uint64_t now_ms)
+              enum ab_target_event event, uint64_t latency_ms, uint64_t now_ms)
 {
   struct service *service = target->service;
   uint64_t host = ab_rendezvous_hash (ab_chunk_str (request->ask.host));
@@ -728,15 +784,68 @@
   }
 }
 
-static void
-drop_late (struct ab_scheduler *s, struct service *service, uint64_t now_ms)
+static int
+by_turn (const void *a, const void *b)
+{
+  const struct request *left = *(struct request *const *)a;
+  const struct request *right = *(struct request *const *)b;
+
+  if (left->ask.priority != right->ask.priority)
+    return left->ask.priority < right->ask.priority ? -1 : 1;
+  if (left->in_time != right->in_time)
+    return left->in_time ? -1 : 1;
+  if (left->left_ms != right->left_ms)
+    return left->left_ms < right->left_ms ? -1 : 1;
+  return 0;
+}
+
+/* The waiting requests in the order in which they are served; to be freed.  */
+static struct request **
+list_waiting (const struct service *service, uint64_t now_ms)
 {
+  struct request **list = calloc (service->waiting_count, sizeof *list);
   struct request *request;
-  struct request *next;
+  size_t count = 0;
 
-  DL_FOREACH_SAFE (service->waiting, request, next)
-  if (too_late (request, now_ms))
-    refuse (s, request, AB_SCHED_FULL, (uint64_t)usual_ms (service), now_ms);
+  if (!list)
+    return NULL;
+  DL_FOREACH (service->waiting, request)
+  {
+    request->in_time = in_time (request, now_ms);
+    request->left_ms = left (request->in_time ? request->ask.objective_ms
+                                              : request->ask.time_ms,
+                             request, now_ms);
+    list[count++] = request;
+  }
+  qsort (list, count, sizeof *list, by_turn);
+  return list;
+}
+
+/* Refuses those that wait in vain, as soon as that is known.  */
+static void
+refuse_hopeless (struct ab_scheduler *s, struct service *service,
+                 uint64_t now_ms)
+{
+  uint64_t slots = usable_slots (service, now_ms);
+  double usual = usual_ms (service);
+  size_t count = service->waiting_count;
+  struct request **list = count > 0 ? list_waiting (service, now_ms) : NULL;
+  size_t ahead = 0;
+
+  for (size_t i = 0; list && i < count; i++)
+    {
+      struct request *request = list[i];
+      double rate = serving_rate (service, &request->ask,
+                                  slots > 0 ? slots : 1, now_ms);
+      double wait = (double)(ahead + 1) / rate;
+      double rest = (double)left (request->ask.time_ms, request, now_ms);
+      if (too_late (request, now_ms)
+          || wait * HOPELESS_SLACK + usual + REPLY_MARGIN_MS > rest)
+        refuse (s, request, AB_SCHED_FULL, (uint64_t)wait, now_ms);
+      else
+        ahead++;
+    }
+  free (list);
 }
 
 void
@@ -746,8 +855,8 @@
        service = service->hh.next)
     {
       check_granted (s, service, now_ms);
-      drop_late (s, service, now_ms);
       serve_waiting (s, service, now_ms);
+      refuse_hopeless (s, service, now_ms);
     }
 }
 
@@ -759,13 +868,12 @@
   for (const struct target *t = s->targets; t; t = t->hh.next)
     json_array_append_new (
         list,
-        json_pack ("{s:s, s:s, s:s, s:s, s:I, s:I, s:f}", "target",
-                   t->known.id, "service", t->known.service, "address",
-                   t->known.address, "trust",
-                   ab_target_trust_name (
-                       ab_target_health_trust (&t->health, now_ms)),
-                   "in_flight", (json_int_t)t->in_flight, "failures",
-                   (json_int_t)t->health.failures, "latency_ms",
-                   t->health.latency_ms));
+        json_pack (
+            "{s:s, s:s, s:s, s:s, s:I, s:I, s:f}", "target", t->known.id,
+            "service", t->known.service, "address", t->known.address, "trust",
+            ab_target_trust_name (ab_target_health_trust (&t->health, now_ms)),
+            "in_flight", (json_int_t)t->in_flight, "failures",
+            (json_int_t)t->health.failures, "latency_ms",
+            t->health.latency_ms));
   return list;
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -38,10 +38,10 @@
   char failure_domain[AB_NAME_BYTES];
   char service[AB_NAME_BYTES];
   bool idempotent;
-  bool repeat;      /* An earlier attempt arrived at a target.  */
-  bool may_wait;    /* False: only a free slot is of use.  */
-  bool may_move;    /* Another region may be asked instead of waiting long.  */
-  uint64_t priority; /* 0 first.  */
+  bool repeat;   /* An earlier attempt arrived at a target.  */
+  bool may_wait; /* False: only a free slot is of use.  */
+  bool may_move; /* Another region may be asked instead of waiting long.  */
+  uint64_t priority;     /* 0 first.  */
   uint64_t objective_ms; /* Left until the response is worth less.  */
   uint64_t time_ms;      /* Left until it is worth nothing.  */
   char tried[AB_SCHED_TRIED_MAX][AB_NAME_BYTES]; /* Ids of targets.  */
@@ -52,10 +52,10 @@
 {
   AB_SCHED_GRANTED,
   AB_SCHED_WAITING, /* An answer follows.  */
-  AB_SCHED_MOVE,    /* A slot is free later here; other regions may be sooner.  */
-  AB_SCHED_FULL,    /* No slot comes free in time.  */
-  AB_SCHED_NONE,    /* The service has no usable target here.  */
-  AB_SCHED_BUDGET   /* No repeated attempt is left.  */
+  AB_SCHED_MOVE, /* A slot is free later here; other regions may be sooner.  */
+  AB_SCHED_FULL, /* No slot comes free in time.  */
+  AB_SCHED_NONE, /* The service has no usable target here.  */
+  AB_SCHED_BUDGET /* No repeated attempt is left.  */
 };
 
 struct ab_sched_reply
@@ -84,12 +84,12 @@
   struct ab_rng *rng;
 };
 
-struct ab_scheduler *ab_scheduler_new (const struct ab_scheduler_config *config,
-                                       const struct ab_scheduler_ops *ops,
-                                       void *ctx);
+struct ab_scheduler *
+ab_scheduler_new (const struct ab_scheduler_config *config,
+                  const struct ab_scheduler_ops *ops, void *ctx);
 void ab_scheduler_free (struct ab_scheduler *scheduler);
 
-/* Adds or changes a target; one that drains or is gone gets no new request.  */
+/* Adds or changes a target; one that drains or is gone gets no new request. */
 void ab_scheduler_set_target (struct ab_scheduler *scheduler,
                               const struct ab_fleet_target *target,
                               uint64_t now_ms);
--- a/src/target_health.c
+++ b/src/target_health.c
@@ -2,16 +2,20 @@
 
 /* A sick target is left alone for this long after its first failure, twice as
    long after each further one, at most OUT_MAX_MS.  */
-#define OUT_MS 600
-#define OUT_MAX_MS 2400
+#define OUT_MS 500
+#define OUT_MAX_MS 1600
 /* Of a target that cannot be connected to.  */
 #define OUT_REFUSED_MS 1000
 /* The address has another incarnation; its announcement is under way.  */
 #define OUT_REPLACED_MS 2000
 /* While a request is stuck.  */
 #define OUT_STUCK_MS 400
-/* Successes in a row that make a sick target trusted again.  */
-#define SUCCESSES_TO_RECOVER 3
+/* Successes in a row that make a sick target trusted again; a suspect needs
+   one.  */
+#define SUCCESSES_TO_RECOVER 2
+#define SUCCESSES_OF_SUSPECT 1
+/* A target that succeeded this recently has just worked.  */
+#define JUST_WORKED_MS 1500
 /* A shed response says that the slots are in use for about one request.  */
 #define BUSY_MS 60
 /* Sheds in a row after which a target counts as sick.  */
@@ -26,17 +30,35 @@
   health->sick = true;
   health->proven = false;
   health->successes = 0;
+  health->needed = SUCCESSES_TO_RECOVER;
   health->failures++;
   if (now_ms + out_ms > health->out_until_ms)
     health->out_until_ms = now_ms + out_ms;
 }
 
+/* A failure that may be one of the few of a healthy target.  */
+static bool
+may_be_chance (const struct ab_target_health *health, uint64_t now_ms)
+{
+  return health->proven && now_ms - health->ok_ms <= JUST_WORKED_MS;
+}
+
+static void
+suspect (struct ab_target_health *health)
+{
+  health->sick = true;
+  health->proven = false;
+  health->successes = 0;
+  health->needed = SUCCESSES_OF_SUSPECT;
+  health->failures++;
+}
+
 static uint64_t
 out_ms (const struct ab_target_health *health)
 {
   uint64_t time = OUT_MS;
 
-  for (unsigned i = 0; i < health->failures && time < OUT_MAX_MS; i++)
+  for (unsigned i = 1; i < health->failures && time < OUT_MAX_MS; i++)
     time *= 2;
   return time < OUT_MAX_MS ? time : OUT_MAX_MS;
 }
@@ -46,15 +68,15 @@
 {
   double latency = (double)latency_ms;
 
-  health->latency_ms = health->latency_ms > 0
-                           ? health->latency_ms
-                                 + LATENCY_WEIGHT
-                                       * (latency - health->latency_ms)
-                           : latency;
+  health->latency_ms
+      = health->latency_ms > 0
+            ? health->latency_ms
+                  + LATENCY_WEIGHT * (latency - health->latency_ms)
+            : latency;
   health->ok_ms = now_ms;
   health->successes++;
   health->sheds = 0;
-  if (!health->sick || health->successes >= SUCCESSES_TO_RECOVER)
+  if (!health->sick || health->successes >= health->needed)
     {
       health->sick = false;
       health->proven = true;
@@ -74,6 +96,11 @@
       break;
     case AB_TARGET_ERROR:
     case AB_TARGET_LOST:
+      if (may_be_chance (health, now_ms))
+        suspect (health);
+      else
+        fail (health, out_ms (health), now_ms);
+      break;
     case AB_TARGET_TIMEOUT:
       fail (health, out_ms (health), now_ms);
       break;
@@ -102,6 +129,7 @@
 {
   health->proven = false;
   health->successes = 0;
+  health->needed = SUCCESSES_OF_SUSPECT;
   health->sick = true;
   if (now_ms + OUT_STUCK_MS > health->out_until_ms)
     health->out_until_ms = now_ms + OUT_STUCK_MS;
@@ -123,9 +151,8 @@
 ab_target_event_name (enum ab_target_event event)
 {
   static const char *const names[]
-      = { "ok",          "error",   "lost", "refused",
-          "unreachable", "timeout", "shed", "replaced",
-          "unused" };
+      = { "ok",      "error", "lost",     "refused", "unreachable",
+          "timeout", "shed",  "replaced", "unused" };
 
   return names[event];
 }
--- a/src/target_health.h
+++ b/src/target_health.h
@@ -1,11 +1,12 @@
 /* What outcomes of requests say about one target.
 
    Some targets fail most of their requests for seconds while their health
-   checks pass, and healthy targets fail about one in a hundred.  One failure
-   is therefore strong evidence that the target is sick, and one later success
-   is weak evidence that it is well.  A sick target is left alone for a while,
-   then tried with requests that may be repeated, and is trusted with others
-   only after several successes in a row.  No I/O.  */
+   checks pass, and healthy targets fail about one in a hundred.  A single
+   failure of a target that has just worked is more often of the second kind:
+   the target is a suspect until the next success or failure.  Any other
+   failure makes it sick.  A sick target is left alone for a while, then tried
+   with requests that may be repeated, and is trusted with others only after
+   several successes in a row.  No I/O.  */
 
 #ifndef AB_TARGET_HEALTH_H
 #define AB_TARGET_HEALTH_H
@@ -41,6 +42,7 @@
   bool proven;
   unsigned failures;  /* In a row, without a success.  */
   unsigned successes; /* In a row, since the last failure.  */
+  unsigned needed;    /* Successes in a row that make it trusted again.  */
   unsigned sheds;     /* In a row.  */
   uint64_t out_until_ms;
   uint64_t busy_until_ms; /* It shed; its slots are in use.  */
--- a/src/upstream_task.c
+++ b/src/upstream_task.c
@@ -397,9 +397,9 @@
     call->echo_name = NULL;
   call->not_run_name = request->not_run_name;
   call->accept_unframed = request->accept_unframed;
-  call->connection = ab_pools_take (upstream->pools, request->target,
-                                    request->max_connections,
-                                    idle_bound (request));
+  call->connection
+      = ab_pools_take (upstream->pools, request->target,
+                       request->max_connections, idle_bound (request));
   if (!call->connection)
     {
       end_unsent (call, AB_ATTEMPT_FULL);
