Test the fleet's parts; refusals of slow callers reach them

Cause: the 408 was written through evhttp's buffer, whose writing is off while it reads, and never left; the callers' test found it. A short burst above capacity refused low priorities that the queue would have served.

Change: the refusal goes to the socket directly. Arrivals with a higher priority are averaged over 2.5 s and count for three quarters.

--- a/src/caller_conns_task.c
+++ b/src/caller_conns_task.c
@@ -115,13 +115,16 @@
     shutdown (fd, SHUT_RDWR);
 }
 
-/* Tells the caller of an incomplete request that it has not run.  */
+/* Tells the caller of an incomplete request that it has not run.  The refusal
+   goes past evhttp, which takes anything written for the end of a reply; over
+   TLS that cannot be, and the connection just ends.  */
 static void
 refuse_slow (struct ab_caller_conns *conns, struct conn *conn, uint64_t now)
 {
   static const char refusal[] = "HTTP/1.1 408 Request Timeout\r\n"
                                 "Content-Length: 0\r\n"
                                 "Connection: close\r\n\r\n";
+  int fd = bufferevent_getfd (conn->bev);
 
   ++*conns->slow;
   AB_LOG (AB_LOG_INFO, "caller_too_slow",
@@ -130,23 +133,12 @@
           ab_log_int ("buffered", (int64_t)evbuffer_get_length (
                                       bufferevent_get_input (conn->bev))));
   conn->refused_ms = now;
-  bufferevent_disable (conn->bev, EV_READ);
-  if (bufferevent_write (conn->bev, refusal, sizeof refusal - 1) < 0)
+  if (conn->ssl || fd < 0
+      || send (fd, refusal, sizeof refusal - 1, MSG_NOSIGNAL | MSG_DONTWAIT)
+             < 0)
     end_conn (conn);
-}
-
-static void
-check_refused (const struct conn *conn, uint64_t now)
-{
-  int fd = bufferevent_getfd (conn->bev);
-
-  if (fd >= 0)
+  else
     shutdown (fd, SHUT_WR);
-  if (now - conn->refused_ms > LINGER_MS)
-    {
-      bufferevent_enable (conn->bev, EV_READ);
-      end_conn (conn);
-    }
 }
 
 static void
@@ -158,7 +150,10 @@
       || evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
     return;
   if (conn->refused_ms > 0)
-    check_refused (conn, now);
+    {
+      if (now - conn->refused_ms > LINGER_MS)
+        end_conn (conn);
+    }
   else if (conn->receiving_ms > 0)
     {
       if (now - conn->receiving_ms > http->header_time_ms)
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -56,8 +56,9 @@
   uint64_t sent_us;
   uint64_t ask_us; /* Time spent in asks.  */
   uint64_t body_bytes;
-  unsigned sends; /* Attempts that went to a target.  */
-  unsigned ran;   /* Of them, those that may have run.  */
+  uint64_t asked_ms; /* That the caller said it would wait; 0: not said.  */
+  unsigned sends;    /* Attempts that went to a target.  */
+  unsigned ran;      /* Of them, those that may have run.  */
   enum ab_verdict verdict;
   /* The response to an earlier attempt, passed on when no better one comes. */
   int kept_status;
@@ -112,24 +113,27 @@
   uint64_t took_us = ab_clock_monotonic_us () - flow->begin_us;
   bool ordinary = status < 400 && flow->sends <= 1;
 
-  AB_LOG (ordinary ? AB_LOG_INFO : AB_LOG_WARN,
-          ordinary ? "request" : "request_odd", ab_log_str ("id", flow->id),
-          ab_log_int ("status", status), ab_log_str ("code", code),
-          ab_log_str ("verdict", ab_verdict_name (flow->verdict)),
-          ab_log_str ("route", flow->route ? flow->route->name : "-"),
-          ab_log_str ("service", flow->service ? flow->service->name : "-"),
-          ab_log_str ("target", flow->grant.target),
-          ab_log_str ("trust", ab_target_trust_name (flow->grant.trust)),
-          ab_log_str ("scheduler", flow->grant.scheduler),
-          ab_log_int ("bytes", (int64_t)flow->body_bytes),
-          ab_log_int ("sends", flow->sends),
-          ab_log_int ("ask_us", (int64_t)flow->ask_us),
-          ab_log_int ("took_us", (int64_t)took_us),
-          ab_log_int (
-              "bundle",
-              flow->table ? (int64_t)ab_route_table_version (flow->table) : 0),
-          ab_log_int ("view_age_ms",
-                      (int64_t)ab_fleet_view_age_ms (flow->env->view)));
+  AB_LOG (
+      ordinary ? AB_LOG_INFO : AB_LOG_WARN,
+      ordinary ? "request" : "request_odd", ab_log_str ("id", flow->id),
+      ab_log_int ("status", status), ab_log_str ("code", code),
+      ab_log_str ("verdict", ab_verdict_name (flow->verdict)),
+      ab_log_str ("route", flow->route ? flow->route->name : "-"),
+      ab_log_str ("service", flow->service ? flow->service->name : "-"),
+      ab_log_str ("target", flow->grant.target),
+      ab_log_str ("trust", ab_target_trust_name (flow->grant.trust)),
+      ab_log_str ("scheduler", flow->grant.scheduler),
+      ab_log_int ("bytes", (int64_t)flow->body_bytes),
+      ab_log_int ("time_ms", (int64_t)(flow->deadline_ms - flow->begin_ms)),
+      ab_log_int ("asked_ms", (int64_t)flow->asked_ms),
+      ab_log_int ("sends", flow->sends),
+      ab_log_int ("ask_us", (int64_t)flow->ask_us),
+      ab_log_int ("took_us", (int64_t)took_us),
+      ab_log_int ("bundle", flow->table
+                                ? (int64_t)ab_route_table_version (flow->table)
+                                : 0),
+      ab_log_int ("view_age_ms",
+                  (int64_t)ab_fleet_view_age_ms (flow->env->view)));
 }
 
 static void
@@ -585,6 +589,7 @@
       if (!ab_chunk_to_u64 (ab_chunk_str (text), &asked)
           || asked > DEADLINE_MAX_MS)
         return refuse (flow, 400, "deadline", 0);
+      flow->asked_ms = asked;
       if (asked < ms)
         ms = asked;
     }
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -30,13 +30,16 @@
 /* Ranks of priority whose arrivals are counted apart.  */
 #define PRIORITIES 4
 /* Rates of arrival are averaged over about this time.  */
-#define RATE_MS 1500
+#define RATE_MS 2500
+/* Of the arrivals with a higher priority, those that are expected to go on: a
+   burst may end before a waiting request's turn.  */
+#define RATE_EXPECTED 0.75
 /* Of the slots, left to a low priority when higher ones take all: such
    requests are hardly ever served, but not refused for a short burst.  */
 #define CAPACITY_LEFT 0.1
 /* A waiting request is given up when its turn is expected this much later
    than of use; the estimate is rough.  */
-#define HOPELESS_SLACK 0.75
+#define HOPELESS_SLACK 1.0
 
 struct service;
 
@@ -592,7 +595,7 @@
 
   age_rates (service, now_ms);
   for (size_t i = 0; i < rank_of (ask); i++)
-    rate -= service->rates[i];
+    rate -= RATE_EXPECTED * service->rates[i];
   return rate > capacity * CAPACITY_LEFT ? rate : capacity * CAPACITY_LEFT;
 }
 
--- /dev/null
+++ b/tests/test_fleet_frames.c
@@ -0,0 +1,159 @@
+/* Messages of a fleet's processes and their settings: what is written is read
+   back, and what is cut short is refused.  */
+
+#include "error.h"
+#include "fleet_settings.h"
+#include "fleet_watch.h"
+#include "schedule_frame.h"
+#include "suite_lib.h"
+
+START_TEST (ask_round_trip)
+{
+  struct ab_sched_ask ask = { .id = UINT64_MAX,
+                              .failure_domain = "d",
+                              .service = "s",
+                              .idempotent = true,
+                              .may_move = true,
+                              .priority = 3,
+                              .objective_ms = 600,
+                              .time_ms = 1200,
+                              .tried = { "t1", "t2" },
+                              .tried_count = 2 };
+  struct ab_sched_ask read;
+  struct ab_buf body = AB_BUF_INIT;
+
+  ab_sched_pack_ask (&body, &ask);
+  ck_assert_int_eq (ab_sched_read_ask (ab_buf_chunk (&body), &read), 0);
+  ck_assert_uint_eq (read.id, ask.id);
+  ck_assert_str_eq (read.failure_domain, ask.failure_domain);
+  ck_assert_str_eq (read.service, ask.service);
+  ck_assert (read.idempotent && read.may_move);
+  ck_assert (!read.repeat && !read.may_wait);
+  ck_assert_uint_eq (read.priority, ask.priority);
+  ck_assert_uint_eq (read.objective_ms, ask.objective_ms);
+  ck_assert_uint_eq (read.time_ms, ask.time_ms);
+  ck_assert_uint_eq (read.tried_count, 2);
+  ck_assert_str_eq (read.tried[1], "t2");
+  for (size_t len = 0; len < body.len; len++)
+    ck_assert_int_lt (ab_sched_read_ask (ab_chunk (body.data, len), &read), 0);
+  ab_buf_free (&body);
+}
+END_TEST
+
+START_TEST (reply_and_outcome_round_trip)
+{
+  struct ab_sched_reply reply = { .kind = AB_SCHED_GRANTED,
+                                  .id = 7,
+                                  .target = "t",
+                                  .address = "1.2.3.4:5",
+                                  .trust = AB_TRUST_TRIAL,
+                                  .waited_ms = 1,
+                                  .wait_ms = 2,
+                                  .waiting = 3 };
+  struct ab_sched_reply read;
+  struct ab_buf body = AB_BUF_INIT;
+  enum ab_target_event event;
+  uint64_t latency;
+  uint64_t id;
+
+  ab_sched_pack_reply (&body, &reply);
+  ck_assert_int_eq (ab_sched_read_reply (ab_buf_chunk (&body), &read), 0);
+  ck_assert_int_eq (read.kind, reply.kind);
+  ck_assert_uint_eq (read.id, reply.id);
+  ck_assert_str_eq (read.target, reply.target);
+  ck_assert_str_eq (read.address, reply.address);
+  ck_assert_int_eq (read.trust, reply.trust);
+  ck_assert_uint_eq (read.waited_ms, reply.waited_ms);
+  ck_assert_uint_eq (read.wait_ms, reply.wait_ms);
+  ck_assert_uint_eq (read.waiting, reply.waiting);
+  for (size_t len = 0; len < body.len; len++)
+    ck_assert_int_lt (ab_sched_read_reply (ab_chunk (body.data, len), &read),
+                      0);
+  ab_buf_clear (&body);
+  ab_sched_pack_outcome (&body, 9, AB_TARGET_LOST, 55);
+  ck_assert_int_eq (
+      ab_sched_read_outcome (ab_buf_chunk (&body), &id, &event, &latency), 0);
+  ck_assert_uint_eq (id, 9);
+  ck_assert_int_eq (event, AB_TARGET_LOST);
+  ck_assert_uint_eq (latency, 55);
+  ab_buf_clear (&body);
+  ab_sched_pack_outcome (&body, 9, (enum ab_target_event)99, 55);
+  ck_assert_int_eq (
+      ab_sched_read_outcome (ab_buf_chunk (&body), &id, &event, &latency),
+      AB_ERR_CORRUPT);
+  ab_buf_free (&body);
+}
+END_TEST
+
+START_TEST (watch_round_trip)
+{
+  struct ab_fleet_watch_frame watch = { .host = { .peer = "1.1.1.1:1",
+                                                  .callers = "1.1.1.1:2",
+                                                  .failure_domain = "d" },
+                                        .follow = true,
+                                        .ready = true,
+                                        .index = 8,
+                                        .hosts_version = 9 };
+  struct ab_fleet_watch_frame read;
+  struct ab_buf body = AB_BUF_INIT;
+
+  memset (&read, 0, sizeof read);
+  ab_fleet_pack_watch (&body, &watch);
+  ck_assert_int_eq (ab_fleet_read_watch (ab_buf_chunk (&body), &read), 0);
+  ck_assert_mem_eq (&read.host, &watch.host, sizeof watch.host);
+  ck_assert (read.follow && read.ready);
+  ck_assert_uint_eq (read.index, 8);
+  ck_assert_uint_eq (read.hosts_version, 9);
+  for (size_t len = 0; len < body.len; len++)
+    ck_assert_int_lt (ab_fleet_read_watch (ab_chunk (body.data, len), &read),
+                      0);
+  ab_buf_free (&body);
+}
+END_TEST
+
+#define GATEWAY                                                               \
+  "host: h1\nrole: gateway\nregion: r\nfailure_domain: d\n"                   \
+  "listen: {callers: 127.0.0.1:1, peers: 127.0.0.1:2}\n"                      \
+  "control_port: 7000\nseeds: [127.0.0.2:8000]\n"
+
+static void
+assert_settings_refused (const char *text, const char *word)
+{
+  struct ab_fleet_settings *settings;
+  char error[AB_CONF_ERROR_BYTES];
+
+  ck_assert_int_lt (
+      ab_fleet_settings_parse ("f", ab_chunk_str (text), &settings, error), 0);
+  ck_assert_ptr_null (settings);
+  ck_assert_msg (strstr (error, word) != NULL, "%s", error);
+}
+
+/* Guards against a process that starts with settings it cannot serve.  */
+START_TEST (settings_are_checked)
+{
+  struct ab_fleet_settings *settings;
+  char error[AB_CONF_ERROR_BYTES];
+
+  ck_assert_msg (ab_fleet_settings_parse (
+                     "f", ab_chunk_str (GATEWAY "domains: {d: r, e: q}\n"),
+                     &settings, error)
+                     == 0,
+                 "%s", error);
+  ck_assert_str_eq (settings->base.host, "127.0.0.1:2");
+  ck_assert_str_eq (ab_fleet_region (settings, "e"), "q");
+  ck_assert_str_eq (ab_fleet_region (settings, "x"), "");
+  ab_fleet_settings_free (settings);
+  assert_settings_refused (GATEWAY "domains: {e: q}\n", "'d'");
+  assert_settings_refused (GATEWAY, "domains");
+  assert_settings_refused (GATEWAY "domains: {d: r}\nunknown: 1\n", "unknown");
+  assert_settings_refused (
+      "host: h\nrole: control\nregion: r\nfailure_domain: d\n"
+      "listen: {peers: 127.0.0.1:2, admin: 127.0.0.1:3}\n"
+      "control_port: 1\nseeds: [127.0.0.1:3]\ndomains: {d: r}\n",
+      "data_folder");
+  assert_settings_refused ("role: other\n", "gateway or control");
+}
+END_TEST
+
+SUITE_MAIN ("fleet_frames", 10, ask_round_trip, reply_and_outcome_round_trip,
+            watch_round_trip, settings_are_checked)
--- /dev/null
+++ b/tests/test_group_plan.c
@@ -0,0 +1,140 @@
+/* Changes of a control group that heals by itself.  */
+
+#include "group_plan.h"
+#include "suite_lib.h"
+
+static struct ab_group_member
+member (const char *host, const char *region, bool learner)
+{
+  struct ab_group_member m = { .learner = learner, .caught_up = true };
+
+  ab_chunk_copy (ab_chunk_str (host), m.host, sizeof m.host);
+  ab_chunk_copy (ab_chunk_str (region), m.region, sizeof m.region);
+  return m;
+}
+
+static struct ab_group_request
+request (const char *host, uint64_t age_ms)
+{
+  struct ab_group_request r = { .age_ms = age_ms, .disk_id = { 1 } };
+
+  ab_chunk_copy (ab_chunk_str (host), r.host, sizeof r.host);
+  return r;
+}
+
+static void
+assert_step (const struct ab_group_step *step, enum ab_group_change change,
+             const char *host)
+{
+  ck_assert_int_eq (step->change, change);
+  ck_assert_str_eq (step->host, host);
+}
+
+#define PLAN(members, requests, wanted)                                       \
+  ab_group_plan (members, sizeof (members) / sizeof *(members), requests,     \
+                 sizeof (requests) / sizeof *(requests), wanted)
+
+/* Guards against spares that are not there when a voter is lost.  */
+START_TEST (adds_hosts_that_ask)
+{
+  struct ab_group_member members[]
+      = { member ("a", "1", false), member ("b", "2", false),
+          member ("c", "3", false) };
+  struct ab_group_request requests[]
+      = { request ("b", 0), request ("old", AB_GROUP_REQUEST_MS + 1),
+          request ("d", 10) };
+  struct ab_group_step step;
+
+  members[0].self = true;
+  step = PLAN (members, requests, 3);
+  assert_step (&step, AB_GROUP_ADD, "d");
+  ck_assert_uint_eq (step.disk_id[0], 1);
+}
+END_TEST
+
+/* Guards against a removal that leaves the group with fewer voters, and a
+   replacement in the region that already has most.  */
+START_TEST (replaces_a_silent_voter)
+{
+  struct ab_group_member members[]
+      = { member ("a", "1", false), member ("b", "2", false),
+          member ("c", "3", false), member ("d", "1", true),
+          member ("e", "3", true) };
+  struct ab_group_request none[1] = { request ("a", 0) };
+  struct ab_group_step step;
+
+  members[0].self = true;
+  members[2].silent_ms = AB_GROUP_SILENT_MS + 1;
+  step = PLAN (members, none, 3);
+  assert_step (&step, AB_GROUP_PROMOTE, "e");
+  members[4].learner = false;
+  step = PLAN (members, none, 3);
+  assert_step (&step, AB_GROUP_REMOVE, "c");
+}
+END_TEST
+
+/* Guards against a vote of a disk that lost what it had acknowledged.  */
+START_TEST (removes_an_emptied_disk)
+{
+  struct ab_group_member members[]
+      = { member ("a", "1", false), member ("b", "2", false),
+          member ("c", "3", false) };
+  struct ab_group_request requests[] = { request ("c", 0) };
+  struct ab_group_step step;
+
+  members[0].self = true;
+  members[2].other_disk = true;
+  step = PLAN (members, requests, 3);
+  assert_step (&step, AB_GROUP_REMOVE, "c");
+  step = ab_group_plan (members, 2, requests, 1, 3);
+  assert_step (&step, AB_GROUP_ADD, "c");
+}
+END_TEST
+
+/* Guards against a promotion of a learner that lags or is silent: the group
+   could not commit when another voter is lost.  */
+START_TEST (promotes_only_ready_learners)
+{
+  struct ab_group_member members[]
+      = { member ("a", "1", false), member ("b", "2", false),
+          member ("c", "3", true), member ("d", "3", true),
+          member ("e", "3", true) };
+  struct ab_group_request none[1] = { request ("a", 0) };
+  struct ab_group_step step;
+
+  members[0].self = true;
+  members[2].caught_up = false;
+  members[3].silent_ms = AB_GROUP_RESPONSIVE_MS + 1;
+  members[4].other_disk = true;
+  step = PLAN (members, none, 3);
+  assert_step (&step, AB_GROUP_REMOVE, "e");
+  step = ab_group_plan (members, 4, none, 1, 3);
+  assert_step (&step, AB_GROUP_NONE, "");
+  members[2].caught_up = true;
+  step = ab_group_plan (members, 4, none, 1, 3);
+  assert_step (&step, AB_GROUP_PROMOTE, "c");
+}
+END_TEST
+
+/* Guards against members that are gone for good and are sent the log for
+   ever, and changes while nothing is wrong.  */
+START_TEST (forgets_silent_learners)
+{
+  struct ab_group_member members[]
+      = { member ("a", "1", false), member ("b", "2", false),
+          member ("c", "3", false), member ("d", "1", true) };
+  struct ab_group_request none[1] = { request ("a", 0) };
+  struct ab_group_step step;
+
+  members[0].self = true;
+  step = PLAN (members, none, 3);
+  assert_step (&step, AB_GROUP_NONE, "");
+  members[3].silent_ms = AB_GROUP_FORGET_MS + 1;
+  step = PLAN (members, none, 3);
+  assert_step (&step, AB_GROUP_REMOVE, "d");
+}
+END_TEST
+
+SUITE_MAIN ("group_plan", 10, adds_hosts_that_ask, replaces_a_silent_voter,
+            removes_an_emptied_disk, promotes_only_ready_learners,
+            forgets_silent_learners)
--- /dev/null
+++ b/tests/test_route_table.c
@@ -0,0 +1,133 @@
+/* Routes, services and limits of a fleet's bundle.  */
+
+#include "route_table.h"
+#include "error.h"
+#include "suite_lib.h"
+
+#define SERVICES                                                              \
+  "\"services\":[{\"name\":\"a\",\"probe_path\":\"/h\",\"connections\":9},"   \
+  "{\"name\":\"b\"}]"
+#define LIMITS                                                                \
+  "\"limits\":{\"header_bytes\":1024,\"body_bytes\":2048,"                    \
+  "\"header_time_ms\":300,\"idle_time_ms\":1500}"
+#define ROUTE(prefix, rest)                                                   \
+  "{\"name\":\"r\",\"prefix\":\"" prefix "\",\"kind\":\"idempotent\","        \
+  "\"timeout_ms\":1000,\"objective_ms\":500,\"priority\":1," rest "}"
+#define TABLE(routes)                                                         \
+  "{\"version\":7,\"base_version\":5," SERVICES "," LIMITS                    \
+  ",\"hosts\":[{\"host\":\"Shop.example\",\"prefixes\":[" routes "]}]}"
+
+static struct ab_route_table *
+parse (const char *text)
+{
+  struct ab_route_table *table;
+  char error[AB_CONF_ERROR_BYTES];
+
+  ck_assert_msg (ab_route_table_parse (ab_chunk_str (text), &table, error)
+                     == 0,
+                 "%s", error);
+  return table;
+}
+
+static void
+assert_refused (const char *text, const char *word)
+{
+  struct ab_route_table *table;
+  char error[AB_CONF_ERROR_BYTES];
+
+  ck_assert_int_eq (ab_route_table_parse (ab_chunk_str (text), &table, error),
+                    AB_ERR_INVALID);
+  ck_assert_ptr_null (table);
+  ck_assert_msg (strstr (error, word) != NULL, "%s", error);
+}
+
+/* Guards against a route that is shadowed by a shorter prefix, and hosts that
+   are compared with their port or case.  */
+START_TEST (finds_longest_prefix)
+{
+  struct ab_route_table *table = parse (TABLE (ROUTE (
+      "/x/", "\"service\":\"a\"") "," ROUTE ("/x/y/", "\"service\":\"b\"")));
+  const struct ab_fleet_route *route;
+
+  route = ab_route_table_find (table, AB_CHUNK ("shop.EXAMPLE:80"),
+                               AB_CHUNK ("/x/y/z"));
+  ck_assert_ptr_nonnull (route);
+  ck_assert_str_eq (route->prefix, "/x/y/");
+  route = ab_route_table_find (table, AB_CHUNK ("shop.example"),
+                               AB_CHUNK ("/x/yy"));
+  ck_assert_str_eq (route->prefix, "/x/");
+  ck_assert_ptr_null (
+      ab_route_table_find (table, AB_CHUNK ("shop.example"), AB_CHUNK ("/x")));
+  ck_assert_ptr_null (ab_route_table_find (table, AB_CHUNK ("other.example"),
+                                           AB_CHUNK ("/x/")));
+  ck_assert_uint_eq (ab_route_table_version (table), 7);
+  ck_assert_uint_eq (ab_route_table_base (table), 5);
+  ck_assert_uint_eq (ab_route_table_limits (table)->idle_time_ms, 1500);
+  ab_route_table_unref (table);
+}
+END_TEST
+
+/* Guards against shares that miss their weights.  */
+START_TEST (splits_by_weight)
+{
+  struct ab_route_table *table = parse (
+      TABLE (ROUTE ("/x/", "\"split\":[{\"service\":\"a\",\"weight\":90},"
+                           "{\"service\":\"b\",\"weight\":10},"
+                           "{\"service\":\"b\",\"weight\":0}]")));
+  const struct ab_fleet_route *route = ab_route_table_find (
+      table, AB_CHUNK ("shop.example"), AB_CHUNK ("/x/1"));
+  unsigned counts[2] = { 0 };
+
+  for (uint64_t draw = 0; draw < 1000; draw++)
+    counts[ab_fleet_route_choose (route, draw)]++;
+  ck_assert_uint_eq (counts[0], 900);
+  ck_assert_uint_eq (counts[1], 100);
+  ab_route_table_unref (table);
+}
+END_TEST
+
+/* Guards against bundles in force that no host can serve.  */
+START_TEST (refuses_invalid)
+{
+  assert_refused ("{\"version\":7", "JSON");
+  assert_refused ("[]", "JSON");
+  assert_refused (TABLE (ROUTE ("/x/", "\"service\":\"c\"")), "'c'");
+  assert_refused (TABLE ("{\"name\":\"r\",\"prefix\":\"/x/\",\"kind\":"
+                         "\"often\",\"timeout_ms\":1,\"service\":\"a\"}"),
+                  "often");
+  assert_refused (TABLE ("{\"name\":\"r\",\"prefix\":\"/x/\",\"kind\":"
+                         "\"once\",\"timeout_ms\":0,\"service\":\"a\"}"),
+                  "timeout_ms");
+  assert_refused (
+      TABLE ("{\"name\":\"r\",\"prefix\":\"/x/\",\"kind\":\"once\","
+             "\"timeout_ms\":10,\"objective_ms\":60010,\"service\":\"a\"}"),
+      "objective_ms");
+  assert_refused (TABLE (ROUTE ("/x/", "\"service\":\"a\"") "," ROUTE (
+                      "/x/", "\"service\":\"b\"")),
+                  "twice");
+  assert_refused (TABLE (ROUTE ("/x/", "\"split\":[{\"service\":\"a\","
+                                       "\"weight\":0}]")),
+                  "weights");
+  assert_refused (TABLE (ROUTE ("x", "\"service\":\"a\"")), "slash");
+  assert_refused ("{\"version\":0,\"base_version\":0," SERVICES
+                  ",\"hosts\":[]}",
+                  "version");
+}
+END_TEST
+
+/* Guards against refusing an objective that is above the timeout by less than
+   can be meant, and unknown members of later versions.  */
+START_TEST (accepts_odd_but_valid)
+{
+  struct ab_route_table *table = parse (
+      TABLE ("{\"name\":\"r\",\"prefix\":\"/\",\"kind\":\"once\",\"later\":{},"
+             "\"timeout_ms\":10,\"objective_ms\":60009,\"service\":\"a\"}"));
+
+  ck_assert_uint_eq (ab_route_table_route_count (table), 1);
+  ck_assert (ab_route_table_has_host (table, AB_CHUNK ("shop.example")));
+  ab_route_table_unref (table);
+}
+END_TEST
+
+SUITE_MAIN ("route_table", 10, finds_longest_prefix, splits_by_weight,
+            refuses_invalid, accepts_odd_but_valid)
