Test gateways, control group and targets as real processes; leave unread requests at a stop

Change: idle connections with unread bytes are left open, and a drain closes none within its first second. New fleet_gateway test: bundles with a base, at most once under resets and sheds, acknowledged drains, a group that loses each of its members and disks in turn, a stop with a request under way, and three failures explained from the log.

--- a/src/caller_conns_task.c
+++ b/src/caller_conns_task.c
@@ -41,6 +41,7 @@
   struct conn *conns;
   SSL_CTX *tls;
   bool draining;
+  uint64_t drain_ms; /* Since when.  */
   bool full;
   uint64_t *gauge;
   uint64_t *slow;
@@ -141,6 +142,16 @@
     shutdown (fd, SHUT_WR);
 }
 
+/* Whether bytes of a request wait in the socket, unread.  */
+static bool
+unread (const struct conn *conn)
+{
+  int fd = bufferevent_getfd (conn->bev);
+  char byte;
+
+  return fd >= 0 && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 static void
 check_conn (struct ab_caller_conns *conns, struct conn *conn, uint64_t now)
 {
@@ -159,8 +170,9 @@
       if (now - conn->receiving_ms > http->header_time_ms)
         refuse_slow (conns, conn, now);
     }
-  else if (now - conn->idle_ms > http->idle_time_ms
-           || (conns->draining && now - conn->idle_ms > DRAIN_IDLE_MS))
+  else if ((now - conn->idle_ms > http->idle_time_ms && !unread (conn))
+           || (conns->draining && now - conns->drain_ms > DRAIN_IDLE_MS
+               && now - conn->idle_ms > DRAIN_IDLE_MS && !unread (conn)))
     end_conn (conn);
 }
 
@@ -336,6 +348,7 @@
 ab_caller_conns_drain (struct ab_caller_conns *conns, bool draining)
 {
   conns->draining = draining;
+  conns->drain_ms = now_ms ();
 }
 
 size_t
--- a/src/fleet_api_task.c
+++ b/src/fleet_api_task.c
@@ -444,8 +444,8 @@
     evhttp_add_header (evhttp_request_get_output_headers (req), "Connection",
                        "close");
   if (!path)
-    reply_error (req, 404, "not found");
-  else if (strncmp (path, TARGET_PREFIX, sizeof TARGET_PREFIX - 1) == 0)
+    path = "";
+  if (strncmp (path, TARGET_PREFIX, sizeof TARGET_PREFIX - 1) == 0)
     handle_target (api, req, ab_chunk_str (path + sizeof TARGET_PREFIX - 1));
   else if (strcmp (path, "/v1/bundle") == 0 && method == EVHTTP_REQ_GET)
     get_bundle (api, req);
--- a/src/fleet_control_task.c
+++ b/src/fleet_control_task.c
@@ -1,5 +1,6 @@
 #include "fleet_control_parts.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <utlist.h>
@@ -19,6 +20,7 @@
 static void
 free_op (struct ab_fleet_control *control, struct ab_fleet_op *op)
 {
+  assert (control->ops);
   DL_DELETE (control->ops, op);
   ab_buf_free (&op->data);
   free (op);
@@ -185,6 +187,7 @@
 static void
 drop_lead (struct ab_fleet_control *control, struct ab_fleet_lead *lead)
 {
+  assert (control->leads);
   DL_DELETE (control->leads, lead);
   free (lead);
 }
--- a/src/fleet_settings.c
+++ b/src/fleet_settings.c
@@ -97,8 +97,8 @@
 {
   yaml_node_t *key = yaml_document_get_node (&conf->document, pair->key);
   yaml_node_t *value = yaml_document_get_node (&conf->document, pair->value);
-  struct ab_chunk name;
-  struct ab_chunk region;
+  struct ab_chunk name = { 0 };
+  struct ab_chunk region = { 0 };
   int rc = ab_conf_scalar (conf, key, "a failure domain", &name);
 
   if (rc == 0)
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -2,6 +2,7 @@
 
 #include "fleet_control_parts.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <uthash.h>
 
@@ -216,6 +217,7 @@
 static void
 drop_watcher (struct ab_fleet_watch *watch, struct watcher *watcher)
 {
+  assert (watch->watchers);
   HASH_DEL (watch->watchers, watcher);
   free (watcher);
 }
--- a/src/http_exchange.c
+++ b/src/http_exchange.c
@@ -81,11 +81,12 @@
   if (!http)
     return NULL;
   headers = evhttp_request_get_output_headers (http);
-  evhttp_add_header (headers, "Host", exchange->address);
   evhttp_add_header (headers, "Connection", "close");
   for (size_t i = 0; i < exchange->header_count; i++)
     evhttp_add_header (headers, exchange->headers[i].name,
                        exchange->headers[i].value);
+  if (!evhttp_find_header (headers, "Host"))
+    evhttp_add_header (headers, "Host", exchange->address);
   evbuffer_add (evhttp_request_get_output_buffer (http), exchange->body.data,
                 exchange->body.len);
   return http;
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -52,8 +52,9 @@
   char host[AB_NAME_BYTES];
   uint8_t disk_id[AB_DISK_ID_BYTES];
   uint8_t vote_disk_id[AB_DISK_ID_BYTES];
-  bool granted; /* Its vote of this election.  */
-  bool paused;  /* Nothing is sent before an answer or a heartbeat.  */
+  bool granted;    /* Its vote of this election.  */
+  bool paused;     /* Nothing is sent before an answer or a heartbeat.  */
+  bool other_disk; /* The last answer came from another disk.  */
   enum ab_raft_progress_state state;
   uint64_t match;
   uint64_t next;
@@ -61,7 +62,6 @@
   size_t in_flight_count;
   uint64_t commit_sent;
   uint64_t heard_ms;
-  bool other_disk; /* The last answer came from another disk.  */
   uint64_t round_acked;
   uint64_t snapshot_offset; /* The member has what is before it.  */
   uint64_t snapshot_next;   /* Sent up to here.  */
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -365,14 +365,16 @@
     {
       host = calloc (1, sizeof *host);
       if (host)
-        host->routes = calloc (table->route_count, sizeof *host->routes);
+        host->routes = calloc (table->route_count,
+                               sizeof (const struct ab_fleet_route *));
       if (!host || !host->routes)
         {
           free (host);
           return AB_ERR_MEMORY;
         }
       memcpy (host->host, route->host, sizeof host->host);
-      HASH_ADD_STR (table->hosts, host, host);
+      HASH_ADD_KEYPTR (hh, table->hosts, host->host, strlen (route->host),
+                       host);
     }
   host->routes[host->count++] = route;
   return 0;
@@ -387,7 +389,8 @@
     rc = index_route (table, &table->routes[i]);
   for (struct host_routes *h = table->hosts; h && rc == 0; h = h->hh.next)
     {
-      qsort (h->routes, h->count, sizeof *h->routes, by_longest_prefix);
+      qsort (h->routes, h->count, sizeof (const struct ab_fleet_route *),
+             by_longest_prefix);
       for (size_t i = 1; i < h->count; i++)
         if (strcmp (h->routes[i]->prefix, h->routes[i - 1]->prefix) == 0)
           return fail (error, "host '%s' has the prefix '%s' twice", h->host,
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -806,7 +806,8 @@
 static struct request **
 list_waiting (const struct service *service, uint64_t now_ms)
 {
-  struct request **list = calloc (service->waiting_count, sizeof *list);
+  struct request **list
+      = calloc (service->waiting_count, sizeof (struct request *));
   struct request *request;
   size_t count = 0;
 
@@ -820,7 +821,7 @@
                              request, now_ms);
     list[count++] = request;
   }
-  qsort (list, count, sizeof *list, by_turn);
+  qsort (list, count, sizeof (struct request *), by_turn);
   return list;
 }
 
--- /dev/null
+++ b/tests/fleet_gateway.c
@@ -0,0 +1,228 @@
+/* Gateways, a control group and targets as real processes: what callers,
+   targets and operators are promised, under kills, lost disks and faults.  */
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+
+#include "fleet_lib.h"
+#include "gateway_fleet_lib.h"
+#include "suite_lib.h"
+
+#define READY_MS 10000
+/* A group that lost a member takes changes again after this: the election and
+   the operator's next try.  */
+#define HEAL_MS 8000
+#define TEST_S 120
+
+/* Guards against a fleet that does not come up by itself, and routes that are
+   not in force at every gateway.  */
+START_TEST (serves_and_follows_bundles)
+{
+  struct gf_fleet fleet;
+  char *body = NULL;
+
+  gf_start (&fleet, "gf_path", 4, 2);
+  gf_start_target (&fleet, 1, GF_SOUND);
+  for (int i = 1; i <= 2; i++)
+    ck_assert (gf_wait_status (&fleet, i, "/look/1", 200, READY_MS));
+  ck_assert_int_eq (
+      gf_request (&fleet, 1, "POST", "/shop/1", "order-1", &body), 200);
+  ck_assert_str_eq (body, "target 1");
+  free (body);
+  ck_assert_int_eq (gf_runs (&fleet, "order-1"), 1);
+  ck_assert_int_eq (gf_request (&fleet, 1, "GET", "/none/", "x", NULL), 404);
+  ck_assert_int_eq (gf_put_bundle (&fleet, 2, 5, 2, "2"), 200);
+  for (int i = 1; i <= 2; i++)
+    {
+      ck_assert (gf_wait_status (&fleet, i, "/look2/1", 200, 2000));
+      ck_assert_int_eq (gf_request (&fleet, i, "GET", "/look/1", "x", NULL),
+                        404);
+    }
+  for (int i = 1; i <= 4; i++)
+    ck_assert (gf_wait_bundle (&fleet, i, 5, 2000));
+  gf_stop (&fleet);
+}
+END_TEST
+
+/* Guards against two winners of one base, a repeated order that is refused,
+   and invalid bundles in force.  */
+START_TEST (one_winner_for_each_base)
+{
+  struct gf_fleet fleet;
+  const char *broken = "{\"version\":9,\"base_version\":4";
+
+  gf_start (&fleet, "gf_base", 3, 1);
+  ck_assert_int_eq (gf_put_bundle (&fleet, 1, 4, 2, "a"), 200);
+  ck_assert_int_eq (gf_put_bundle (&fleet, 2, 4, 2, "b"), 412);
+  ck_assert_int_eq (gf_put_bundle (&fleet, 3, 6, 2, "b"), 412);
+  ck_assert_int_eq (gf_put_bundle (&fleet, 3, 4, 2, "a"), 200);
+  ck_assert_int_eq (gf_put_bundle (&fleet, 2, 2, 0, ""), 200);
+  ck_assert_int_eq (gf_put_bundle (&fleet, 2, 3, 4, "c"), 409);
+  ck_assert_int_eq (fleet_http (gf_admin (&fleet, 1), "POST", "/v1/bundle",
+                                NULL, broken, NULL),
+                    400);
+  for (int i = 1; i <= 3; i++)
+    ck_assert (gf_wait_bundle (&fleet, i, 4, 2000));
+  gf_stop (&fleet);
+}
+END_TEST
+
+/* Guards against a request that may run once and goes to a second target
+   after it may have run, and a "not run" that is not true.  */
+START_TEST (runs_at_most_once)
+{
+  struct gf_fleet fleet;
+  char id[32];
+  int lost = 0;
+
+  gf_start (&fleet, "gf_once", 3, 1);
+  gf_start_target (&fleet, 1, GF_RESETS);
+  gf_start_target (&fleet, 2, GF_SHEDS);
+  gf_start_target (&fleet, 3, GF_SOUND);
+  ck_assert (gf_wait_status (&fleet, 1, "/look/1", 200, READY_MS));
+  for (int i = 0; i < 60; i++)
+    {
+      int status;
+      int runs;
+      snprintf (id, sizeof id, "once-%d", i);
+      status = gf_request (&fleet, 1, "POST", "/shop/1", id, NULL);
+      runs = gf_runs (&fleet, id);
+      ck_assert_int_le (runs, 1);
+      if (status == 503 || status == 429)
+        ck_assert_int_eq (runs, 0);
+      if (status == 200)
+        ck_assert_int_eq (gf_runs_at (&fleet, 3, id), 1);
+      lost += status == 502;
+      fleet_sleep_ms (20);
+    }
+  /* The target that loses requests is found out by a few of them.  */
+  ck_assert_int_le (lost, 12);
+  for (int i = 0; i < 30; i++)
+    {
+      snprintf (id, sizeof id, "look-%d", i);
+      ck_assert_int_eq (gf_request (&fleet, 1, "GET", "/look/1", id, NULL),
+                        200);
+      ck_assert_int_le (gf_runs (&fleet, id), 2);
+    }
+  gf_stop (&fleet);
+}
+END_TEST
+
+/* Guards against work for a target after its leave was acknowledged.  */
+START_TEST (acknowledged_drain_binds)
+{
+  struct gf_fleet fleet;
+  char id[32];
+
+  gf_start (&fleet, "gf_drain", 3, 2);
+  gf_start_target (&fleet, 1, GF_SOUND);
+  gf_start_target (&fleet, 2, GF_SOUND);
+  for (int i = 1; i <= 2; i++)
+    ck_assert (gf_wait_status (&fleet, i, "/look/1", 200, READY_MS));
+  ck_assert_int_eq (gf_announce (&fleet, 2, 1, "draining", 1000000), 200);
+  fleet_sleep_ms (500);
+  for (int i = 0; i < 60; i++)
+    {
+      snprintf (id, sizeof id, "drained-%d", i);
+      ck_assert_int_eq (
+          gf_request (&fleet, 1 + i % 2, "POST", "/shop/1", id, NULL), 200);
+      ck_assert_int_eq (gf_runs_at (&fleet, 1, id), 0);
+    }
+  gf_stop (&fleet);
+}
+END_TEST
+
+/* Guards against a group that needs an operator after a kill or a lost disk,
+   and an accepted bundle that is lost with them.  */
+START_TEST (group_heals_alone)
+{
+  struct gf_fleet fleet;
+  int version = 2;
+
+  gf_start (&fleet, "gf_heal", 5, 1);
+  for (int lost = 1; lost <= 3; lost++)
+    {
+      int other = lost % 3 + 1;
+      gf_kill (&fleet.control_pids[lost]);
+      for (int waited = 0;
+           gf_put_bundle (&fleet, other, version + 2, version, "h") != 200;
+           waited += 100)
+        {
+          ck_assert_int_lt (waited, HEAL_MS);
+          fleet_sleep_ms (100);
+        }
+      version += 2;
+      gf_empty_disk (&fleet, lost);
+      gf_start_control (&fleet, lost, false);
+      ck_assert (gf_wait_bundle (&fleet, lost, version, HEAL_MS));
+      /* Until the emptied disk counts again.  */
+      fleet_sleep_ms (3000);
+    }
+  for (int i = 1; i <= 5; i++)
+    gf_kill (&fleet.control_pids[i]);
+  for (int i = 1; i <= 5; i++)
+    gf_start_control (&fleet, i, false);
+  for (int i = 1; i <= 5; i++)
+    ck_assert (gf_wait_bundle (&fleet, i, version, HEAL_MS));
+  gf_stop (&fleet);
+}
+END_TEST
+
+/* Guards against a planned stop that cuts a request under way or takes new
+   callers.  */
+START_TEST (planned_stop_cuts_nothing)
+{
+  struct gf_fleet fleet;
+  int status;
+  pid_t caller;
+
+  gf_start (&fleet, "gf_stop", 3, 2);
+  gf_start_target (&fleet, 1, GF_SOUND);
+  ck_assert (gf_wait_status (&fleet, 1, "/look/1", 200, READY_MS));
+  caller = fork ();
+  if (caller == 0)
+    _exit (gf_request (&fleet, 1, "POST", "/shop/slow", "slow", NULL) == 200
+               ? 0
+               : 1);
+  fleet_sleep_ms (300);
+  kill (fleet.gateway_pids[1], SIGTERM);
+  ck_assert_int_eq (waitpid (caller, &status, 0), caller);
+  ck_assert_int_eq (status, 0);
+  ck_assert_int_eq (fleet_wait_process (fleet.gateway_pids[1], 6000), 0);
+  fleet.gateway_pids[1] = 0;
+  ck_assert_int_eq (gf_runs (&fleet, "slow"), 1);
+  gf_stop (&fleet);
+}
+END_TEST
+
+/* Guards against failures that the logs alone do not explain.  */
+START_TEST (logs_explain_failures)
+{
+  struct gf_fleet fleet;
+
+  gf_start (&fleet, "gf_logs", 3, 1);
+  ck_assert (gf_wait_status (&fleet, 1, "/look/1", 503, READY_MS));
+  ck_assert_int_eq (gf_request (&fleet, 1, "GET", "/look/1", "no-one", NULL),
+                    503);
+  ck_assert (gf_logged (&fleet, 1, "request_odd", "id=no-one", "code=none"));
+  ck_assert_int_eq (gf_request (&fleet, 1, "GET", "/gone/", "lost-way", NULL),
+                    404);
+  ck_assert (gf_logged (&fleet, 1, "request_odd", "id=lost-way", "bundle=2"));
+  gf_start_target (&fleet, 1, GF_RESETS);
+  ck_assert (gf_wait_status (&fleet, 1, "/look/1", 502, READY_MS));
+  fleet_sleep_ms (2000);
+  ck_assert_int_eq (gf_request (&fleet, 1, "POST", "/shop/1", "cut", NULL),
+                    502);
+  ck_assert (gf_logged (&fleet, 1, "attempt_failed", "id=cut", "end=lost"));
+  ck_assert (
+      gf_logged (&fleet, 1, "request_odd", "id=cut", "verdict=may-have-run"));
+  gf_stop (&fleet);
+}
+END_TEST
+
+SUITE_MAIN ("fleet_gateway", TEST_S, serves_and_follows_bundles,
+            one_winner_for_each_base, runs_at_most_once,
+            acknowledged_drain_binds, group_heals_alone,
+            planned_stop_cuts_nothing, logs_explain_failures)
--- /dev/null
+++ b/tests/gateway_fleet_lib.c
@@ -0,0 +1,498 @@
+#include "gateway_fleet_lib.h"
+
+#include <check.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "buf.h"
+#include "clock.h"
+#include "fleet_lib.h"
+#include "fleet_process.h"
+
+#define CONTROL_PEER_PORT 7720
+#define GATEWAY_PEER_PORT 7735
+#define ADMIN_PORT 8166
+#define CALLERS_PORT 8161
+#define READY_PORT 8167
+#define ADDRESSES_PORT 8164
+#define TARGET_PORT 8080
+#define SEEDS 3
+#define GATEWAY_OFFSET 20
+#define TARGET_OFFSET 40
+#define ANNOUNCE_MS 300
+#define POLL_MS 50
+#define START_MS 30000
+
+/* Addresses and files.  */
+
+static void
+print_address (const struct gf_fleet *fleet, int host, int port, char *out,
+               size_t size)
+{
+  snprintf (out, size, "127.%d.%d.%d:%d", fleet->block[0], fleet->block[1],
+            host, port);
+}
+
+const char *
+gf_admin (struct gf_fleet *fleet, int control)
+{
+  print_address (fleet, control, ADMIN_PORT, fleet->address,
+                 sizeof fleet->address);
+  return fleet->address;
+}
+
+const char *
+gf_callers (struct gf_fleet *fleet, int gateway)
+{
+  print_address (fleet, gateway + GATEWAY_OFFSET, CALLERS_PORT, fleet->address,
+                 sizeof fleet->address);
+  return fleet->address;
+}
+
+static void
+write_file (const char *path, const struct ab_buf *text)
+{
+  FILE *file = fopen (path, "w");
+
+  ck_assert_ptr_nonnull (file);
+  ck_assert_uint_eq (fwrite (text->data, 1, text->len, file), text->len);
+  ck_assert_int_eq (fclose (file), 0);
+}
+
+static void
+print_common (const struct gf_fleet *fleet, struct ab_buf *text,
+              const char *role, int number)
+{
+  ab_buf_printf (text,
+                 "host: %s%d\nrole: %s\nregion: r\nfailure_domain: d\n"
+                 "domains: {d: r}\ncontrol_port: %d\nseeds: [",
+                 role, number, role, CONTROL_PEER_PORT);
+  for (int i = 1; i <= SEEDS; i++)
+    ab_buf_printf (text, "%s127.%d.%d.%d:%d", i > 1 ? ", " : "",
+                   fleet->block[0], fleet->block[1], i, ADMIN_PORT);
+  ab_buf_append_str (text, "]\n");
+}
+
+static void
+spawn (struct gf_fleet *fleet, const char *role, int number,
+       struct ab_buf *text, pid_t *pid)
+{
+  char settings[256];
+  char log[256];
+  char program[256];
+  const char *const arguments[] = { "--fleet", settings, NULL };
+  const char *build = getenv ("AB_BUILD");
+
+  snprintf (settings, sizeof settings, "%s/%s%d.yaml", fleet->folder, role,
+            number);
+  snprintf (log, sizeof log, "%s/%s%d.log", fleet->folder, role, number);
+  snprintf (program, sizeof program, "%s/almondbridged",
+            build ? build : "build");
+  write_file (settings, text);
+  ab_buf_free (text);
+  *pid = fleet_spawn_program (program, arguments, log);
+  ck_assert_int_gt (*pid, 0);
+}
+
+void
+gf_start_control (struct gf_fleet *fleet, int number, bool first_start)
+{
+  struct ab_buf text = AB_BUF_INIT;
+  char admin[64];
+  char peers[64];
+  char folder[256];
+
+  snprintf (folder, sizeof folder, "%s/data%d", fleet->folder, number);
+  mkdir (folder, 0700);
+  print_address (fleet, number, ADMIN_PORT, admin, sizeof admin);
+  print_address (fleet, number, CONTROL_PEER_PORT, peers, sizeof peers);
+  print_common (fleet, &text, "control", number);
+  ab_buf_printf (&text,
+                 "listen: {admin: %s, peers: %s}\ndata_folder: %s\n"
+                 "first_start: %s\n",
+                 admin, peers, folder, first_start ? "true" : "false");
+  spawn (fleet, "control", number, &text, &fleet->control_pids[number]);
+}
+
+void
+gf_start_gateway (struct gf_fleet *fleet, int number)
+{
+  struct ab_buf text = AB_BUF_INIT;
+  static const int ports[]
+      = { CALLERS_PORT, READY_PORT, ADDRESSES_PORT, GATEWAY_PEER_PORT };
+  char at[4][64];
+
+  for (int i = 0; i < 4; i++)
+    print_address (fleet, number + GATEWAY_OFFSET, ports[i], at[i],
+                   sizeof at[i]);
+  print_common (fleet, &text, "gateway", number);
+  ab_buf_printf (&text,
+                 "listen: {callers: %s, ready: %s, addresses: %s, peers: %s}\n"
+                 "stop_time: 4s\n",
+                 at[0], at[1], at[2], at[3]);
+  spawn (fleet, "gateway", number, &text, &fleet->gateway_pids[number]);
+}
+
+void
+gf_start (struct gf_fleet *fleet, const char *name, int controls, int gateways)
+{
+  int pid = getpid ();
+
+  memset (fleet, 0, sizeof *fleet);
+  fleet->block[0] = 1 + pid / 250 % 250;
+  fleet->block[1] = pid % 250;
+  fleet->controls = controls;
+  fleet->gateways = gateways;
+  snprintf (fleet->folder, sizeof fleet->folder, "/tmp/%s-%d", name, pid);
+  ck_assert_int_eq (mkdir (fleet->folder, 0700), 0);
+  for (int i = 1; i <= controls; i++)
+    gf_start_control (fleet, i, true);
+  for (int i = 1; i <= gateways; i++)
+    gf_start_gateway (fleet, i);
+  for (int waited = 0; gf_put_bundle (fleet, 1, 2, 0, "") != 200;
+       waited += POLL_MS)
+    {
+      ck_assert_int_lt (waited, START_MS);
+      fleet_sleep_ms (POLL_MS);
+    }
+}
+
+void
+gf_kill (pid_t *pid)
+{
+  if (*pid <= 0)
+    return;
+  kill (*pid, SIGKILL);
+  waitpid (*pid, NULL, 0);
+  *pid = 0;
+}
+
+static void
+remove_folder (const char *path)
+{
+  const char *const arguments[] = { "-rf", path, NULL };
+
+  fleet_run_program ("/bin/rm", arguments, NULL);
+}
+
+void
+gf_empty_disk (struct gf_fleet *fleet, int number)
+{
+  char folder[256];
+
+  snprintf (folder, sizeof folder, "%s/data%d", fleet->folder, number);
+  remove_folder (folder);
+}
+
+void
+gf_stop (struct gf_fleet *fleet)
+{
+  for (int i = 0; i <= GF_TARGETS_MAX; i++)
+    gf_kill (&fleet->target_pids[i]);
+  for (int i = 0; i <= GF_GATEWAYS_MAX; i++)
+    gf_kill (&fleet->gateway_pids[i]);
+  for (int i = 0; i <= GF_CONTROLS_MAX; i++)
+    gf_kill (&fleet->control_pids[i]);
+  remove_folder (fleet->folder);
+}
+
+/* Targets.  */
+
+struct target
+{
+  struct gf_fleet *fleet;
+  struct event_base *base;
+  int number;
+  enum gf_fault fault;
+  int sequence;
+  FILE *runs;
+};
+
+struct slow_reply
+{
+  struct target *target;
+  struct evhttp_request *req;
+  struct event *timer;
+};
+
+static void
+reply (const struct target *target, struct evhttp_request *req, int status)
+{
+  struct evkeyvalq *out = evhttp_request_get_output_headers (req);
+  const char *id = evhttp_find_header (evhttp_request_get_input_headers (req),
+                                       "X-Request-Id");
+  struct evbuffer *body = evbuffer_new ();
+
+  if (id)
+    evhttp_add_header (out, "X-Request-Id", id);
+  if (target->fault == GF_SHEDS)
+    evhttp_add_header (out, "Almond-Shed", "1");
+  evbuffer_add_printf (body, "target %d", target->number);
+  evhttp_send_reply (req, status, NULL, body);
+  evbuffer_free (body);
+}
+
+static void
+on_slow (evutil_socket_t fd, short events, void *ctx)
+{
+  struct slow_reply *slow = ctx;
+
+  (void)fd;
+  (void)events;
+  reply (slow->target, slow->req, 200);
+  event_free (slow->timer);
+  free (slow);
+}
+
+static void
+reply_slowly (struct target *target, struct evhttp_request *req)
+{
+  const struct timeval tv
+      = { .tv_sec = GF_SLOW_MS / 1000, .tv_usec = GF_SLOW_MS % 1000 * 1000 };
+  struct slow_reply *slow = calloc (1, sizeof *slow);
+
+  slow->target = target;
+  slow->req = req;
+  slow->timer = evtimer_new (target->base, on_slow, slow);
+  evtimer_add (slow->timer, &tv);
+}
+
+static void
+on_target_request (struct evhttp_request *req, void *ctx)
+{
+  struct target *target = ctx;
+  const char *id = evhttp_find_header (evhttp_request_get_input_headers (req),
+                                       "X-Request-Id");
+
+  if (target->fault == GF_SHEDS)
+    {
+      reply (target, req, 503);
+      return;
+    }
+  fprintf (target->runs, "%s\n", id ? id : "-");
+  fflush (target->runs);
+  if (target->fault == GF_RESETS)
+    evhttp_connection_free (evhttp_request_get_connection (req));
+  else if (target->fault == GF_FAILING)
+    reply (target, req, 500);
+  else if (strstr (evhttp_request_get_uri (req), "/slow"))
+    reply_slowly (target, req);
+  else
+    reply (target, req, 200);
+}
+
+int
+gf_announce (struct gf_fleet *fleet, int control, int number,
+             const char *state, int sequence)
+{
+  char path[64];
+  char address[64];
+  char body[512];
+
+  print_address (fleet, number + TARGET_OFFSET, TARGET_PORT, address,
+                 sizeof address);
+  snprintf (path, sizeof path, "/v1/targets/t%d/renew", number);
+  snprintf (body, sizeof body,
+            "{\"service\":\"shop\",\"address\":\"%s\","
+            "\"failure_domain\":\"d\",\"version\":\"v1\",\"slots\":4,"
+            "\"state\":\"%s\",\"cold_ms\":0,\"sequence\":%d,\"born\":1000}",
+            address, state, sequence);
+  return fleet_http (gf_admin (fleet, control), "PUT", path,
+                     "Content-Type: application/json\n", body, NULL);
+}
+
+static void
+on_announce (evutil_socket_t fd, short events, void *ctx)
+{
+  struct target *target = ctx;
+
+  (void)fd;
+  (void)events;
+  for (int i = 1; i <= target->fleet->controls; i++)
+    if (gf_announce (target->fleet, i, target->number, "ready",
+                     ++target->sequence)
+        == 200)
+      return;
+}
+
+static void
+print_runs_path (const struct gf_fleet *fleet, int number, char *out,
+                 size_t size)
+{
+  snprintf (out, size, "%s/target%d.runs", fleet->folder, number);
+}
+
+/* The target's process; does not return.  */
+static void
+run_target (struct gf_fleet *fleet, int number, enum gf_fault fault)
+{
+  const struct timeval interval = { .tv_usec = ANNOUNCE_MS * 1000 };
+  struct target target = { .fleet = fleet, .number = number, .fault = fault };
+  struct evhttp *http;
+  struct event *timer;
+  char path[256];
+  char host[64];
+
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  signal (SIGPIPE, SIG_IGN);
+  print_runs_path (fleet, number, path, sizeof path);
+  target.runs = fopen (path, "a");
+  target.base = event_base_new ();
+  http = evhttp_new (target.base);
+  snprintf (host, sizeof host, "127.%d.%d.%d", fleet->block[0],
+            fleet->block[1], number + TARGET_OFFSET);
+  if (!target.runs || evhttp_bind_socket (http, host, TARGET_PORT) < 0)
+    _exit (EXIT_FAILURE);
+  evhttp_set_gencb (http, on_target_request, &target);
+  timer = event_new (target.base, -1, EV_PERSIST, on_announce, &target);
+  event_add (timer, &interval);
+  event_active (timer, EV_TIMEOUT, 0);
+  event_base_dispatch (target.base);
+  _exit (EXIT_SUCCESS);
+}
+
+void
+gf_start_target (struct gf_fleet *fleet, int number, enum gf_fault fault)
+{
+  pid_t pid = fork ();
+
+  ck_assert_int_ge (pid, 0);
+  if (pid == 0)
+    run_target (fleet, number, fault);
+  fleet->target_pids[number] = pid;
+}
+
+int
+gf_runs_at (const struct gf_fleet *fleet, int number, const char *id)
+{
+  char path[256];
+  char line[256];
+  int runs = 0;
+  FILE *file;
+
+  print_runs_path (fleet, number, path, sizeof path);
+  file = fopen (path, "r");
+  if (!file)
+    return 0;
+  while (fgets (line, sizeof line, file))
+    {
+      line[strcspn (line, "\n")] = '\0';
+      runs += strcmp (line, id) == 0;
+    }
+  fclose (file);
+  return runs;
+}
+
+int
+gf_runs (const struct gf_fleet *fleet, const char *id)
+{
+  int runs = 0;
+
+  for (int i = 1; i <= GF_TARGETS_MAX; i++)
+    runs += gf_runs_at (fleet, i, id);
+  return runs;
+}
+
+/* Bundles.  */
+
+int
+gf_put_bundle (struct gf_fleet *fleet, int control, int version, int base,
+               const char *extra)
+{
+  char body[2048];
+
+  snprintf (
+      body, sizeof body,
+      "{\"version\":%d,\"base_version\":%d,\"services\":[{\"name\":\"shop\","
+      "\"probe_path\":\"/h\",\"connections\":100}],\"limits\":{"
+      "\"header_bytes\":16384,\"body_bytes\":1048576,\"header_time_ms\":3000,"
+      "\"idle_time_ms\":15000},\"hosts\":[{\"host\":\"x.example\","
+      "\"prefixes\":[{\"name\":\"order\",\"prefix\":\"/shop/\",\"kind\":"
+      "\"once\",\"timeout_ms\":3000,\"objective_ms\":1000,\"priority\":0,"
+      "\"service\":\"shop\",\"attempts\":2},{\"name\":\"look\",\"prefix\":"
+      "\"/look%s/\",\"kind\":\"idempotent\",\"timeout_ms\":3000,"
+      "\"objective_ms\":1000,\"priority\":1,\"service\":\"shop\","
+      "\"attempts\":2}]}]}",
+      version, base, extra);
+  return fleet_http (gf_admin (fleet, control), "POST", "/v1/bundle",
+                     "Content-Type: application/json\n", body, NULL);
+}
+
+bool
+gf_wait_bundle (struct gf_fleet *fleet, int control, int version,
+                int timeout_ms)
+{
+  char wanted[32];
+
+  snprintf (wanted, sizeof wanted, "{\"version\":%d,", version);
+  for (int waited = 0; waited < timeout_ms; waited += POLL_MS)
+    {
+      char *text = NULL;
+      int status = fleet_http (gf_admin (fleet, control), "GET", "/v1/bundle",
+                               NULL, NULL, &text);
+      bool found = status == 200 && text && strstr (text, wanted) == text;
+      free (text);
+      if (found)
+        return true;
+      fleet_sleep_ms (POLL_MS);
+    }
+  return false;
+}
+
+/* Callers.  */
+
+int
+gf_request (struct gf_fleet *fleet, int gateway, const char *method,
+            const char *path, const char *id, char **body)
+{
+  char headers[256];
+
+  snprintf (headers, sizeof headers, "Host: x.example\nX-Request-Id: %s\n",
+            id);
+  return fleet_http (gf_callers (fleet, gateway), method, path, headers,
+                     strcmp (method, "POST") == 0 ? "order" : NULL, body);
+}
+
+bool
+gf_wait_status (struct gf_fleet *fleet, int gateway, const char *path,
+                int status, int timeout_ms)
+{
+  for (int waited = 0; waited < timeout_ms; waited += POLL_MS)
+    {
+      if (gf_request (fleet, gateway, "GET", path, "wait", NULL) == status)
+        return true;
+      fleet_sleep_ms (POLL_MS);
+    }
+  return false;
+}
+
+bool
+gf_logged (const struct gf_fleet *fleet, int number, const char *event,
+           const char *id, const char *field)
+{
+  char path[256];
+  char wanted[128];
+  char line[4096];
+  bool found = false;
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/gateway%d.log", fleet->folder, number);
+  snprintf (wanted, sizeof wanted, " event=%s ", event);
+  file = fopen (path, "r");
+  if (!file)
+    return false;
+  while (!found && fgets (line, sizeof line, file))
+    found = strstr (line, wanted) && strstr (line, id) && strstr (line, field);
+  fclose (file);
+  return found;
+}
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -220,7 +220,8 @@
   for (; now < until; now++)
     {
       finish_due (id);
-      for (due += capacity * factor; due >= 1; due--)
+      due += capacity * factor;
+      while (due >= 1)
         {
           struct ab_sched_ask a;
           id++;
@@ -230,6 +231,7 @@
           replays[id].priority = a.priority;
           replays[id].asked_ms = now;
           ab_scheduler_ask (sched, &a, now);
+          due--;
         }
       if (now % AB_SCHED_TICK_MS == 0)
         ab_scheduler_tick (sched, now);
