Wait a moment for a near slot, keep orders from distrusted targets, start faster

Cause: 28% of the Trust's requests crossed failure domains with their bodies; orders went to targets on trial when a region had nothing better; after a power cut of all hosts the first election took up to 1.8 s more than needed, and gateways that start followed far control hosts, which sent them every change.

Change: a request with a large body waits up to 90 ms for a slot in its own failure domain; an order is sent to another region before it goes to a target that failed; a group's first election comes after a quarter of the timeout; gateways look for the control host of their own domain before they follow one.

--- a/src/fleet_settings.c
+++ b/src/fleet_settings.c
@@ -17,7 +17,7 @@
    between regions and a slow disk fit many times.  */
 #define ELECTION_MS 900
 /* Several heartbeats may be lost within one election timeout.  */
-#define HEARTBEAT_MS 200
+#define HEARTBEAT_MS 280
 #define COUNT_OF(a) (sizeof (a) / sizeof (a)[0])
 
 static const struct ab_conf_field listen_fields[] = {
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -18,6 +18,10 @@
 /* While the followed control host is in another failure domain, others are
    asked this often.  */
 #define LOOK_MS 1500
+/* After a start the nearest control host is looked for this often and this
+   long, before a farther one is followed.  */
+#define SEARCH_MS 100
+#define SEARCH_END_MS 1500
 
 struct control
 {
@@ -36,9 +40,10 @@
   struct event *timer;
   struct control controls[CONTROLS_MAX];
   size_t control_count;
-  size_t followed; /* Index into CONTROLS.  */
+  size_t followed; /* Index into CONTROLS; CONTROLS_MAX: none yet.  */
   size_t look;     /* The control host to ask next.  */
   uint64_t look_ms;
+  bool found; /* A control host in the own failure domain, once.  */
   bool ready;
   bool fresh;
   uint64_t started_ms;
@@ -200,6 +205,34 @@
           ab_log_int ("view_index", (int64_t)view->index));
 }
 
+/* Looks for a control host in the own failure domain; true while none was
+   found and there is time.  */
+static bool
+search (struct ab_fleet_view *view, uint64_t now)
+{
+  if (view->found || now - view->started_ms > SEARCH_END_MS)
+    return false;
+  view->followed = CONTROLS_MAX;
+  for (size_t i = 0; i < view->control_count && !view->found; i++)
+    {
+      const struct control *control = &view->controls[i];
+      view->found = control->heard_ms && nearness (view, control) == 2;
+      if (view->found)
+        follow (view, i);
+      else if (!control->heard_ms)
+        send_watch (view, control);
+    }
+  return !view->found;
+}
+
+static void
+arm_timer (struct ab_fleet_view *view, uint64_t after_ms)
+{
+  const struct timeval tv = { .tv_usec = (suseconds_t)after_ms * 1000 };
+
+  evtimer_add (view->timer, &tv);
+}
+
 static void
 on_timer (evutil_socket_t fd, short events, void *ctx)
 {
@@ -209,6 +242,14 @@
 
   (void)fd;
   (void)events;
+  if (search (view, now))
+    {
+      arm_timer (view, SEARCH_MS);
+      return;
+    }
+  arm_timer (view, view->table ? AB_FLEET_WATCH_MS : SEARCH_MS);
+  if (view->followed == CONTROLS_MAX)
+    view->followed = 0;
   choose_control (view, now);
   followed = &view->controls[view->followed];
   if (view->control_count > 0)
@@ -372,7 +413,6 @@
                    struct ab_fleet_view **result)
 {
   struct ab_fleet_view *view = calloc (1, sizeof *view);
-  const struct timeval interval = { .tv_usec = AB_FLEET_WATCH_MS * 1000 };
 
   *result = NULL;
   if (!view)
@@ -382,15 +422,15 @@
   view->ops = ops;
   view->ctx = ctx;
   view->started_ms = now_ms ();
-  view->timer = event_new (daemon->base, -1, EV_PERSIST, on_timer, view);
-  if (!view->timer || event_add (view->timer, &interval) < 0)
+  view->timer = evtimer_new (daemon->base, on_timer, view);
+  if (!view->timer)
     {
       ab_fleet_view_free (view);
       return AB_ERR_MEMORY;
     }
   learn_seeds (view);
   ab_peer_task_handle (daemon->peer, AB_FRAME_FLEET_VIEW, on_view, view);
-  event_active (view->timer, EV_TIMEOUT, 0);
+  arm_timer (view, 0);
   *result = view;
   return 0;
 }
@@ -413,7 +453,7 @@
   if (view->ready == ready)
     return;
   view->ready = ready;
-  if (view->control_count > 0)
+  if (view->followed < view->control_count)
     send_watch (view, &view->controls[view->followed]);
 }
 
@@ -455,6 +495,8 @@
       (json_int_t)ab_fleet_view_age_ms (view), "bundle_version",
       (json_int_t)(view->table ? ab_route_table_version (view->table) : 0),
       "control",
-      view->control_count ? view->controls[view->followed].address : "",
+      view->followed < view->control_count
+          ? view->controls[view->followed].address
+          : "",
       "hosts", hosts);
 }
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -12,8 +12,8 @@
 #define TIMER_MS 200
 /* Control hosts tell each other which entry hosts they hear at once when that
    changes, and otherwise this often.  */
-#define HOSTS_MS 3000
-#define HOSTS_LOST_MS 8000
+#define HOSTS_MS 6000
+#define HOSTS_LOST_MS 14000
 #define PEERS_MAX 64
 
 struct watcher
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -31,6 +31,8 @@
 /* Allowed for the way between caller and host, each way.  */
 #define WAY_MS 10
 #define RETRY_DEFAULT_MS 200
+/* A body of this size outweighs headers and messages about the request.  */
+#define BULKY_BYTES 1000
 #define ID_BYTES 128
 
 struct ab_gateway_flow
@@ -620,6 +622,7 @@
   memcpy (ask->service, flow->service->name, sizeof ask->service);
   ask->idempotent = flow->route->idempotent;
   ask->priority = flow->route->priority;
+  ask->bulky = flow->body_bytes >= BULKY_BYTES;
 }
 
 void
--- a/src/raft.c
+++ b/src/raft.c
@@ -191,7 +191,11 @@
       ab_raft_free (raft);
       return rc;
     }
-  ab_raft_reset_election_timer (raft, now_ms);
+  /* After a start no leader is known yet that would have to be given time; a
+     pre-vote harms none that there is.  */
+  raft->election_deadline_ms
+      = now_ms + raft->election_ms / 4
+        + ab_rng_below (raft->rng, raft->election_ms / 4 + 1);
   *out = raft;
   return 0;
 }
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -356,26 +356,34 @@
   return strcmp ((*left)->prefix, (*right)->prefix);
 }
 
+static struct host_routes *
+add_host (struct ab_route_table *table, const char *name)
+{
+  struct host_routes *host = calloc (1, sizeof *host);
+
+  if (!host)
+    return NULL;
+  host->routes
+      = calloc (table->route_count, sizeof (const struct ab_fleet_route *));
+  if (!host->routes)
+    {
+      free (host);
+      return NULL;
+    }
+  ab_chunk_copy (ab_chunk_str (name), host->host, sizeof host->host);
+  HASH_ADD_STR (table->hosts, host, host);
+  return host;
+}
+
 static int
 index_route (struct ab_route_table *table, const struct ab_fleet_route *route)
 {
   struct host_routes *host = find_host (table, ab_chunk_str (route->host));
 
   if (!host)
-    {
-      host = calloc (1, sizeof *host);
-      if (host)
-        host->routes = calloc (table->route_count,
-                               sizeof (const struct ab_fleet_route *));
-      if (!host || !host->routes)
-        {
-          free (host);
-          return AB_ERR_MEMORY;
-        }
-      memcpy (host->host, route->host, sizeof host->host);
-      HASH_ADD_KEYPTR (hh, table->hosts, host->host, strlen (route->host),
-                       host);
-    }
+    host = add_host (table, route->host);
+  if (!host)
+    return AB_ERR_MEMORY;
   host->routes[host->count++] = route;
   return 0;
 }
--- a/src/schedule_frame.c
+++ b/src/schedule_frame.c
@@ -11,7 +11,8 @@
   FLAG_IDEMPOTENT = 1 << 0,
   FLAG_REPEAT = 1 << 1,
   FLAG_MAY_WAIT = 1 << 2,
-  FLAG_MAY_MOVE = 1 << 3
+  FLAG_MAY_MOVE = 1 << 3,
+  FLAG_BULKY = 1 << 4
 };
 
 void
@@ -27,6 +28,8 @@
     flags |= FLAG_MAY_WAIT;
   if (ask->may_move)
     flags |= FLAG_MAY_MOVE;
+  if (ask->bulky)
+    flags |= FLAG_BULKY;
   ab_pack_array (out, ASK_FIELDS);
   ab_pack_u64 (out, ask->id);
   ab_pack_bytes (out, ab_chunk_str (ask->failure_domain));
@@ -59,6 +62,7 @@
   ask->repeat = flags & FLAG_REPEAT;
   ask->may_wait = flags & FLAG_MAY_WAIT;
   ask->may_move = flags & FLAG_MAY_MOVE;
+  ask->bulky = flags & FLAG_BULKY;
   ask->priority = ab_reader_u64 (&reader);
   ask->objective_ms = ab_reader_u64 (&reader);
   ask->time_ms = ab_reader_u64 (&reader);
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -27,6 +27,9 @@
 /* Of the time that is left, kept for the way to the caller.  */
 #define REPLY_MARGIN_MS 30
 #define QUEUE_MAX 4096
+/* A bulky request waits at most this long for a slot in its own failure
+   domain: one of several slots comes free within a part of a request.  */
+#define NEAR_WAIT_MS 90
 /* Ranks of priority whose arrivals are counted apart.  */
 #define PRIORITIES 4
 /* Rates of arrival are averaged over about this time.  */
@@ -339,9 +342,28 @@
   return once[trust];
 }
 
+static bool
+is_near (const struct target *target, const struct ab_sched_ask *ask)
+{
+  return strcmp (target->known.failure_domain, ask->failure_domain) == 0;
+}
+
+/* How little trusted a target may be.  Other regions are asked for a request
+   that must not repeat before it goes to one that failed, and they give it
+   none of theirs.  */
+static enum ab_target_trust
+least_trust (const struct ab_sched_ask *ask)
+{
+  if (!ask->idempotent && (ask->may_move || !ask->may_wait))
+    return AB_TRUST_NEW;
+  return AB_TRUST_TRIAL;
+}
+
+/* The best target with a free slot, in the asker's failure domain only if
+   NEAR.  */
 static struct target *
 choose_target (const struct service *service, const struct ab_sched_ask *ask,
-               uint64_t now_ms)
+               bool near, uint64_t now_ms)
 {
   uint64_t host = ab_rendezvous_hash (ab_chunk_str (ask->host));
   struct target *best = NULL;
@@ -357,12 +379,12 @@
 
     if (target->known.state != AB_FLEET_TARGET_READY
         || target->in_flight >= slots || now_ms < target->health.busy_until_ms
-        || trust == AB_TRUST_OUT || tried (ask, target)
+        || trust > least_trust (ask) || tried (ask, target)
+        || (near && !is_near (target, ask))
         || path_broken (target, host, now_ms))
       continue;
     rating.trust = trust_rating (ask, target, trust);
-    rating.distance
-        = strcmp (target->known.failure_domain, ask->failure_domain) != 0;
+    rating.distance = !is_near (target, ask);
     rating.load = (double)(target->in_flight + 1) / (double)slots
                   * (target->health.latency_ms > 0 ? target->health.latency_ms
                                                    : usual_ms (service));
@@ -522,39 +544,107 @@
   return a_left < b_left;
 }
 
-static struct request *
-next_waiting (const struct service *service, uint64_t now_ms,
-              const struct request *after_failed)
+static int
+by_turn (const void *a, const void *b)
+{
+  const struct request *left = *(struct request *const *)a;
+  const struct request *right = *(struct request *const *)b;
+
+  if (left->ask.priority != right->ask.priority)
+    return left->ask.priority < right->ask.priority ? -1 : 1;
+  if (left->in_time != right->in_time)
+    return left->in_time ? -1 : 1;
+  if (left->left_ms != right->left_ms)
+    return left->left_ms < right->left_ms ? -1 : 1;
+  return 0;
+}
+
+/* The waiting requests in the order in which they are served; to be freed.  */
+static struct request **
+list_waiting (const struct service *service, uint64_t now_ms)
 {
-  struct request *best = NULL;
+  struct request **list
+      = calloc (service->waiting_count, sizeof (struct request *));
   struct request *request;
+  size_t count = 0;
 
+  if (!list)
+    return NULL;
   DL_FOREACH (service->waiting, request)
-  if (request != after_failed
-      && (!best || goes_before (request, best, now_ms)))
-    best = request;
-  return best;
+  {
+    request->in_time = in_time (request, now_ms);
+    request->left_ms = left (request->in_time ? request->ask.objective_ms
+                                              : request->ask.time_ms,
+                             request, now_ms);
+    list[count++] = request;
+  }
+  qsort (list, count, sizeof (struct request *), by_turn);
+  return list;
+}
+
+/* Whether a busy target near the asker is worth waiting for.  */
+static bool
+near_is_busy (const struct service *service, const struct ab_sched_ask *ask,
+              uint64_t now_ms)
+{
+  const struct target *target;
+
+  DL_FOREACH (service->targets, target)
+  if (is_near (target, ask) && target->known.state == AB_FLEET_TARGET_READY
+      && !tried (ask, target)
+      && ab_target_health_trust (&target->health, now_ms) == AB_TRUST_PROVEN
+      && target->in_flight >= slots_of (target, now_ms))
+    return true;
+  return false;
+}
+
+/* Whether REQUEST takes only a slot in its own failure domain for now.  */
+static bool
+waits_near (const struct request *request, uint64_t now_ms)
+{
+  const struct ab_sched_ask *ask = &request->ask;
+
+  return ask->bulky && ask->may_wait
+         && now_ms - request->asked_ms < NEAR_WAIT_MS
+         && (double)ask->objective_ms
+                > 2 * usual_ms (request->service) + NEAR_WAIT_MS
+         && near_is_busy (request->service, ask, now_ms);
 }
 
-/* Gives free slots to those that wait.  */
+static bool
+has_free_slot (const struct service *service, uint64_t now_ms)
+{
+  const struct target *target;
+
+  DL_FOREACH (service->targets, target)
+  if (target->known.state == AB_FLEET_TARGET_READY
+      && target->in_flight < slots_of (target, now_ms)
+      && now_ms >= target->health.busy_until_ms
+      && ab_target_health_trust (&target->health, now_ms) < AB_TRUST_OUT)
+    return true;
+  return false;
+}
+
+/* Gives free slots to those that wait, in their order.  What one may not use
+   another one may.  */
 static void
 serve_waiting (struct ab_scheduler *s, struct service *service,
                uint64_t now_ms)
 {
-  struct request *skipped = NULL;
+  size_t count = service->waiting_count;
+  struct request **list;
 
-  while (service->waiting)
+  if (count == 0 || !has_free_slot (service, now_ms))
+    return;
+  list = list_waiting (service, now_ms);
+  for (size_t i = 0; list && i < count && has_free_slot (service, now_ms); i++)
     {
-      struct request *request = next_waiting (service, now_ms, skipped);
-      struct target *target
-          = request ? choose_target (service, &request->ask, now_ms) : NULL;
+      struct target *target = choose_target (
+          service, &list[i]->ask, waits_near (list[i], now_ms), now_ms);
       if (target)
-        grant (s, request, target, now_ms);
-      else if (request && !skipped)
-        skipped = request; /* What it may not use another one may.  */
-      else
-        return;
+        grant (s, list[i], target, now_ms);
     }
+  free (list);
 }
 
 /* Arrivals.  */
@@ -643,6 +733,8 @@
       || request->service->waiting_count > QUEUE_MAX)
     refuse (s, request, AB_SCHED_FULL, wait, now_ms);
   else if (!ask->may_wait
+           || (ask->may_move && !ask->idempotent
+               && has_free_slot (request->service, now_ms))
            || (ask->may_move
                && (double)wait + usual > (double)ask->objective_ms))
     refuse (s, request, AB_SCHED_MOVE, wait, now_ms);
@@ -703,7 +795,12 @@
   HASH_FIND (hh, s->requests, &ask->id, sizeof ask->id, request);
   if (!request || request->target)
     return;
-  target = choose_target (request->service, ask, now_ms);
+  if (waits_near (request, now_ms))
+    {
+      decide (s, request, AB_SCHED_WAITING, NEAR_WAIT_MS, now_ms);
+      return;
+    }
+  target = choose_target (request->service, ask, false, now_ms);
   if (target)
     grant (s, request, target, now_ms);
   else
@@ -787,44 +884,6 @@
   }
 }
 
-static int
-by_turn (const void *a, const void *b)
-{
-  const struct request *left = *(struct request *const *)a;
-  const struct request *right = *(struct request *const *)b;
-
-  if (left->ask.priority != right->ask.priority)
-    return left->ask.priority < right->ask.priority ? -1 : 1;
-  if (left->in_time != right->in_time)
-    return left->in_time ? -1 : 1;
-  if (left->left_ms != right->left_ms)
-    return left->left_ms < right->left_ms ? -1 : 1;
-  return 0;
-}
-
-/* The waiting requests in the order in which they are served; to be freed.  */
-static struct request **
-list_waiting (const struct service *service, uint64_t now_ms)
-{
-  struct request **list
-      = calloc (service->waiting_count, sizeof (struct request *));
-  struct request *request;
-  size_t count = 0;
-
-  if (!list)
-    return NULL;
-  DL_FOREACH (service->waiting, request)
-  {
-    request->in_time = in_time (request, now_ms);
-    request->left_ms = left (request->in_time ? request->ask.objective_ms
-                                              : request->ask.time_ms,
-                             request, now_ms);
-    list[count++] = request;
-  }
-  qsort (list, count, sizeof (struct request *), by_turn);
-  return list;
-}
-
 /* Refuses those that wait in vain, as soon as that is known.  */
 static void
 refuse_hopeless (struct ab_scheduler *s, struct service *service,
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -15,6 +15,9 @@
    - Repeated attempts of a failing service: a budget over a sliding window,
      so that they add a bounded share to the load.
    - Targets that one host cannot reach: avoided for that host only.
+   - Large bodies while the near targets are all busy: they wait for a near
+     slot as long as a fraction of a request, rather than cross between failure
+     domains, where traffic is paid for.
 
    No I/O: times are given, decisions go through a vtable.  */
 
@@ -41,6 +44,7 @@
   bool repeat;   /* An earlier attempt arrived at a target.  */
   bool may_wait; /* False: only a free slot is of use.  */
   bool may_move; /* Another region may be asked instead of waiting long.  */
+  bool bulky;    /* Its body makes another failure domain expensive.  */
   uint64_t priority;     /* 0 first.  */
   uint64_t objective_ms; /* Left until the response is worth less.  */
   uint64_t time_ms;      /* Left until it is worth nothing.  */
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -422,6 +422,59 @@
 }
 END_TEST
 
+/* A large body while the near targets are busy: it waits a moment for a near
+   slot, and crosses when none comes free.  */
+START_TEST (bulky_waits_for_a_near_slot)
+{
+  struct ab_sched_ask bulky = make_ask (12, false);
+
+  begin (0);
+  set_target (0, "d", AB_FLEET_TARGET_READY);
+  set_target (1, "e", AB_FLEET_TARGET_READY);
+  prove (2, 1);
+  ask (10, false);
+  ask (11, false);
+  bulky.bulky = true;
+  ab_scheduler_ask (sched, &bulky, now);
+  ck_assert (!replays[12].granted);
+  now += 40;
+  end (10, AB_TARGET_OK);
+  ck_assert (replays[12].granted);
+  ck_assert_uint_eq (replays[12].target, 0);
+  bulky.id = 13;
+  ab_scheduler_ask (sched, &bulky, now);
+  for (int i = 0; i < 3; i++)
+    {
+      now += AB_SCHED_TICK_MS;
+      ab_scheduler_tick (sched, now);
+    }
+  ck_assert (replays[13].granted);
+  ck_assert_uint_eq (replays[13].target, 1);
+  ab_scheduler_free (sched);
+}
+END_TEST
+
+/* Gray targets in one region: a request that must not repeat is sent to
+   another region before it goes to a target that failed.  */
+START_TEST (orders_move_before_they_take_a_suspect)
+{
+  struct ab_sched_ask order = make_ask (12, false);
+
+  begin (1);
+  prove (1, 1);
+  ask (10, false);
+  end (10, AB_TARGET_ERROR);
+  order.may_move = true;
+  ab_scheduler_ask (sched, &order, now);
+  ck_assert_int_eq (replays[12].kind, AB_SCHED_MOVE);
+  order.id = 13;
+  order.may_move = false;
+  ab_scheduler_ask (sched, &order, now);
+  ck_assert (replays[13].granted);
+  ab_scheduler_free (sched);
+}
+END_TEST
+
 /* Nothing is held where nothing can serve it.  */
 START_TEST (refuses_at_once_without_targets)
 {
@@ -437,4 +490,6 @@
             short_burst_is_served_whole, repeats_stay_within_budget,
             broken_path_counts_for_one_host, stuck_target_gets_nothing_new,
             repeated_ask_takes_one_slot, follows_the_view, prefers_own_domain,
+            bulky_waits_for_a_near_slot,
+            orders_move_before_they_take_a_suspect,
             refuses_at_once_without_targets)
