Add a fault soak of the real programs

Change: fleet_soak plays seeded kills, lost disks, pauses, planned stops and bundle changes, in series and overlapping, while callers send, and checks at most once, true refusals, accepted bundles and recovery from what callers and targets saw. One seed runs with the tests.

--- a/src/fleet_control_task.c
+++ b/src/fleet_control_task.c
@@ -19,7 +19,8 @@
 static void
 free_op (struct ab_fleet_control *control, struct ab_fleet_op *op)
 {
-  DL_DELETE (control->ops, op);
+  if (control->ops)
+    DL_DELETE (control->ops, op);
   ab_buf_free (&op->data);
   free (op);
 }
@@ -185,7 +186,8 @@
 static void
 drop_lead (struct ab_fleet_control *control, struct ab_fleet_lead *lead)
 {
-  DL_DELETE (control->leads, lead);
+  if (control->leads)
+    DL_DELETE (control->leads, lead);
   free (lead);
 }
 
--- /dev/null
+++ b/tests/fleet_soak.c
@@ -0,0 +1,333 @@
+/* Random faults against a fleet of real processes while callers send, and
+   what callers, targets and operators are promised meanwhile.
+
+   AB_SOAK_SEED is the first seed (1), AB_SOAK_SEEDS the number of seeds (1),
+   AB_SOAK_SECONDS the time of faults for each (10).  One control host at most
+   is lost at a time, which is what the settings tolerate.  Seeds that failed
+   are kept in the list below, with the cause, and are run first.  */
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "fleet_lib.h"
+#include "gateway_fleet_lib.h"
+#include "rng.h"
+#include "suite_lib.h"
+
+#define CONTROLS 4
+#define GATEWAYS 3
+#define TARGETS 4
+#define CALLERS 3
+#define READY_MS 15000
+#define HEAL_MS 12000
+#define PAUSE_MS 15
+#define TEST_S 1200
+/* Of the requests sent while no fault is in force.  */
+#define SERVED_PERCENT 90
+
+struct soak
+{
+  struct gf_fleet fleet;
+  struct ab_rng rng;
+  pid_t callers[CALLERS];
+  int version;  /* Of the newest bundle that was acknowledged.  */
+  int proposed; /* Newest that was sent; without an answer it may be in
+                   force.  */
+  int down;     /* Control host that is lost; 0: none.  */
+};
+
+static uint64_t
+now_ms (void)
+{
+  return ab_clock_monotonic_ms (ab_clock_system ());
+}
+
+static long
+setting (const char *name, long value)
+{
+  const char *text = getenv (name);
+
+  return text ? strtol (text, NULL, 10) : value;
+}
+
+static int
+draw (struct soak *soak, int bound)
+{
+  return (int)ab_rng_below (&soak->rng, (uint64_t)bound);
+}
+
+/* Callers.  */
+
+static void
+print_caller_path (const struct soak *soak, int caller, char *out, size_t size)
+{
+  snprintf (out, size, "%s/caller%d.log", soak->fleet.folder, caller);
+}
+
+/* Sends requests one after the other and writes down how each ended; does not
+   return.  */
+static void
+run_caller (struct soak *soak, int caller)
+{
+  char path[256];
+  char id[32];
+  FILE *file;
+
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  signal (SIGPIPE, SIG_IGN);
+  print_caller_path (soak, caller, path, sizeof path);
+  file = fopen (path, "w");
+  for (int n = 0; file; n++)
+    {
+      bool order = n % 2 == 0;
+      int gateway = (caller + n) % GATEWAYS + 1;
+      int status;
+      snprintf (id, sizeof id, "c%d-%d", caller, n);
+      status = gf_request (&soak->fleet, gateway, order ? "POST" : "GET",
+                           order ? "/shop/1" : "/look/1", id, NULL);
+      fprintf (file, "%s %d %d %llu\n", id, order, status,
+               (unsigned long long)now_ms ());
+      fflush (file);
+      fleet_sleep_ms (PAUSE_MS);
+    }
+  _exit (EXIT_FAILURE);
+}
+
+static void
+start_callers (struct soak *soak)
+{
+  for (int i = 0; i < CALLERS; i++)
+    {
+      soak->callers[i] = fork ();
+      ck_assert_int_ge (soak->callers[i], 0);
+      if (soak->callers[i] == 0)
+        run_caller (soak, i);
+    }
+}
+
+/* Faults.  */
+
+static void
+change_bundle (struct soak *soak)
+{
+  int control = draw (soak, CONTROLS) + 1;
+  int status;
+
+  if (control == soak->down)
+    return;
+  soak->proposed = soak->version + 2 + draw (soak, 3);
+  status = gf_put_bundle (&soak->fleet, control, soak->proposed, soak->version,
+                          "");
+  if (status == 200)
+    soak->version = soak->proposed;
+  /* Without a clear answer the same order is sent again, to any host.  */
+  for (int i = 0; status != 200 && i < 200; i++)
+    {
+      fleet_sleep_ms (50);
+      control = draw (soak, CONTROLS) + 1;
+      if (control == soak->down)
+        continue;
+      status = gf_put_bundle (&soak->fleet, control, soak->proposed,
+                              soak->version, "");
+      ck_assert_int_ne (status, 412);
+      if (status == 200)
+        soak->version = soak->proposed;
+    }
+  ck_assert_int_eq (status, 200);
+}
+
+static void
+lose_control (struct soak *soak)
+{
+  if (soak->down)
+    return;
+  soak->down = draw (soak, CONTROLS) + 1;
+  gf_kill (&soak->fleet.control_pids[soak->down]);
+  if (draw (soak, 2))
+    gf_empty_disk (&soak->fleet, soak->down);
+}
+
+static void
+return_control (struct soak *soak)
+{
+  if (!soak->down)
+    return;
+  gf_start_control (&soak->fleet, soak->down, false);
+  /* The next one may be lost once this one counts again.  */
+  ck_assert (
+      gf_wait_bundle (&soak->fleet, soak->down, soak->version, HEAL_MS));
+  fleet_sleep_ms (3000);
+  soak->down = 0;
+}
+
+static void
+pause_process (struct soak *soak, pid_t pid)
+{
+  kill (pid, SIGSTOP);
+  fleet_sleep_ms (200 + draw (soak, 1500));
+  kill (pid, SIGCONT);
+}
+
+static void
+restart_gateway (struct soak *soak, bool planned)
+{
+  int number = draw (soak, GATEWAYS) + 1;
+  pid_t *pid = &soak->fleet.gateway_pids[number];
+
+  if (planned)
+    {
+      kill (*pid, SIGTERM);
+      ck_assert_int_eq (fleet_wait_process (*pid, 6000), 0);
+      *pid = 0;
+    }
+  else
+    gf_kill (pid);
+  gf_start_gateway (&soak->fleet, number);
+}
+
+static void
+restart_target (struct soak *soak)
+{
+  int number = draw (soak, TARGETS) + 1;
+
+  gf_kill (&soak->fleet.target_pids[number]);
+  fleet_sleep_ms (draw (soak, 500));
+  gf_start_target (&soak->fleet, number, GF_SOUND);
+}
+
+static void
+play_fault (struct soak *soak)
+{
+  switch (draw (soak, 9))
+    {
+    case 0:
+    case 1:
+      change_bundle (soak);
+      break;
+    case 2:
+      lose_control (soak);
+      break;
+    case 3:
+      return_control (soak);
+      break;
+    case 4:
+      if (!soak->down)
+        pause_process (soak,
+                       soak->fleet.control_pids[draw (soak, CONTROLS) + 1]);
+      break;
+    case 5:
+      pause_process (soak,
+                     soak->fleet.gateway_pids[draw (soak, GATEWAYS) + 1]);
+      break;
+    case 6:
+      restart_gateway (soak, true);
+      break;
+    case 7:
+      restart_gateway (soak, false);
+      break;
+    default:
+      restart_target (soak);
+    }
+}
+
+/* Checks.  */
+
+/* No order ran twice; what was said not to have run did not; with the faults
+   over, requests are served.  */
+static void
+check_caller (const struct soak *soak, int caller, uint64_t calm_ms)
+{
+  char path[256];
+  char id[32];
+  int order;
+  int status;
+  unsigned long long ended_ms;
+  int calm = 0;
+  int served = 0;
+  FILE *file;
+
+  print_caller_path (soak, caller, path, sizeof path);
+  file = fopen (path, "r");
+  ck_assert_ptr_nonnull (file);
+  while (fscanf (file, "%31s %d %d %llu", id, &order, &status, &ended_ms) == 4)
+    {
+      int runs = order ? gf_runs (&soak->fleet, id) : 0;
+      ck_assert_msg (runs <= 1, "%s ran %d times", id, runs);
+      ck_assert_msg (runs == 0 || (status != 503 && status != 429),
+                     "%s was refused with %d and ran", id, status);
+      ck_assert_msg (!order || status != 200 || runs == 1,
+                     "%s was answered and did not run", id);
+      ck_assert_msg (status != 404, "%s was answered 404", id);
+      if (ended_ms < calm_ms)
+        continue;
+      calm++;
+      served += status == 200;
+    }
+  fclose (file);
+  ck_assert_msg (served * 100 >= calm * SERVED_PERCENT,
+                 "%d of %d served after the faults", served, calm);
+}
+
+static void
+check_bundles (struct soak *soak)
+{
+  for (int i = 1; i <= CONTROLS; i++)
+    ck_assert_msg (gf_wait_bundle (&soak->fleet, i, soak->version, HEAL_MS),
+                   "control host %d does not answer with version %d", i,
+                   soak->version);
+}
+
+static void
+play (uint64_t seed)
+{
+  struct soak soak = { .version = 2 };
+  uint64_t end_ms;
+  uint64_t calm_ms;
+
+  printf ("soak seed %llu\n", (unsigned long long)seed);
+  fflush (stdout);
+  ab_rng_init_seeded (&soak.rng, seed);
+  gf_start (&soak.fleet, "gf_soak", CONTROLS, GATEWAYS);
+  for (int i = 1; i <= TARGETS; i++)
+    gf_start_target (&soak.fleet, i, GF_SOUND);
+  for (int i = 1; i <= GATEWAYS; i++)
+    ck_assert (gf_wait_status (&soak.fleet, i, "/look/1", 200, READY_MS));
+  start_callers (&soak);
+  end_ms = now_ms () + (uint64_t)setting ("AB_SOAK_SECONDS", 10) * 1000;
+  while (now_ms () < end_ms)
+    {
+      play_fault (&soak);
+      fleet_sleep_ms (draw (&soak, 600));
+    }
+  return_control (&soak);
+  for (int i = 1; i <= GATEWAYS; i++)
+    ck_assert (gf_wait_status (&soak.fleet, i, "/look/1", 200, READY_MS));
+  fleet_sleep_ms (1500);
+  calm_ms = now_ms ();
+  fleet_sleep_ms (1500);
+  check_bundles (&soak);
+  for (int i = 0; i < CALLERS; i++)
+    gf_kill (&soak.callers[i]);
+  for (int i = 0; i < CALLERS; i++)
+    check_caller (&soak, i, calm_ms);
+  gf_stop (&soak.fleet);
+}
+
+/* Guards against promises that hold only while nothing fails.  */
+START_TEST (promises_hold_under_faults)
+{
+  uint64_t first = (uint64_t)setting ("AB_SOAK_SEED", 1);
+  uint64_t count = (uint64_t)setting ("AB_SOAK_SEEDS", 1);
+
+  for (uint64_t seed = first; seed < first + count; seed++)
+    play (seed);
+}
+END_TEST
+
+SUITE_MAIN ("fleet_soak", TEST_S, promises_hold_under_faults)
