almondctl explain log: one request's way from the log files of several hosts

Cause: a user's complaint is followed up from logs alone; the explanations kept in memory go with their process.

Change: the command sorts the lines about a request over the files and adds what was logged of its last target. Requests without a route log the authority and path that matched none, and no inputs that they never had.

Measured: the gateway test provokes three failures and finds the cause of one through the command.

--- a/src/ctl.h
+++ b/src/ctl.h
@@ -82,5 +82,6 @@
 enum ctl_exit ctl_bundle_diff (const struct ctl_options *, int, char **);
 enum ctl_exit ctl_explain_request (const struct ctl_options *, int, char **);
 enum ctl_exit ctl_explain_target (const struct ctl_options *, int, char **);
+enum ctl_exit ctl_explain_log (const struct ctl_options *, int, char **);
 
 #endif
--- a/src/ctl_query.c
+++ b/src/ctl_query.c
@@ -4,6 +4,8 @@
 #include "ctl.h"
 #include "error.h"
 
+#define LOG_FILES_MAX 4096
+
 static enum ctl_exit
 query (const struct ctl_options *options, int count, char **argv)
 {
@@ -151,6 +153,8 @@
     "/v1/services" },
   { "explain", "REQUEST-ID", 1, 1, ctl_explain_request,
     "what was decided for a request, and why", NULL },
+  { "explain log", "REQUEST-ID FILE...", 2, LOG_FILES_MAX, ctl_explain_log,
+    "the way of a request, from log files of hosts", NULL },
   { "explain target", "IP:PORT", 1, 1, ctl_explain_target,
     "why a target is in or out", NULL },
   { "bundle status", "", 0, 0, query, "the bundle in force", "/v1/bundle" },
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -107,33 +107,63 @@
   free (flow);
 }
 
-/* One line for each request that failed or was repeated, and for a bounded
-   number of others.  */
+static int64_t
+bundle_version (const struct ab_gateway_flow *flow)
+{
+  return flow->table ? (int64_t)ab_route_table_version (flow->table) : 0;
+}
+
+/* A request without a route never had more inputs than these.  */
+static void
+log_routeless (const struct ab_gateway_flow *flow, int status,
+               const char *code)
+{
+  const char *host = flow->req ? header (flow, "Host") : NULL;
+
+  AB_LOG (AB_LOG_WARN, "request_odd", ab_log_str ("id", flow->id),
+          ab_log_int ("status", status), ab_log_str ("code", code),
+          ab_log_str ("verdict", ab_verdict_name (flow->verdict)),
+          ab_log_str ("authority", host),
+          ab_log_str ("uri",
+                      flow->req ? evhttp_request_get_uri (flow->req) : NULL),
+          ab_log_int ("bundle", bundle_version (flow)),
+          ab_log_int ("view_age_ms",
+                      (int64_t)ab_fleet_view_age_ms (flow->env->view)));
+}
+
+/* One line for each request; those that failed or were repeated have a name,
+   and so a bound on their number, of their own.  */
 static void
 log_end (const struct ab_gateway_flow *flow, int status, const char *code)
 {
   uint64_t took_us = ab_clock_monotonic_us () - flow->begin_us;
   bool ordinary = status < 400 && flow->sends <= 1;
 
+  if (!flow->route)
+    {
+      log_routeless (flow, status, code);
+      return;
+    }
   AB_LOG (
       ordinary ? AB_LOG_INFO : AB_LOG_WARN,
       ordinary ? "request" : "request_odd", ab_log_str ("id", flow->id),
       ab_log_int ("status", status), ab_log_str ("code", code),
       ab_log_str ("verdict", ab_verdict_name (flow->verdict)),
-      ab_log_str ("route", flow->route ? flow->route->name : "-"),
-      ab_log_str ("service", flow->service ? flow->service->name : "-"),
+      ab_log_str ("route", flow->route->name),
+      ab_log_str ("service", flow->service->name),
       ab_log_str ("target", flow->grant.target),
-      ab_log_str ("trust", ab_target_trust_name (flow->grant.trust)),
+      ab_log_str ("trust", flow->grant.target[0]
+                               ? ab_target_trust_name (flow->grant.trust)
+                               : ""),
       ab_log_str ("scheduler", flow->grant.scheduler),
       ab_log_int ("bytes", (int64_t)flow->body_bytes),
       ab_log_int ("time_ms", (int64_t)(flow->deadline_ms - flow->begin_ms)),
       ab_log_int ("asked_ms", (int64_t)flow->asked_ms),
       ab_log_int ("sends", flow->sends),
       ab_log_int ("ask_us", (int64_t)flow->ask_us),
+      ab_log_int ("waited_ms", (int64_t)flow->grant.waited_ms),
       ab_log_int ("took_us", (int64_t)took_us),
-      ab_log_int ("bundle", flow->table
-                                ? (int64_t)ab_route_table_version (flow->table)
-                                : 0),
+      ab_log_int ("bundle", bundle_version (flow)),
       ab_log_int ("view_age_ms",
                   (int64_t)ab_fleet_view_age_ms (flow->env->view)));
 }
--- a/tests/fleet_gateway.c
+++ b/tests/fleet_gateway.c
@@ -4,9 +4,11 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/wait.h>
 
 #include "fleet_lib.h"
+#include "fleet_process.h"
 #include "gateway_fleet_lib.h"
 #include "suite_lib.h"
 
@@ -197,10 +199,29 @@
 }
 END_TEST
 
+/* Runs almondctl explain log on the gateway's and the control hosts' files;
+   its exit status.  */
+static int
+explain_log (const struct gf_fleet *fleet, const char *id, char **output)
+{
+  const char *build = getenv ("AB_BUILD");
+  char program[256];
+  char files[4][256];
+  const char *const arguments[]
+      = { "explain", "log", id, files[0], files[1], files[2], files[3], NULL };
+
+  snprintf (program, sizeof program, "%s/almondctl", build ? build : "build");
+  snprintf (files[0], sizeof files[0], "%s/gateway1.log", fleet->folder);
+  for (int i = 1; i <= 3; i++)
+    snprintf (files[i], sizeof files[i], "%s/control%d.log", fleet->folder, i);
+  return fleet_run_program (program, arguments, output);
+}
+
 /* Guards against failures that the logs alone do not explain.  */
 START_TEST (logs_explain_failures)
 {
   struct gf_fleet fleet;
+  char *output = NULL;
 
   gf_start (&fleet, "gf_logs", 3, 1);
   ck_assert (gf_wait_status (&fleet, 1, "/look/1", 503, READY_MS));
@@ -218,6 +239,12 @@
   ck_assert (gf_logged (&fleet, 1, "attempt_failed", "id=cut", "end=lost"));
   ck_assert (
       gf_logged (&fleet, 1, "request_odd", "id=cut", "verdict=may-have-run"));
+  ck_assert_int_eq (explain_log (&fleet, "cut", &output), 0);
+  ck_assert_ptr_nonnull (strstr (output, "event=attempt_failed id=cut"));
+  ck_assert_ptr_nonnull (strstr (output, "target t1:"));
+  ck_assert_ptr_nonnull (strstr (output, "event=target_change target=t1"));
+  free (output);
+  ck_assert_int_eq (explain_log (&fleet, "never-sent", NULL), 4);
   gf_stop (&fleet);
 }
 END_TEST
