Schedule large failure domains apart; send an entry host one view at a time

Change: a view is followed by an acknowledgement, and news in between wait for it. Signal handlers are set before anything else starts.

--- a/src/fleet_run.c
+++ b/src/fleet_run.c
@@ -275,9 +275,10 @@
   runner.daemon.counters = ab_counters_new ();
   if (!runner.daemon.base || !runner.daemon.counters)
     goto out;
-  rc = start_tasks (&runner, error);
+  /* A signal that comes while the tasks start is handled after that.  */
+  rc = add_events (&runner);
   if (rc == 0)
-    rc = add_events (&runner);
+    rc = start_tasks (&runner, error);
   if (rc < 0)
     goto out;
   AB_LOG (AB_LOG_INFO, "started",
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -101,10 +101,12 @@
 }
 
 static void
-send_watch (struct ab_fleet_view *view, const struct control *control)
+send_watch (struct ab_fleet_view *view, const struct control *control,
+            bool ack)
 {
   struct ab_fleet_watch_frame watch
       = { .follow = control == &view->controls[view->followed],
+          .ack = ack,
           .ready = view->ready,
           .index = view->index,
           .hosts_version = view->hosts_version };
@@ -185,7 +187,7 @@
               && usable (&view->controls[view->followed], now_ms ())
               && nearness (view, control) < 2))
         continue;
-      send_watch (view, control);
+      send_watch (view, control, false);
       return;
     }
 }
@@ -220,7 +222,7 @@
       if (view->found)
         follow (view, i);
       else if (!control->heard_ms)
-        send_watch (view, control);
+        send_watch (view, control, false);
     }
   return !view->found;
 }
@@ -253,7 +255,7 @@
   choose_control (view, now);
   followed = &view->controls[view->followed];
   if (view->control_count > 0)
-    send_watch (view, followed);
+    send_watch (view, followed, false);
   if (!usable (followed, now))
     {
       look_around (view);
@@ -292,7 +294,8 @@
   view->ops->bundle (view->ctx, table);
 }
 
-static void
+/* Returns how many there were.  */
+static size_t
 take_targets (struct ab_fleet_view *view, struct ab_reader *reader)
 {
   size_t count = ab_reader_enter (reader, TARGETS_MAX);
@@ -302,11 +305,12 @@
       struct ab_fleet_target target;
       ab_fleet_read_target (reader, &target);
       if (ab_reader_error (reader) < 0)
-        return;
+        return 0;
       if (target.changed > view->index)
         view->ops->target (view->ctx, &target);
     }
   ab_reader_leave (reader);
+  return count;
 }
 
 static void
@@ -357,6 +361,7 @@
   uint64_t bundle_index;
   struct ab_chunk bundle;
   bool look;
+  bool news;
 
   ab_reader_enter (reader, 6);
   ab_fleet_read_view (reader, &frame);
@@ -372,17 +377,19 @@
   /* A gap: the next watch message asks for what is between.  */
   if (frame.from > view->index && !look)
     {
-      send_watch (view, control);
+      send_watch (view, control, false);
       return;
     }
   take_bundle (view, bundle_index, bundle);
-  take_targets (view, reader);
+  news = take_targets (view, reader) > 0 || bundle.len > 0 || frame.has_hosts;
   take_hosts (view, reader, &frame);
   take_members (view, reader);
   if (ab_reader_error (reader) < 0 || look)
     return;
   if (frame.upto > view->index)
     view->index = frame.upto;
+  if (news)
+    send_watch (view, control, true);
   if (frame.upto >= view->index && frame.age_ms < now
       && now - frame.age_ms > view->confirmed_ms)
     view->confirmed_ms = now - frame.age_ms;
@@ -454,7 +461,7 @@
     return;
   view->ready = ready;
   if (view->followed < view->control_count)
-    send_watch (view, &view->controls[view->followed]);
+    send_watch (view, &view->controls[view->followed], false);
 }
 
 struct ab_route_table *
--- a/src/fleet_watch.c
+++ b/src/fleet_watch.c
@@ -3,7 +3,7 @@
 #include "error.h"
 #include "rendezvous.h"
 
-#define WATCH_FIELDS 5
+#define WATCH_FIELDS 6
 #define VIEW_FIELDS 6
 #define HOST_FIELDS 3
 
@@ -34,6 +34,7 @@
   ab_pack_array (out, WATCH_FIELDS);
   ab_fleet_pack_host (out, &watch->host);
   ab_pack_bool (out, watch->follow);
+  ab_pack_bool (out, watch->ack);
   ab_pack_bool (out, watch->ready);
   ab_pack_u64 (out, watch->index);
   ab_pack_u64 (out, watch->hosts_version);
@@ -50,6 +51,7 @@
   ab_reader_enter (&reader, WATCH_FIELDS);
   ab_fleet_read_host (&reader, &watch->host);
   watch->follow = ab_reader_bool (&reader);
+  watch->ack = ab_reader_bool (&reader);
   watch->ready = ab_reader_bool (&reader);
   watch->index = ab_reader_u64 (&reader);
   watch->hosts_version = ab_reader_u64 (&reader);
--- a/src/fleet_watch.h
+++ b/src/fleet_watch.h
@@ -26,8 +26,9 @@
 struct ab_fleet_watch_frame
 {
   struct ab_fleet_host host;
-  bool follow;    /* False: only asks how the control host is.  */
-  bool ready;     /* Takes callers.  */
+  bool follow; /* False: only asks how the control host is.  */
+  bool ack;    /* Follows a view at once; false: one of the regular ones.  */
+  bool ready;  /* Takes callers.  */
   uint64_t index; /* All changes up to this log index are known.  */
   uint64_t hosts_version;
 };
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -14,13 +14,19 @@
 #define HOSTS_MS 6000
 #define HOSTS_LOST_MS 14000
 #define PEERS_MAX 64
+/* An entry host is sent one view at a time, as its link may be slow; one that
+   is not acknowledged counts as lost after this.  */
+#define VIEW_LOST_MS 1200
 
 struct watcher
 {
   struct ab_fleet_host host;
   bool ready;
-  uint64_t index; /* That it said to know.  */
-  uint64_t sent;  /* That was sent since.  */
+  uint64_t index;   /* That it said to know.  */
+  uint64_t sent;    /* That was sent since.  */
+  uint64_t sent_ms; /* When news were sent that are not acknowledged; 0: all
+                       are.  */
+  bool behind;      /* There are more news.  */
   uint64_t hosts_version;
   uint64_t heard_ms;
   UT_hash_handle hh;
@@ -139,7 +145,8 @@
     ab_pack_bytes (out, ab_chunk_str (members[i].host));
 }
 
-static void
+/* Returns whether there is anything in the lists.  */
+static bool
 pack_lists (struct ab_buf *out, const struct ab_fleet_watch *watch,
             const struct ab_fleet_view_frame *view, uint64_t now)
 {
@@ -161,6 +168,7 @@
   if (view->has_hosts)
     visit_hosts (watch, now, pack_host, out);
   pack_members (out, control->group);
+  return bundle.len > 0 || targets > 0 || hosts > 0;
 }
 
 static void
@@ -170,6 +178,7 @@
   struct ab_raft_status status;
   struct ab_fleet_view_frame view = { 0 };
   struct ab_buf body = AB_BUF_INIT;
+  bool news;
 
   ab_group_status (control->group, &status);
   memcpy (view.failure_domain, control->settings->base.failure_domain,
@@ -181,12 +190,14 @@
   view.has_hosts = watcher->hosts_version != watch->version;
   ab_pack_array (&body, 6);
   ab_fleet_pack_view (&body, &view);
-  pack_lists (&body, watch, &view, now);
+  news = pack_lists (&body, watch, &view, now);
   if (!body.error)
     ab_peer_task_send (control->daemon->peer,
                        ab_chunk_str (watcher->host.peer), AB_FRAME_FLEET_VIEW,
                        ab_buf_chunk (&body));
   watcher->sent = view.upto;
+  watcher->sent_ms = news ? now : 0;
+  watcher->behind = false;
   watcher->hosts_version = view.hosts_version;
   ab_buf_free (&body);
 }
@@ -197,7 +208,10 @@
   uint64_t now = ab_fleet_now_ms ();
 
   for (struct watcher *w = watch->watchers; w; w = w->hh.next)
-    send_view (watch, w, now);
+    if (w->sent_ms && now - w->sent_ms < VIEW_LOST_MS)
+      w->behind = true;
+    else
+      send_view (watch, w, now);
 }
 
 static void
@@ -264,9 +278,11 @@
   watcher->ready = said.ready;
   watcher->index = said.index;
   watcher->sent = 0;
+  watcher->sent_ms = 0;
   watcher->hosts_version = said.hosts_version;
   watcher->heard_ms = now;
-  send_view (watch, watcher, now);
+  if (!said.ack || watcher->behind || said.hosts_version != watch->version)
+    send_view (watch, watcher, now);
 }
 
 /* Other control hosts.  */
--- a/src/schedule_frame.c
+++ b/src/schedule_frame.c
@@ -3,7 +3,7 @@
 #include "error.h"
 #include "pack.h"
 
-#define ASK_FIELDS 8
+#define ASK_FIELDS 9
 #define REPLY_FIELDS 8
 
 enum ask_flag
@@ -34,6 +34,7 @@
   ab_pack_u64 (out, ask->id);
   ab_pack_bytes (out, ab_chunk_str (ask->failure_domain));
   ab_pack_bytes (out, ab_chunk_str (ask->service));
+  ab_pack_bytes (out, ab_chunk_str (ask->area));
   ab_pack_u64 (out, flags);
   ab_pack_u64 (out, ask->priority);
   ab_pack_u64 (out, ask->objective_ms);
@@ -57,6 +58,7 @@
   ask->id = ab_reader_u64 (&reader);
   ab_reader_str (&reader, ask->failure_domain, sizeof ask->failure_domain);
   ab_reader_str (&reader, ask->service, sizeof ask->service);
+  ab_reader_str (&reader, ask->area, sizeof ask->area);
   flags = ab_reader_u64 (&reader);
   ask->idempotent = flags & FLAG_IDEMPOTENT;
   ask->repeat = flags & FLAG_REPEAT;
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "peer_task.h"
 #include "rendezvous.h"
+#include "schedule_areas.h"
 #include "schedule_frame.h"
 
 /* A scheduler that has not answered after this is left for the next host:
@@ -18,7 +19,10 @@
 /* While a request waits, its scheduler is asked again this often; one that
    does not answer any more has lost it.  */
 #define POLL_MS 300
-#define REGIONS_MAX 16
+/* Areas that one request is offered to.  */
+#define AREAS_ASKED 5
+/* Of them, in other regions.  */
+#define FAR_AREAS 2
 
 /* Where a call stands.  */
 enum stage
@@ -36,8 +40,10 @@
   struct ab_sched_ask ask;
   enum stage stage;
   unsigned home_tries; /* Hosts of the own region that did not answer.  */
-  size_t away;         /* The next other region.  */
-  bool home_has_room;  /* The own region can serve it later.  */
+  size_t away;         /* The next other area.  */
+  struct ab_area areas[AREAS_ASKED]; /* The own one first.  */
+  size_t area_count;
+  bool home_has_room; /* The own region can serve it later.  */
   bool waiting;
   enum ab_sched_kind refusal;
   uint64_t wait_ms;
@@ -61,8 +67,7 @@
   struct event *tick;
   struct ab_schedule_call *calls;
   uint64_t next_id;
-  char regions[REGIONS_MAX][AB_NAME_BYTES]; /* The own one first.  */
-  size_t region_count;
+  struct ab_areas *areas;
 };
 
 static uint64_t
@@ -82,11 +87,22 @@
 
 /* Hosts.  */
 
-/* The host of REGION that comes at place SKIP in rendezvous order for
-   SERVICE; null when there are fewer.  */
+static bool
+serves_area (const struct ab_schedule_task *task,
+             const struct ab_fleet_host *host, const struct ab_area *area)
+{
+  if (area->failure_domain[0])
+    return strcmp (host->failure_domain, area->failure_domain) == 0;
+  return strcmp (ab_fleet_region (task->settings, host->failure_domain),
+                 area->region)
+         == 0;
+}
+
+/* The host that comes at place SKIP in rendezvous order for SERVICE in AREA;
+   null when there are fewer.  */
 static const char *
-scheduler_host (const struct ab_schedule_task *task, const char *region,
-                const char *service, unsigned skip)
+scheduler_host (const struct ab_schedule_task *task,
+                const struct ab_area *area, const char *service, unsigned skip)
 {
   const struct ab_fleet_host *hosts;
   size_t count = ab_fleet_view_hosts (task->view, &hosts);
@@ -100,13 +116,12 @@
       best = NULL;
       for (size_t i = 0; i < count; i++)
         {
-          uint64_t score = ab_rendezvous_score (
+          uint64_t score;
+          if (!serves_area (task, &hosts[i], area))
+            continue;
+          score = ab_rendezvous_score (
               subject, ab_rendezvous_hash (ab_chunk_str (hosts[i].peer)));
-          if (score >= limit || score <= best_score
-              || strcmp (
-                     ab_fleet_region (task->settings, hosts[i].failure_domain),
-                     region)
-                     != 0)
+          if (score >= limit || score <= best_score)
             continue;
           best = hosts[i].peer;
           best_score = score;
@@ -181,9 +196,9 @@
   return time > gone ? time - gone : 0;
 }
 
-/* Sends the ask, under a new number, to HOST.  */
+/* Sends the ask, under a new number, to HOST, which has ANSWER_MS.  */
 static void
-ask_host (struct ab_schedule_call *call, const char *host)
+ask_host (struct ab_schedule_call *call, const char *host, uint64_t answer_ms)
 {
   uint64_t now = now_ms ();
   uint64_t gone = now - call->started_ms;
@@ -192,27 +207,42 @@
   call->ask.objective_ms = remaining (call->objective_ms, gone);
   call->ask.time_ms = remaining (call->time_ms, gone);
   call->ask.may_wait = call->stage != STAGE_AWAY;
-  call->ask.may_move
-      = call->stage == STAGE_HOME && call->task->region_count > 1;
+  call->ask.may_move = call->stage == STAGE_HOME && call->area_count > 1;
   call->asked_ms = now;
   call->waiting = false;
   ab_chunk_copy (ab_chunk_str (host), call->host, sizeof call->host);
   send_ask (call);
-  arm (call, call->stage == STAGE_AWAY ? ANSWER_FAR_MS : ANSWER_MS);
+  arm (call, answer_ms);
 }
 
 static void next_host (struct ab_schedule_call *call);
 
-/* Asks at home, skipping hosts that did not answer; this host is the last
-   resort.  */
+/* Whether AREA is in the own region.  */
+static bool
+is_near (const struct ab_schedule_task *task, const struct ab_area *area)
+{
+  return strcmp (area->region, task->settings->base.region) == 0;
+}
+
+static void
+ask_area (struct ab_schedule_call *call, const struct ab_area *area,
+          const char *host)
+{
+  memcpy (call->ask.area, area->failure_domain, sizeof call->ask.area);
+  ask_host (call, host,
+            is_near (call->task, area) ? ANSWER_MS : ANSWER_FAR_MS);
+}
+
+/* Asks in the own area, skipping hosts that did not answer; this host is the
+   last resort.  */
 static void
 ask_home (struct ab_schedule_call *call)
 {
   struct ab_schedule_task *task = call->task;
-  const char *host = scheduler_host (task, task->regions[0], call->ask.service,
+  const char *host = scheduler_host (task, &call->areas[0], call->ask.service,
                                      call->home_tries);
 
-  ask_host (call, host ? host : task->daemon->settings->host);
+  ask_area (call, &call->areas[0], host ? host : task->daemon->settings->host);
 }
 
 static void
@@ -221,13 +251,13 @@
   struct ab_schedule_task *task = call->task;
 
   call->stage = STAGE_AWAY;
-  while (call->away < task->region_count)
+  while (call->away < call->area_count)
     {
-      const char *host = scheduler_host (task, task->regions[call->away++],
-                                         call->ask.service, 0);
+      const struct ab_area *area = &call->areas[call->away++];
+      const char *host = scheduler_host (task, area, call->ask.service, 0);
       if (host)
         {
-          ask_host (call, host);
+          ask_area (call, area, host);
           return;
         }
     }
@@ -270,7 +300,7 @@
     {
       call->home_tries++;
       if (call->home_tries > 2)
-        ask_host (call, task->daemon->settings->host);
+        ask_area (call, &call->areas[0], task->daemon->settings->host);
       else
         ask_home (call);
     }
@@ -363,6 +393,37 @@
     }
 }
 
+/* Lists the areas to ask: the own one, others of the region, and one or two of
+   other regions, which differ from call to call so that they share the
+   load.  */
+static void
+list_areas (struct ab_schedule_call *call)
+{
+  struct ab_schedule_task *task = call->task;
+  struct ab_area all[AB_AREAS_MAX];
+  size_t count
+      = ab_areas_list (task->areas, call->ask.service,
+                       task->settings->base.failure_domain, all, AB_AREAS_MAX);
+  size_t near = 0;
+  size_t far;
+
+  while (near < count && is_near (task, &all[near]))
+    near++;
+  far = count - near;
+  call->area_count
+      = near < AREAS_ASKED - FAR_AREAS ? near : AREAS_ASKED - FAR_AREAS;
+  memcpy (call->areas, all, call->area_count * sizeof *all);
+  for (size_t i = 0; i < far && i < FAR_AREAS; i++)
+    call->areas[call->area_count++] = all[near + (task->next_id + i) % far];
+  if (call->area_count == 0)
+    {
+      memset (&call->areas[0], 0, sizeof call->areas[0]);
+      memcpy (call->areas[0].region, task->settings->base.region,
+              sizeof call->areas[0].region);
+      call->area_count = 1;
+    }
+}
+
 struct ab_schedule_call *
 ab_schedule_ask (struct ab_schedule_task *task, const struct ab_sched_ask *ask,
                  ab_schedule_callback callback, void *ctx)
@@ -385,6 +446,7 @@
           sizeof call->ask.failure_domain);
   call->objective_ms = ask->objective_ms;
   call->time_ms = ask->time_ms;
+  list_areas (call);
   call->away = 1;
   call->refusal = AB_SCHED_NONE;
   call->wait_ms = POLL_MS;
@@ -467,15 +529,23 @@
   ab_scheduler_tick (task->scheduler, now_ms ());
 }
 
-void
-ab_schedule_task_set_target (struct ab_schedule_task *task,
-                             const struct ab_fleet_target *target)
+/* Gives targets of the own region to the scheduler here.  */
+static void
+on_area (void *ctx, const struct ab_fleet_target *target, const char *area)
 {
+  struct ab_schedule_task *task = ctx;
   const char *region
       = ab_fleet_region (task->settings, target->failure_domain);
 
   if (strcmp (region, task->settings->base.region) == 0)
-    ab_scheduler_set_target (task->scheduler, target, now_ms ());
+    ab_scheduler_set_target (task->scheduler, target, area, now_ms ());
+}
+
+void
+ab_schedule_task_set_target (struct ab_schedule_task *task,
+                             const struct ab_fleet_target *target)
+{
+  ab_areas_set_target (task->areas, target, on_area, task);
 }
 
 void
@@ -485,24 +555,23 @@
   task->view = view;
 }
 
-/* Lists the regions, the own one first; the others follow in an order that
-   differs from region to region.  */
-static void
-list_regions (struct ab_schedule_task *task)
+/* Regions of the fleet, which share the budget of repeats.  */
+static size_t
+count_regions (const struct ab_fleet_settings *settings)
 {
-  const struct ab_fleet_settings *settings = task->settings;
+  size_t count = 0;
 
-  memcpy (task->regions[0], settings->base.region, sizeof task->regions[0]);
-  task->region_count = 1;
   for (size_t i = 0; i < settings->domain_count; i++)
     {
-      const char *region = settings->domains[i].region;
       bool known = false;
-      for (size_t j = 0; j < task->region_count; j++)
-        known = known || strcmp (task->regions[j], region) == 0;
-      if (!known && task->region_count < REGIONS_MAX)
-        memcpy (task->regions[task->region_count++], region, AB_NAME_BYTES);
+      for (size_t j = 0; j < i; j++)
+        known = known
+                || strcmp (settings->domains[j].region,
+                           settings->domains[i].region)
+                       == 0;
+      count += !known;
     }
+  return count > 0 ? count : 1;
 }
 
 static int
@@ -513,13 +582,15 @@
   struct ab_scheduler_config config
       = { .repeat_fraction = settings->repeat_fraction,
           .repeat_extra
-          = (double)settings->repeat_extra / (double)task->region_count,
+          = (double)settings->repeat_extra / (double)count_regions (settings),
           .repeat_window_ms = settings->repeat_window_ms,
           .rng = &task->rng };
 
+  task->areas = ab_areas_new (settings);
   task->scheduler = ab_scheduler_new (&config, &scheduler_ops, task);
   task->tick = event_new (task->daemon->base, -1, EV_PERSIST, on_tick, task);
-  if (!task->scheduler || !task->tick || event_add (task->tick, &interval) < 0)
+  if (!task->areas || !task->scheduler || !task->tick
+      || event_add (task->tick, &interval) < 0)
     return AB_ERR_MEMORY;
   return 0;
 }
@@ -539,7 +610,6 @@
   task->settings = settings;
   ab_rng_init_system (&task->rng);
   task->next_id = ab_rng_next (&task->rng);
-  list_regions (task);
   rc = make_parts (task);
   if (rc < 0)
     {
@@ -563,6 +633,7 @@
   if (task->tick)
     event_free (task->tick);
   ab_scheduler_free (task->scheduler);
+  ab_areas_free (task->areas);
   free (task);
 }
 
--- a/src/schedule_task.h
+++ b/src/schedule_task.h
@@ -1,9 +1,10 @@
 /* Asks for targets: from this host's requests to the scheduler that places
    them, which may be on another host.
 
-   The scheduler of a service in a region is on the entry host that comes first
-   in rendezvous order.  One that does not answer is left for the next.  When
-   the own region has no room in time, the others are asked.  */
+The scheduler of a service in an area (schedule_areas.h) is on the entry host
+   of the area that comes first in rendezvous order.  One that does not answer
+   is left for the next.  When the own area has no room in time, others are
+   asked.  */
 
 #ifndef AB_SCHEDULE_TASK_H
 #define AB_SCHEDULE_TASK_H
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -1,5 +1,6 @@
 #include "scheduler.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <uthash.h>
 #include <utlist.h>
@@ -90,9 +91,10 @@
   uint64_t repeats;
 };
 
+/* The targets of a service in one area, and the requests for them.  */
 struct service
 {
-  char name[AB_NAME_BYTES];
+  char key[2 * AB_NAME_BYTES]; /* Name, line feed, area.  */
   struct target *targets;
   struct request *waiting; /* In the order in which they are served.  */
   size_t waiting_count;
@@ -165,18 +167,20 @@
 }
 
 static struct service *
-get_service (struct ab_scheduler *s, const char *name)
+get_service (struct ab_scheduler *s, const char *name, const char *area)
 {
   struct service *service = NULL;
+  char key[sizeof service->key];
 
-  HASH_FIND_STR (s->services, name, service);
+  snprintf (key, sizeof key, "%s\n%s", name, area);
+  HASH_FIND_STR (s->services, key, service);
   if (service)
     return service;
   service = calloc (1, sizeof *service);
   if (!service)
     return NULL;
-  ab_chunk_copy (ab_chunk_str (name), service->name, sizeof service->name);
-  HASH_ADD_STR (s->services, name, service);
+  memcpy (service->key, key, sizeof key);
+  HASH_ADD_STR (s->services, key, service);
   return service;
 }
 
@@ -197,58 +201,61 @@
 }
 
 static struct target *
-add_target (struct ab_scheduler *s, const struct ab_fleet_target *known)
+add_target (struct ab_scheduler *s, const struct ab_fleet_target *known,
+            struct service *service)
 {
   struct target *target = calloc (1, sizeof *target);
 
   if (!target)
     return NULL;
-  target->service = get_service (s, known->service);
-  if (!target->service)
-    {
-      free (target);
-      return NULL;
-    }
+  target->service = service;
   target->known = *known;
-  DL_APPEND (target->service->targets, target);
+  DL_APPEND (service->targets, target);
   HASH_ADD_STR (s->targets, known.id, target);
   return target;
 }
 
+/* Starts a target's record anew, for a new incarnation.  */
+static void
+reset_target (struct target *target, uint64_t cold_ms, uint64_t now_ms)
+{
+  memset (&target->health, 0, sizeof target->health);
+  memset (target->paths, 0, sizeof target->paths);
+  target->cold_until_ms = now_ms + cold_ms;
+  target->used = false;
+}
+
+/* Requests under way stay with the service that granted them.  */
+static void
+move_target (struct target *target, struct service *service)
+{
+  DL_DELETE (target->service->targets, target);
+  DL_APPEND (service->targets, target);
+  target->service = service;
+}
+
 void
 ab_scheduler_set_target (struct ab_scheduler *s,
-                         const struct ab_fleet_target *known, uint64_t now_ms)
+                         const struct ab_fleet_target *known, const char *area,
+                         uint64_t now_ms)
 {
+  struct service *service = get_service (s, known->service, area);
   struct target *target = NULL;
 
   HASH_FIND_STR (s->targets, known->id, target);
-  if (target && strcmp (target->known.service, known->service) != 0)
-    {
-      /* Requests under way keep their target until they end.  */
-      if (target->in_flight > 0)
-        {
-          target->known.state = AB_FLEET_TARGET_GONE;
-          return;
-        }
-      forget_target (s, target);
-      target = NULL;
-    }
+  if (!service || (!target && known->state == AB_FLEET_TARGET_GONE))
+    return;
   if (!target)
     {
-      if (known->state == AB_FLEET_TARGET_GONE)
-        return;
-      target = add_target (s, known);
+      target = add_target (s, known, service);
       if (!target)
         return;
       target->cold_until_ms = now_ms + known->cold_ms;
     }
   else if (target->known.born != known->born)
-    {
-      memset (&target->health, 0, sizeof target->health);
-      memset (target->paths, 0, sizeof target->paths);
-      target->cold_until_ms = now_ms + known->cold_ms;
-      target->used = false;
-    }
+    reset_target (target, known->cold_ms, now_ms);
+  if (target->service != service)
+    move_target (target, service);
   target->known = *known;
   if (known->state == AB_FLEET_TARGET_GONE && target->in_flight == 0)
     forget_target (s, target);
@@ -750,7 +757,7 @@
 
   if (!request)
     return NULL;
-  request->service = get_service (s, ask->service);
+  request->service = get_service (s, ask->service, ask->area);
   if (!request->service)
     {
       free (request);
@@ -933,7 +940,7 @@
         list,
         json_pack (
             "{s:s, s:s, s:s, s:s, s:I, s:I, s:f}", "target", t->known.id,
-            "service", t->known.service, "address", t->known.address, "trust",
+            "service", t->service->key, "address", t->known.address, "trust",
             ab_target_trust_name (ab_target_health_trust (&t->health, now_ms)),
             "in_flight", (json_int_t)t->in_flight, "failures",
             (json_int_t)t->health.failures, "latency_ms",
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -1,8 +1,9 @@
 /* Which target takes a request, which requests wait, and which are turned
    away.
 
-   One scheduler places all requests for a service's targets in a region, so
-   it knows every slot in use and every outcome.  Load patterns that it
+One scheduler places all requests for a service's targets in an area, which
+   is a failure domain or a region, so it knows every slot in use and every
+   outcome there.  Load patterns that it
    answers:
 
    - Gray targets: a failure takes a target out for everyone at once; only
@@ -40,6 +41,7 @@
   char host[AB_ADDRESS_BYTES];
   char failure_domain[AB_NAME_BYTES];
   char service[AB_NAME_BYTES];
+  char area[AB_NAME_BYTES]; /* Whose targets are asked for.  */
   bool idempotent;
   bool repeat;   /* An earlier attempt arrived at a target.  */
   bool may_wait; /* False: only a free slot is of use.  */
@@ -93,10 +95,11 @@
                   const struct ab_scheduler_ops *ops, void *ctx);
 void ab_scheduler_free (struct ab_scheduler *scheduler);
 
-/* Adds or changes a target; one that drains or is gone gets no new request. */
+/* Adds or changes a target, or moves it to another area; one that drains or is
+   gone gets no new request.  */
 void ab_scheduler_set_target (struct ab_scheduler *scheduler,
                               const struct ab_fleet_target *target,
-                              uint64_t now_ms);
+                              const char *area, uint64_t now_ms);
 
 /* Decides on ASK, or repeats the decision on an ask with its id; the answer
    comes through the vtable, possibly at once.  */
--- a/tests/fleet_soak.c
+++ b/tests/fleet_soak.c
@@ -4,7 +4,9 @@
    AB_SOAK_SEED is the first seed (1), AB_SOAK_SEEDS the number of seeds (1),
    AB_SOAK_SECONDS the time of faults for each (10).  One control host at most
    is lost at a time, which is what the settings tolerate.  Seeds that failed
-   are kept in the list below, with the cause, and are run first.  */
+   before:
+   47: SIGTERM reached a gateway before it handled signals; handlers are now
+   set before anything else starts.  */
 
 #include <signal.h>
 #include <stdio.h>
@@ -27,6 +29,7 @@
 #define READY_MS 15000
 #define HEAL_MS 12000
 #define PAUSE_MS 15
+#define STARTED_MS 100
 #define TEST_S 1200
 /* Of the requests sent while no fault is in force.  */
 #define SERVED_PERCENT 90
@@ -189,6 +192,8 @@
   else
     gf_kill (pid);
   gf_start_gateway (&soak->fleet, number);
+  /* Before the program has begun, a signal has its default effect.  */
+  fleet_sleep_ms (STARTED_MS);
 }
 
 static void
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -69,7 +69,7 @@
   snprintf (t.address, sizeof t.address, "10.0.0.%u:80", number);
   ab_chunk_copy (ab_chunk_str (domain), t.failure_domain,
                  sizeof t.failure_domain);
-  ab_scheduler_set_target (sched, &t, now);
+  ab_scheduler_set_target (sched, &t, "", now);
 }
 
 static void
