Compress bundles; leave silent schedulers out for a while

Cause: on the grown site a bundle with many routes filled the entry hosts' links of 2 Mbit/s for over a second at each change, and asks to schedulers that did not answer filled them further: every request waited for each of them in turn.

Change: bundles are logged and sent compressed (zlib); a host that did not answer as a scheduler is left out for 600 ms.

--- /dev/null
+++ b/src/compress.c
@@ -0,0 +1,72 @@
+#include "compress.h"
+
+#include <limits.h>
+#include <zlib.h>
+
+#include "error.h"
+
+/* Bytes decompressed at a time.  */
+#define STEP_BYTES 16384
+
+int
+ab_compress (struct ab_chunk data, struct ab_buf *out)
+{
+  uLongf len = compressBound ((uLong)data.len);
+  int rc;
+
+  if (data.len > INT_MAX)
+    return AB_ERR_TOO_LARGE;
+  rc = ab_buf_reserve (out, out->len + len + 1);
+  if (rc < 0)
+    return rc;
+  if (compress2 ((Bytef *)out->data + out->len, &len, (const Bytef *)data.data,
+                 (uLong)data.len, Z_BEST_COMPRESSION)
+      != Z_OK)
+    return AB_ERR_MEMORY;
+  out->len += len;
+  out->data[out->len] = '\0';
+  return 0;
+}
+
+static int
+inflate_all (z_stream *stream, size_t max, struct ab_buf *out)
+{
+  char step[STEP_BYTES];
+  size_t total = 0;
+  int state = Z_OK;
+
+  while (state != Z_STREAM_END)
+    {
+      size_t got;
+      int rc;
+      stream->next_out = (Bytef *)step;
+      stream->avail_out = sizeof step;
+      state = inflate (stream, Z_NO_FLUSH);
+      got = sizeof step - stream->avail_out;
+      if (state != Z_STREAM_END && (state != Z_OK || got == 0))
+        return state == Z_MEM_ERROR ? AB_ERR_MEMORY : AB_ERR_CORRUPT;
+      total += got;
+      if (total > max)
+        return AB_ERR_TOO_LARGE;
+      rc = ab_buf_append (out, step, got);
+      if (rc < 0)
+        return rc;
+    }
+  return stream->avail_in == 0 ? 0 : AB_ERR_CORRUPT;
+}
+
+int
+ab_decompress (struct ab_chunk data, size_t max, struct ab_buf *out)
+{
+  z_stream stream
+      = { .next_in = (Bytef *)data.data, .avail_in = (uInt)data.len };
+  int rc;
+
+  if (data.len > INT_MAX)
+    return AB_ERR_TOO_LARGE;
+  if (inflateInit (&stream) != Z_OK)
+    return AB_ERR_MEMORY;
+  rc = inflate_all (&stream, max, out);
+  inflateEnd (&stream);
+  return rc;
+}
--- a/src/fleet_api_task.c
+++ b/src/fleet_api_task.c
@@ -374,7 +374,7 @@
   struct ab_route_table *table;
   char error[AB_CONF_ERROR_BYTES];
   struct ab_buf data = AB_BUF_INIT;
-  struct call *call;
+  struct call *call = NULL;
   int rc = ab_route_table_parse (body, &table, error);
 
   if (rc < 0)
@@ -383,16 +383,21 @@
       reply_error (req, rc == AB_ERR_MEMORY ? 503 : 400, error);
       return;
     }
+  rc = ab_fleet_pack_bundle (&data, ab_route_table_version (table),
+                             ab_route_table_base (table), body);
+  if (rc < 0)
+    {
+      reply_error (req, rc == AB_ERR_TOO_LARGE ? 413 : 503, ab_strerror (rc));
+      goto out;
+    }
   call = new_call (api, req);
   if (!call)
     goto out;
   call->version = ab_route_table_version (table);
   call->base = ab_route_table_base (table);
-  ab_fleet_pack_bundle (&data, call->version, call->base, body);
-  if (data.error
-      || ab_fleet_control_change (api->control, ab_buf_chunk (&data),
-                                  BUNDLE_TIMEOUT_MS, on_bundle_done, call)
-             < 0)
+  if (ab_fleet_control_change (api->control, ab_buf_chunk (&data),
+                               BUNDLE_TIMEOUT_MS, on_bundle_done, call)
+      < 0)
     {
       reply_error (req, 503, "out of memory");
       free_call (call);
--- a/src/fleet_control_task.c
+++ b/src/fleet_control_task.c
@@ -210,7 +210,7 @@
     return false;
   ab_reader_enter (reader, 2);
   lead->id = ab_reader_u64 (reader);
-  *data = ab_reader_bytes (reader, AB_FLEET_BUNDLE_BYTES + 256);
+  *data = ab_reader_bytes (reader, AB_FLEET_PACKED_BYTES + 256);
   return ab_reader_error (reader) == 0
          && ab_chunk_copy (frame->sender, lead->host, sizeof lead->host);
 }
--- a/src/fleet_state.c
+++ b/src/fleet_state.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "compress.h"
 #include "error.h"
 
 #define TARGETS_MAX 65536
@@ -38,6 +39,7 @@
 struct ab_fleet_state
 {
   struct ab_buf bundle;
+  struct ab_buf packed; /* The same, compressed.  */
   uint64_t version;
   uint64_t bundle_index;
   struct accepted history[AB_FLEET_HISTORY_MAX]; /* A ring.  */
@@ -74,6 +76,7 @@
       holder = next;
     }
   ab_buf_free (&state->bundle);
+  ab_buf_free (&state->packed);
   memset (state, 0, sizeof *state);
 }
 
@@ -123,15 +126,26 @@
   ab_reader_leave (reader);
 }
 
-void
+int
 ab_fleet_pack_bundle (struct ab_buf *out, uint64_t version, uint64_t base,
                       struct ab_chunk text)
 {
+  struct ab_buf packed = AB_BUF_INIT;
+  int rc = ab_compress (text, &packed);
+
+  if (rc == 0 && packed.len > AB_FLEET_PACKED_BYTES)
+    rc = AB_ERR_TOO_LARGE;
+  if (rc < 0)
+    goto out;
   ab_pack_array (out, 4);
   ab_pack_u64 (out, COMMAND_BUNDLE);
   ab_pack_u64 (out, version);
   ab_pack_u64 (out, base);
-  ab_pack_bytes (out, text);
+  ab_pack_bytes (out, ab_buf_chunk (&packed));
+  rc = out->error;
+out:
+  ab_buf_free (&packed);
+  return rc;
 }
 
 void
@@ -188,28 +202,56 @@
   return AB_FLEET_ACCEPTED;
 }
 
+/* Takes the bundle TEXT, which PACKED was made from.  */
+static int
+take_bundle (struct ab_fleet_state *state, struct ab_buf *text,
+             struct ab_chunk packed)
+{
+  ab_buf_clear (&state->packed);
+  if (ab_buf_append_chunk (&state->packed, packed) < 0)
+    return AB_ERR_MEMORY;
+  ab_buf_free (&state->bundle);
+  state->bundle = *text;
+  *text = (struct ab_buf)AB_BUF_INIT;
+  return 0;
+}
+
+static int
+accept_bundle (struct ab_fleet_state *state, uint64_t index, uint64_t version,
+               struct ab_buf *text, struct ab_chunk packed)
+{
+  struct ab_digest digest = ab_digest_of (ab_buf_chunk (text));
+  int rc = take_bundle (state, text, packed);
+
+  if (rc < 0)
+    return rc;
+  state->version = version;
+  state->bundle_index = index;
+  remember_accepted (state, version, &digest);
+  return 0;
+}
+
 static int
 apply_bundle (struct ab_fleet_state *state, uint64_t index,
               struct ab_reader *reader, enum ab_fleet_result *result)
 {
   uint64_t version = ab_reader_u64 (reader);
   uint64_t base = ab_reader_u64 (reader);
-  struct ab_chunk text = ab_reader_bytes (reader, AB_FLEET_BUNDLE_BYTES);
-  struct ab_digest digest;
+  struct ab_chunk packed = ab_reader_bytes (reader, AB_FLEET_PACKED_BYTES);
+  struct ab_buf text = AB_BUF_INIT;
+  int rc;
 
   if (ab_reader_error (reader) < 0)
     return 0;
-  *result = ab_fleet_state_judge_bundle (state, version, base, text);
-  if (*result != AB_FLEET_ACCEPTED)
-    return 0;
-  digest = ab_digest_of (text);
-  ab_buf_clear (&state->bundle);
-  if (ab_buf_append_chunk (&state->bundle, text) < 0)
-    return AB_ERR_MEMORY;
-  state->version = version;
-  state->bundle_index = index;
-  remember_accepted (state, version, &digest);
-  return 0;
+  rc = ab_decompress (packed, AB_FLEET_BUNDLE_BYTES, &text);
+  if (rc == 0)
+    *result = ab_fleet_state_judge_bundle (state, version, base,
+                                           ab_buf_chunk (&text));
+  if (rc == 0 && *result == AB_FLEET_ACCEPTED)
+    rc = accept_bundle (state, index, version, &text, packed);
+  ab_buf_free (&text);
+  /* What cannot be read changes nothing on any replica.  */
+  return rc == AB_ERR_MEMORY ? rc : 0;
 }
 
 /* Targets.  */
@@ -415,7 +457,7 @@
   ab_pack_u64 (out, SNAPSHOT_VERSION);
   ab_pack_u64 (out, state->version);
   ab_pack_u64 (out, state->bundle_index);
-  ab_pack_bytes (out, ab_buf_chunk (&state->bundle));
+  ab_pack_bytes (out, ab_buf_chunk (&state->packed));
   ab_pack_array (out, kept * 2);
   for (uint64_t i = state->history_count - kept; i < state->history_count; i++)
     {
@@ -429,6 +471,20 @@
   return out->error;
 }
 
+static int
+load_bundle (struct ab_fleet_state *state, struct ab_chunk packed)
+{
+  struct ab_buf text = AB_BUF_INIT;
+  int rc = 0;
+
+  if (packed.len > 0)
+    rc = ab_decompress (packed, AB_FLEET_BUNDLE_BYTES, &text);
+  if (rc == 0)
+    rc = take_bundle (state, &text, packed);
+  ab_buf_free (&text);
+  return rc;
+}
+
 static int
 load_history (struct ab_fleet_state *state, struct ab_reader *reader)
 {
@@ -481,8 +537,7 @@
   state->version = ab_reader_u64 (&reader);
   state->bundle_index = ab_reader_u64 (&reader);
   if (rc == 0)
-    rc = ab_buf_append_chunk (
-        &state->bundle, ab_reader_bytes (&reader, AB_FLEET_BUNDLE_BYTES));
+    rc = load_bundle (state, ab_reader_bytes (&reader, AB_FLEET_PACKED_BYTES));
   if (rc == 0)
     rc = load_history (state, &reader);
   if (rc == 0)
@@ -499,6 +554,12 @@
   return ab_buf_chunk (&state->bundle);
 }
 
+struct ab_chunk
+ab_fleet_state_packed (const struct ab_fleet_state *state)
+{
+  return ab_buf_chunk (&state->packed);
+}
+
 uint64_t
 ab_fleet_state_version (const struct ab_fleet_state *state)
 {
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -20,7 +20,9 @@
 #include "pack.h"
 #include "settings.h"
 
-#define AB_FLEET_BUNDLE_BYTES (600 * 1024)
+#define AB_FLEET_BUNDLE_BYTES (16 * 1024 * 1024)
+/* Compressed, as it travels and is logged.  */
+#define AB_FLEET_PACKED_BYTES (600 * 1024)
 /* Accepted bundles whose repetition is recognised.  */
 #define AB_FLEET_HISTORY_MAX 1024
 /* A target that left is remembered until this many newer ones left, so that
@@ -62,9 +64,10 @@
 struct ab_fleet_state *ab_fleet_state_new (void);
 void ab_fleet_state_free (struct ab_fleet_state *state);
 
-/* Encoding of commands.  */
-void ab_fleet_pack_bundle (struct ab_buf *out, uint64_t version, uint64_t base,
-                           struct ab_chunk text);
+/* Encoding of commands.  AB_ERR_TOO_LARGE for a text over
+   AB_FLEET_PACKED_BYTES when compressed.  */
+int ab_fleet_pack_bundle (struct ab_buf *out, uint64_t version, uint64_t base,
+                          struct ab_chunk text);
 void ab_fleet_pack_target_change (struct ab_buf *out,
                                   const struct ab_fleet_target *target);
 
@@ -87,6 +90,8 @@
                              struct ab_chunk text);
 /* Empty before the first bundle.  */
 struct ab_chunk ab_fleet_state_bundle (const struct ab_fleet_state *state);
+/* The same, compressed.  */
+struct ab_chunk ab_fleet_state_packed (const struct ab_fleet_state *state);
 uint64_t ab_fleet_state_version (const struct ab_fleet_state *state);
 /* Log index of the current bundle.  */
 uint64_t ab_fleet_state_bundle_index (const struct ab_fleet_state *state);
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -6,6 +6,7 @@
 #include <uthash.h>
 
 #include "clock.h"
+#include "compress.h"
 #include "error.h"
 #include "log.h"
 #include "pack.h"
@@ -271,15 +272,30 @@
 
 /* Views.  */
 
+static int
+parse_bundle (struct ab_chunk packed, struct ab_route_table **table,
+              char error[AB_CONF_ERROR_BYTES])
+{
+  struct ab_buf text = AB_BUF_INIT;
+  int rc = ab_decompress (packed, AB_FLEET_BUNDLE_BYTES, &text);
+
+  snprintf (error, AB_CONF_ERROR_BYTES, "%s", ab_strerror (rc));
+  if (rc == 0)
+    rc = ab_route_table_parse (ab_buf_chunk (&text), table, error);
+  ab_buf_free (&text);
+  return rc;
+}
+
 static void
-take_bundle (struct ab_fleet_view *view, uint64_t index, struct ab_chunk text)
+take_bundle (struct ab_fleet_view *view, uint64_t index,
+             struct ab_chunk packed)
 {
   struct ab_route_table *table;
   char error[AB_CONF_ERROR_BYTES];
 
-  if (text.len == 0 || index <= view->bundle_index)
+  if (packed.len == 0 || index <= view->bundle_index)
     return;
-  if (ab_route_table_parse (text, &table, error) < 0)
+  if (parse_bundle (packed, &table, error) < 0)
     {
       AB_LOG (AB_LOG_ERROR, "accepted_bundle_unusable",
               ab_log_str ("error", error));
@@ -290,7 +306,8 @@
   view->bundle_index = index;
   AB_LOG (AB_LOG_INFO, "bundle_in_force",
           ab_log_int ("version", (int64_t)ab_route_table_version (table)),
-          ab_log_int ("index", (int64_t)index));
+          ab_log_int ("index", (int64_t)index),
+          ab_log_int ("packed_bytes", (int64_t)packed.len));
   view->ops->bundle (view->ctx, table);
 }
 
@@ -366,7 +383,7 @@
   ab_reader_enter (reader, 6);
   ab_fleet_read_view (reader, &frame);
   bundle_index = ab_reader_u64 (reader);
-  bundle = ab_reader_bytes (reader, AB_FLEET_BUNDLE_BYTES);
+  bundle = ab_reader_bytes (reader, AB_FLEET_PACKED_BYTES);
   if (ab_reader_error (reader) < 0)
     return;
   memcpy (control->failure_domain, frame.failure_domain,
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -156,7 +156,7 @@
   size_t hosts = 0;
 
   if (ab_fleet_state_bundle_index (control->state) > view->from)
-    bundle = ab_fleet_state_bundle (control->state);
+    bundle = ab_fleet_state_packed (control->state);
   ab_pack_u64 (out, ab_fleet_state_bundle_index (control->state));
   ab_pack_bytes (out, bundle);
   ab_fleet_state_changes (control->state, view->from, count_target, &targets);
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -19,6 +19,10 @@
 /* While a request waits, its scheduler is asked again this often; one that
    does not answer any more has lost it.  */
 #define POLL_MS 300
+/* A host that did not answer is left out this long, so that not every request
+   waits for it, and its link is not filled with asks.  */
+#define SILENT_MS 600
+#define SILENT_HOSTS 16
 /* Areas that one request is offered to.  */
 #define AREAS_ASKED 5
 /* Of them, in other regions.  */
@@ -57,6 +61,13 @@
   void *ctx;
 };
 
+/* A host that did not answer as a scheduler.  */
+struct silent
+{
+  char host[AB_ADDRESS_BYTES];
+  uint64_t until_ms;
+};
+
 struct ab_schedule_task
 {
   struct ab_daemon *daemon;
@@ -68,6 +79,7 @@
   struct ab_schedule_call *calls;
   uint64_t next_id;
   struct ab_areas *areas;
+  struct silent silent[SILENT_HOSTS];
 };
 
 static uint64_t
@@ -98,37 +110,55 @@
          == 0;
 }
 
-/* The host that comes at place SKIP in rendezvous order for SERVICE in AREA;
-   null when there are fewer.  */
+static bool
+is_silent (const struct ab_schedule_task *task, const char *host, uint64_t now)
+{
+  for (size_t i = 0; i < SILENT_HOSTS; i++)
+    if (now < task->silent[i].until_ms
+        && strcmp (task->silent[i].host, host) == 0)
+      return true;
+  return false;
+}
+
+static void
+note_silent (struct ab_schedule_task *task, const char *host, uint64_t now)
+{
+  struct silent *slot = &task->silent[0];
+
+  for (size_t i = 0; i < SILENT_HOSTS; i++)
+    if (task->silent[i].until_ms < slot->until_ms)
+      slot = &task->silent[i];
+  if (is_silent (task, host, now))
+    return;
+  ab_chunk_copy (ab_chunk_str (host), slot->host, sizeof slot->host);
+  slot->until_ms = now + SILENT_MS;
+}
+
+/* The host that comes first in rendezvous order for SERVICE in AREA, of those
+   that answer; null when there is none.  */
 static const char *
 scheduler_host (const struct ab_schedule_task *task,
-                const struct ab_area *area, const char *service, unsigned skip)
+                const struct ab_area *area, const char *service)
 {
   const struct ab_fleet_host *hosts;
   size_t count = ab_fleet_view_hosts (task->view, &hosts);
   uint64_t subject = ab_rendezvous_hash (ab_chunk_str (service));
-  uint64_t limit = UINT64_MAX;
+  uint64_t now = now_ms ();
+  uint64_t best_score = 0;
   const char *best = NULL;
 
-  for (unsigned place = 0; place <= skip; place++)
+  for (size_t i = 0; i < count; i++)
     {
-      uint64_t best_score = 0;
-      best = NULL;
-      for (size_t i = 0; i < count; i++)
-        {
-          uint64_t score;
-          if (!serves_area (task, &hosts[i], area))
-            continue;
-          score = ab_rendezvous_score (
-              subject, ab_rendezvous_hash (ab_chunk_str (hosts[i].peer)));
-          if (score >= limit || score <= best_score)
-            continue;
-          best = hosts[i].peer;
-          best_score = score;
-        }
-      if (!best)
-        return NULL;
-      limit = best_score;
+      uint64_t score;
+      if (!serves_area (task, &hosts[i], area)
+          || is_silent (task, hosts[i].peer, now))
+        continue;
+      score = ab_rendezvous_score (
+          subject, ab_rendezvous_hash (ab_chunk_str (hosts[i].peer)));
+      if (best && score <= best_score)
+        continue;
+      best = hosts[i].peer;
+      best_score = score;
     }
   return best;
 }
@@ -239,8 +269,7 @@
 ask_home (struct ab_schedule_call *call)
 {
   struct ab_schedule_task *task = call->task;
-  const char *host = scheduler_host (task, &call->areas[0], call->ask.service,
-                                     call->home_tries);
+  const char *host = scheduler_host (task, &call->areas[0], call->ask.service);
 
   ask_area (call, &call->areas[0], host ? host : task->daemon->settings->host);
 }
@@ -254,7 +283,7 @@
   while (call->away < call->area_count)
     {
       const struct ab_area *area = &call->areas[call->away++];
-      const char *host = scheduler_host (task, area, call->ask.service, 0);
+      const char *host = scheduler_host (task, area, call->ask.service);
       if (host)
         {
           ask_area (call, area, host);
@@ -291,6 +320,7 @@
           ab_log_str ("service", call->ask.service),
           ab_log_int ("after_ms", (int64_t)(now_ms () - call->asked_ms)));
   ++*ab_counter (task->daemon->counters, "ab_scheduler_silent_total");
+  note_silent (task, call->host, now_ms ());
   send_outcome (task, call->host, call->ask.id, AB_TARGET_UNUSED, 0);
   if (call->stage == STAGE_AWAY)
     next_host (call);
