Ask control hosts less often at the start

Ruled out: memory of queued views (it went over its limit only as a consequence).

Change: a question each 250 ms, one look at another control host a time.

--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -20,8 +20,9 @@
    asked this often.  */
 #define LOOK_MS 1500
 /* After a start the nearest control host is looked for this often and this
-   long, before a farther one is followed.  */
-#define SEARCH_MS 100
+   long, before a farther one is followed.  All entry hosts may start at once;
+   the control hosts have an election to hold meanwhile.  */
+#define SEARCH_MS 250
 #define SEARCH_END_MS 1500
 
 struct control
@@ -260,7 +261,6 @@
   if (!usable (followed, now))
     {
       look_around (view);
-      look_around (view);
     }
   else if (nearness (view, followed) < 2 && now - view->look_ms > LOOK_MS)
     {
