--- a/src/daemon_run.c
+++ b/src/daemon_run.c
@@ -3,7 +3,6 @@
 #include <event2/event.h>
 #include <signal.h>
 #include <stdio.h>
-#include <sys/resource.h>
 
 #include "admin_task.h"
 #include "bundle_task.h"
@@ -17,6 +16,7 @@
 #include "log.h"
 #include "member_task.h"
 #include "peer_task.h"
+#include "process_limit.h"
 #include "proxy_task.h"
 #include "stop_task.h"
 
@@ -191,19 +191,6 @@
     event_base_free (runner->daemon.base);
 }
 
-/* Connections need descriptors; the soft limit is often 1,024.  */
-static void
-raise_descriptor_limit (void)
-{
-  struct rlimit limit;
-
-  if (getrlimit (RLIMIT_NOFILE, &limit) < 0)
-    return;
-  limit.rlim_cur = limit.rlim_max;
-  if (setrlimit (RLIMIT_NOFILE, &limit) < 0)
-    AB_LOG (AB_LOG_WARN, "descriptor_limit_not_raised");
-}
-
 int
 ab_daemon_run (const struct ab_settings *settings,
                char error[AB_CONF_ERROR_BYTES])
@@ -216,7 +203,7 @@
   struct ab_daemon *daemon = &runner.daemon;
   int rc = AB_ERR_MEMORY;
 
-  raise_descriptor_limit ();
+  ab_raise_descriptor_limit ();
   daemon->base = event_base_new ();
   daemon->counters = ab_counters_new ();
   daemon->explain = ab_explain_new ();
--- a/src/fleet_run.c
+++ b/src/fleet_run.c
@@ -6,7 +6,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/resource.h>
 
 #include "clock.h"
 #include "daemon.h"
@@ -15,6 +14,7 @@
 #include "gateway_task.h"
 #include "log.h"
 #include "peer_task.h"
+#include "process_limit.h"
 
 #define STOP_POLL_MS 50
 
@@ -244,19 +244,6 @@
     event_base_free (runner->daemon.base);
 }
 
-/* Connections need descriptors; the soft limit is often 1,024.  */
-static void
-raise_descriptor_limit (void)
-{
-  struct rlimit limit;
-
-  if (getrlimit (RLIMIT_NOFILE, &limit) < 0)
-    return;
-  limit.rlim_cur = limit.rlim_max;
-  if (setrlimit (RLIMIT_NOFILE, &limit) < 0)
-    AB_LOG (AB_LOG_WARN, "descriptor_limit_not_raised");
-}
-
 int
 ab_fleet_run (struct ab_fleet_settings *settings, const char *path,
               char error[AB_CONF_ERROR_BYTES])
@@ -270,7 +257,7 @@
   int rc = AB_ERR_MEMORY;
 
   error[0] = '\0';
-  raise_descriptor_limit ();
+  ab_raise_descriptor_limit ();
   runner.daemon.base = event_base_new ();
   runner.daemon.counters = ab_counters_new ();
   if (!runner.daemon.base || !runner.daemon.counters)
