Keep targets that shed a part in use; repeat urgent requests first

Cause: while all targets of a service shed two requests in five, three sheds in a row took targets out, though the others shed as much, and requests of low priority used the repeats up.

Change: six sheds in a row make a target sick, and its rate of sheds counts in its rating; of the repeat budget, lower priorities may use a part.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -23,6 +23,11 @@
 #define WINDOW_BUCKETS 32
 /* A share of the budget is left for asks that other schedulers place.  */
 #define BUDGET_USE 0.75
+/* Of that share, what a priority may use: when attempts fail or are rejected
+   everywhere, the urgent ones are sent again first.  */
+static const double budget_of_rank[] = { 1, 0.85, 0.6, 0.6 };
+/* How much less a target that sheds all is wanted.  */
+#define SHED_COST 4
 /* A refusal names at least this time.  */
 #define RETRY_MIN_MS 50
 /* Of the time that is left, kept for the way to the caller.  */
@@ -394,7 +399,8 @@
     rating.distance = !is_near (target, ask);
     rating.load = (double)(target->in_flight + 1) / (double)slots
                   * (target->health.latency_ms > 0 ? target->health.latency_ms
-                                                   : usual_ms (service));
+                                                   : usual_ms (service))
+                  * (1 + SHED_COST * target->health.shed_rate);
     if (best && !better (&rating, &best_rating))
       continue;
     best = target;
@@ -430,8 +436,15 @@
   return bucket;
 }
 
+static size_t
+rank_of (const struct ab_sched_ask *ask)
+{
+  return ask->priority < PRIORITIES ? (size_t)ask->priority : PRIORITIES - 1;
+}
+
 static bool
-take_repeat (struct ab_scheduler *s, struct service *service, uint64_t now_ms)
+take_repeat (struct ab_scheduler *s, struct service *service,
+             const struct ab_sched_ask *ask, uint64_t now_ms)
 {
   uint64_t seconds = s->config.repeat_window_ms / 1000;
   uint64_t now = now_ms / 1000;
@@ -446,7 +459,7 @@
         repeats += (double)service->buckets[i].repeats;
       }
   if (repeats + 1
-      > BUDGET_USE
+      > BUDGET_USE * budget_of_rank[rank_of (ask)]
             * (s->config.repeat_fraction * first + s->config.repeat_extra))
     return false;
   bucket_at (service, now_ms)->repeats++;
@@ -667,12 +680,6 @@
   service->rates_ms = now_ms;
 }
 
-static size_t
-rank_of (const struct ab_sched_ask *ask)
-{
-  return ask->priority < PRIORITIES ? (size_t)ask->priority : PRIORITIES - 1;
-}
-
 static void
 count_arrival (struct service *service, const struct ab_sched_ask *ask,
                uint64_t now_ms)
@@ -792,7 +799,7 @@
   count_arrival (request->service, ask, now_ms);
   if (!ask->repeat)
     bucket_at (request->service, now_ms)->first++;
-  else if (!take_repeat (s, request->service, now_ms))
+  else if (!take_repeat (s, request->service, ask, now_ms))
     {
       refuse (s, request, AB_SCHED_BUDGET, RETRY_MIN_MS, now_ms);
       return;
--- a/src/target_health.c
+++ b/src/target_health.c
@@ -18,11 +18,13 @@
 #define JUST_WORKED_MS 1500
 /* A shed response says that the slots are in use for about one request.  */
 #define BUSY_MS 60
-/* Sheds in a row after which a target counts as sick.  */
-#define SHEDS_MAX 3
+/* Sheds in a row after which a target counts as sick.  Targets that shed a
+   part of their requests are still of use: what they reject has not run.  */
+#define SHEDS_MAX 6
 /* A success proves a target for this long.  */
 #define PROVEN_MS 8000
 #define LATENCY_WEIGHT 0.2
+#define SHED_WEIGHT 0.15
 
 static void
 fail (struct ab_target_health *health, uint64_t out_ms, uint64_t now_ms)
@@ -76,6 +78,7 @@
   health->ok_ms = now_ms;
   health->successes++;
   health->sheds = 0;
+  health->shed_rate *= 1 - SHED_WEIGHT;
   if (!health->sick || health->successes >= health->needed)
     {
       health->sick = false;
@@ -113,6 +116,7 @@
       break;
     case AB_TARGET_SHED:
       health->busy_until_ms = now_ms + BUSY_MS;
+      health->shed_rate += SHED_WEIGHT * (1 - health->shed_rate);
       if (++health->sheds >= SHEDS_MAX)
         {
           health->sheds = 0;
--- a/src/target_health.h
+++ b/src/target_health.h
@@ -44,6 +44,7 @@
   unsigned successes; /* In a row, since the last failure.  */
   unsigned needed;    /* Successes in a row that make it trusted again.  */
   unsigned sheds;     /* In a row.  */
+  double shed_rate;   /* Moving average of shed responses, 0 to 1.  */
   uint64_t out_until_ms;
   uint64_t busy_until_ms; /* It shed; its slots are in use.  */
   uint64_t ok_ms;         /* Of the last success.  */
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -323,6 +323,37 @@
 }
 END_TEST
 
+/* All targets shed a part of their requests: the repeats that are left go to
+   the urgent ones, and targets stay in use.  */
+START_TEST (sheds_everywhere_favour_urgent_repeats)
+{
+  unsigned repeats[2] = { 0 };
+
+  begin (8);
+  prove (8, 1);
+  for (uint64_t id = 100; id < 3100; id += 3)
+    {
+      if (ask (id, false)->granted)
+        end (id, id % 5 < 2 ? AB_TARGET_SHED : AB_TARGET_OK);
+      for (uint64_t urgent = 0; urgent < 2; urgent++)
+        {
+          struct ab_sched_ask again = make_ask (id + 1 + urgent, false);
+          again.repeat = true;
+          again.priority = urgent ? 0 : 2;
+          ab_scheduler_ask (sched, &again, now);
+          if (!replays[again.id].granted)
+            continue;
+          repeats[urgent]++;
+          end (again.id, AB_TARGET_OK);
+        }
+      now += 20;
+    }
+  ck_assert_uint_gt (repeats[1], repeats[0]);
+  ck_assert_uint_le (repeats[0] + repeats[1], 1000 / 5 + 8 * 3);
+  ab_scheduler_free (sched);
+}
+END_TEST
+
 /* A target that one host cannot reach is avoided for that host alone; one
    that several cannot reach is out.  */
 START_TEST (broken_path_counts_for_one_host)
@@ -488,6 +519,7 @@
             gray_target_is_tried_with_repeatable_requests,
             waiting_goes_by_priority, overload_serves_urgent_and_refuses_early,
             short_burst_is_served_whole, repeats_stay_within_budget,
+            sheds_everywhere_favour_urgent_repeats,
             broken_path_counts_for_one_host, stuck_target_gets_nothing_new,
             repeated_ask_takes_one_slot, follows_the_view, prefers_own_domain,
             bulky_waits_for_a_near_slot,
