--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -290,7 +290,7 @@
 take_bundle (struct ab_fleet_view *view, uint64_t index,
              struct ab_chunk packed)
 {
-  struct ab_route_table *table;
+  struct ab_route_table *table = NULL;
   char error[AB_CONF_ERROR_BYTES];
 
   if (packed.len == 0 || index <= view->bundle_index)
