Spread orders over idle targets while a service is in trouble

Change: while more than 8% of the attempts at trusted targets fail or requests are refused, a target that is not trusted and idle for 900 ms gets one request. Attempts at such targets do not count as trouble, so it ends by itself.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -28,6 +28,12 @@
 static const double budget_of_rank[] = { 1, 0.85, 0.6, 0.6 };
 /* How much less a target that sheds all is wanted.  */
 #define SHED_COST 4
+/* While more than this share of the attempts at trusted targets fail, or
+   requests are refused, the others get one now and then: trust in few targets
+   must not leave most of a service idle.  */
+#define TROUBLE_SHARE 0.08
+#define TROUBLE_WEIGHT 0.04
+#define TROUBLE_IDLE_MS 900
 /* A refusal names at least this time.  */
 #define RETRY_MIN_MS 50
 /* Of the time that is left, kept for the way to the caller.  */
@@ -68,8 +74,9 @@
   uint64_t in_flight;
   uint64_t trials; /* Of them, while not proven.  */
   uint64_t cold_until_ms;
-  uint64_t done_ms; /* When a request ended last.  */
-  bool used;        /* Got a request.  */
+  uint64_t done_ms;    /* When a request ended last.  */
+  uint64_t granted_ms; /* When one was granted last.  */
+  bool used;           /* Got a request.  */
   struct path paths[PATHS_MAX];
   UT_hash_handle hh;
 };
@@ -105,6 +112,7 @@
   size_t waiting_count;
   struct request *granted;
   double latency_ms;
+  double trouble; /* Moving average of failures and refusals, 0 to 1.  */
   double rates[PRIORITIES]; /* Arrivals a millisecond.  */
   uint64_t rates_ms;        /* When they were updated.  */
   struct bucket buckets[WINDOW_BUCKETS];
@@ -371,6 +379,22 @@
   return AB_TRUST_TRIAL;
 }
 
+static void
+note_trouble (struct service *service, bool failed)
+{
+  service->trouble += TROUBLE_WEIGHT * ((failed ? 1 : 0) - service->trouble);
+}
+
+/* Whether TARGET is to be tried because the trusted ones do badly.  */
+static bool
+due_in_trouble (const struct service *service, const struct target *target,
+                enum ab_target_trust trust, uint64_t now_ms)
+{
+  return service->trouble > TROUBLE_SHARE && trust != AB_TRUST_PROVEN
+         && trust != AB_TRUST_OUT && target->trials == 0
+         && now_ms - target->granted_ms > TROUBLE_IDLE_MS;
+}
+
 /* The best target with a free slot, in the asker's failure domain only if
    NEAR.  */
 static struct target *
@@ -387,15 +411,16 @@
     enum ab_target_trust trust
         = ab_target_health_trust (&target->health, now_ms);
     uint64_t slots = slots_of (target, now_ms);
+    bool due = due_in_trouble (service, target, trust, now_ms);
     struct rating rating;
 
     if (target->known.state != AB_FLEET_TARGET_READY
         || target->in_flight >= slots || now_ms < target->health.busy_until_ms
-        || trust > least_trust (ask) || tried (ask, target)
+        || (trust > least_trust (ask) && !due) || tried (ask, target)
         || (near && !is_near (target, ask))
         || path_broken (target, host, now_ms))
       continue;
-    rating.trust = trust_rating (ask, target, trust);
+    rating.trust = due ? 0 : trust_rating (ask, target, trust);
     rating.distance = !is_near (target, ask);
     rating.load = (double)(target->in_flight + 1) / (double)slots
                   * (target->health.latency_ms > 0 ? target->health.latency_ms
@@ -515,6 +540,7 @@
   DL_APPEND (service->granted, request);
   request->target = target;
   request->granted_ms = now_ms;
+  target->granted_ms = now_ms;
   request->trial
       = ab_target_health_trust (&target->health, now_ms) != AB_TRUST_PROVEN;
   target->in_flight++;
@@ -722,6 +748,8 @@
 refuse (struct ab_scheduler *s, struct request *request,
         enum ab_sched_kind kind, uint64_t wait_ms, uint64_t now_ms)
 {
+  if (kind != AB_SCHED_MOVE)
+    note_trouble (request->service, true);
   decide (s, request, kind, wait_ms < RETRY_MIN_MS ? RETRY_MIN_MS : wait_ms,
           now_ms);
   free_request (s, request);
@@ -839,8 +867,12 @@
               enum ab_target_event event, uint64_t latency_ms, uint64_t now_ms)
 {
   struct service *service = target->service;
+  bool counts = !request->trial && event != AB_TARGET_UNUSED;
   uint64_t host = ab_rendezvous_hash (ab_chunk_str (request->ask.host));
 
+  /* Targets that are not trusted are expected to fail.  */
+  if (counts)
+    note_trouble (service, event != AB_TARGET_OK);
   /* One host that cannot connect says something of its path, several of the
      target.  */
   if (event == AB_TARGET_UNREACHABLE
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -354,6 +354,38 @@
 }
 END_TEST
 
+/* Most targets lost their trust and the trusted ones reject a part: orders
+   must not leave the others idle for seconds.  */
+START_TEST (trouble_spreads_orders)
+{
+  bool used[6] = { false };
+
+  begin (6);
+  prove (6, 1);
+  for (uint64_t id = 10; id < 14; id++)
+    if (ask (id, false)->granted)
+      end (id, AB_TARGET_TIMEOUT);
+  now += 3000;
+  ab_scheduler_tick (sched, now);
+  for (uint64_t id = 100; id < 300; id++)
+    {
+      ask (id, false);
+      if (replays[id].granted)
+        {
+          /* The last two seconds count.  */
+          used[replays[id].target] |= id >= 200;
+          end (id, id % 5 < 2 ? AB_TARGET_SHED : AB_TARGET_OK);
+        }
+      now += 20;
+      if (id % 3 == 0)
+        ab_scheduler_tick (sched, now);
+    }
+  for (unsigned i = 0; i < 6; i++)
+    ck_assert_msg (used[i], "target %u got nothing", i);
+  ab_scheduler_free (sched);
+}
+END_TEST
+
 /* A target that one host cannot reach is avoided for that host alone; one
    that several cannot reach is out.  */
 START_TEST (broken_path_counts_for_one_host)
@@ -519,7 +551,7 @@
             gray_target_is_tried_with_repeatable_requests,
             waiting_goes_by_priority, overload_serves_urgent_and_refuses_early,
             short_burst_is_served_whole, repeats_stay_within_budget,
-            sheds_everywhere_favour_urgent_repeats,
+            trouble_spreads_orders, sheds_everywhere_favour_urgent_repeats,
             broken_path_counts_for_one_host, stuck_target_gets_nothing_new,
             repeated_ask_takes_one_slot, follows_the_view, prefers_own_domain,
             bulky_waits_for_a_near_slot,
