Let requests wait for the first bundle after a start

Gateways listen 0.6 s after the loss, the group has a leader at 1.3 s and gateways have the bundle between 1.4 and 1.8 s, so most of these requests could have been served a second later; callers came back too early and used their retries up.

Ruled out: longer Retry-After alone (callers with short deadlines are lost).

Change: a gateway without a bundle lets requests wait for it, until 2.5 s after its start or 0.3 s before their deadline; later it refuses at once and names a second. They go on after the whole view was taken in, so that targets are known. gateway_flow_task.c is split: attempts and replies have files of their own. The log's view_age_ms is -1 before the first view.

The new test of fleet_gateway fails on the former code with 503.

--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -406,7 +406,10 @@
   if (frame.upto > view->index)
     view->index = frame.upto;
   if (news)
-    send_watch (view, control, true);
+    {
+      send_watch (view, control, true);
+      view->ops->taken (view->ctx);
+    }
   if (frame.upto >= view->index && frame.age_ms < now
       && now - frame.age_ms > view->confirmed_ms)
     view->confirmed_ms = now - frame.age_ms;
@@ -498,7 +501,7 @@
 uint64_t
 ab_fleet_view_age_ms (const struct ab_fleet_view *view)
 {
-  return now_ms () - view->confirmed_ms;
+  return view->confirmed_ms ? now_ms () - view->confirmed_ms : UINT64_MAX;
 }
 
 uint64_t
--- a/src/fleet_view_task.h
+++ b/src/fleet_view_task.h
@@ -23,6 +23,7 @@
   void (*target) (void *ctx, const struct ab_fleet_target *target);
   void (*bundle) (void *ctx, struct ab_route_table *table);
   void (*hosts) (void *ctx);
+  void (*taken) (void *ctx); /* After all news of a view.  */
 };
 
 int ab_fleet_view_new (struct ab_daemon *daemon,
@@ -38,7 +39,7 @@
 struct ab_route_table *ab_fleet_view_table (const struct ab_fleet_view *view);
 size_t ab_fleet_view_hosts (const struct ab_fleet_view *view,
                             const struct ab_fleet_host **hosts);
-/* How long ago the view was known to be current.  */
+/* How long ago the view was known to be current; UINT64_MAX: never.  */
 uint64_t ab_fleet_view_age_ms (const struct ab_fleet_view *view);
 uint64_t ab_fleet_view_index (const struct ab_fleet_view *view);
 
--- /dev/null
+++ b/src/gateway_attempt_task.c
@@ -0,0 +1,252 @@
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+#include <sys/queue.h>
+
+#include "attempt.h"
+#include "clock.h"
+#include "gateway_flow_parts.h"
+#include "http_rules.h"
+#include "log.h"
+
+/* Connecting takes a round trip between regions and an accept queue.  */
+#define CONNECT_MS 350
+/* Sends of one request that did not run, besides those that may have.  */
+#define SENDS_MAX 4
+/* A kept connection that carries a request which must not repeat was used this
+   recently: targets close idle ones, and a request that meets the close may
+   have run.  */
+#define IDLE_ONCE_MS 2500
+#define IDLE_MS 8500
+/* A repeated attempt needs this part of the usual time.  */
+#define REPEAT_MIN_MS 60
+/* Allowed for the way between caller and host, each way.  */
+#define WAY_MS 10
+
+static uint64_t
+now_ms (void)
+{
+  return ab_clock_monotonic_ms (ab_clock_system ());
+}
+
+static enum ab_target_event
+event_of (const struct ab_attempt *attempt)
+{
+  switch (attempt->end)
+    {
+    case AB_ATTEMPT_RESPONSE:
+      if (attempt->shed)
+        return attempt->status == 421 ? AB_TARGET_REPLACED : AB_TARGET_SHED;
+      return attempt->status >= 500 ? AB_TARGET_ERROR : AB_TARGET_OK;
+    case AB_ATTEMPT_REFUSED:
+      return AB_TARGET_REFUSED;
+    case AB_ATTEMPT_UNREACHABLE:
+      return AB_TARGET_UNREACHABLE;
+    case AB_ATTEMPT_LOST:
+    case AB_ATTEMPT_MALFORMED:
+    case AB_ATTEMPT_TOO_LARGE:
+      return AB_TARGET_LOST;
+    case AB_ATTEMPT_TIMEOUT:
+      return AB_TARGET_TIMEOUT;
+    case AB_ATTEMPT_FULL:
+    case AB_ATTEMPT_CANCELLED:
+      break;
+    }
+  return AB_TARGET_UNUSED;
+}
+
+static bool
+may_repeat (const struct ab_gateway_flow *flow,
+            const struct ab_attempt *attempt)
+{
+  bool not_run = ab_attempt_verdict (attempt) == AB_VERDICT_NOT_RUN;
+
+  if (!flow->req || ab_gateway_flow_time_left (flow) < REPEAT_MIN_MS
+      || flow->sends >= SENDS_MAX
+      || flow->ask.tried_count == AB_SCHED_TRIED_MAX
+      || attempt->end == AB_ATTEMPT_CANCELLED)
+    return false;
+  return not_run
+         || (flow->route->idempotent && flow->ran < flow->route->attempts
+             && attempt->end != AB_ATTEMPT_TIMEOUT);
+}
+
+static void
+note_tried (struct ab_gateway_flow *flow)
+{
+  struct ab_sched_ask *ask = &flow->ask;
+
+  if (ask->tried_count < AB_SCHED_TRIED_MAX)
+    memcpy (ask->tried[ask->tried_count++], flow->grant.target,
+            sizeof ask->tried[0]);
+}
+
+static void
+note_attempt (struct ab_gateway_flow *flow, const struct ab_attempt *attempt,
+              uint64_t latency_us)
+{
+  enum ab_target_event event = event_of (attempt);
+
+  flow->attempt = NULL;
+  flow->verdict
+      = ab_verdict_join (flow->verdict, ab_attempt_verdict (attempt));
+  flow->ran += ab_attempt_verdict (attempt) != AB_VERDICT_NOT_RUN;
+  /* What a target rejects has arrived there, and counts as repeated.  */
+  if (attempt->written)
+    flow->ask.repeat = true;
+  ab_schedule_outcome (flow->env->schedule, &flow->grant, event,
+                       latency_us / 1000);
+  if (event == AB_TARGET_OK || event == AB_TARGET_UNUSED)
+    return;
+  ++*ab_gateway_flow_counter (flow, "ab_gateway_attempts_failed_total");
+  AB_LOG (AB_LOG_INFO, "attempt_failed", ab_log_str ("id", flow->id),
+          ab_log_str ("target", flow->grant.target),
+          ab_log_str ("address", flow->grant.address),
+          ab_log_str ("event", ab_target_event_name (event)),
+          ab_log_str ("end", ab_attempt_name (attempt->end)),
+          ab_log_int ("status", attempt->status),
+          ab_log_int ("written", attempt->written),
+          ab_log_str ("trust", ab_target_trust_name (flow->grant.trust)),
+          ab_log_int ("latency_us", (int64_t)latency_us));
+}
+
+static void
+on_result (void *ctx, const struct ab_upstream_result *result)
+{
+  struct ab_gateway_flow *flow = ctx;
+  const struct ab_attempt *attempt = &result->attempt;
+  bool response = attempt->end == AB_ATTEMPT_RESPONSE && !attempt->shed;
+  struct ab_failure failure;
+
+  note_attempt (flow, attempt, result->latency_us);
+  if (response && (attempt->status < 500 || !may_repeat (flow, attempt)))
+    {
+      ab_gateway_reply_deliver (flow, result);
+      return;
+    }
+  if (may_repeat (flow, attempt))
+    {
+      if (response)
+        ab_gateway_reply_keep (flow, result);
+      note_tried (flow);
+      ++*ab_gateway_flow_counter (flow, "ab_gateway_repeats_total");
+      ab_gateway_attempt_ask (flow);
+      return;
+    }
+  failure = ab_attempt_failure (attempt);
+  ab_gateway_reply_unserved (flow, failure.status, failure.code, 0);
+}
+
+/* Whether the header NAME goes to a target as the caller sent it.  */
+static bool
+forwarded (const struct ab_gateway_flow *flow, const char *name)
+{
+  const struct ab_header_names *own = &flow->env->settings->headers;
+
+  return strcasecmp (name, own->deadline) != 0
+         && strcasecmp (name, own->incarnation) != 0
+         && strcasecmp (name, "Content-Length") != 0
+         && strcasecmp (name, "Expect") != 0
+         && !ab_http_hop_by_hop (evhttp_request_get_input_headers (flow->req),
+                                 name);
+}
+
+static int
+print_headers (struct ab_gateway_flow *flow, struct ab_buf *lines)
+{
+  const struct ab_header_names *names = &flow->env->settings->headers;
+  const struct evkeyval *item;
+
+  TAILQ_FOREACH (item, evhttp_request_get_input_headers (flow->req), next)
+  if (forwarded (flow, item->key))
+    ab_buf_printf (lines, "%s: %s\r\n", item->key, item->value);
+  ab_buf_printf (lines, "%s: %llu\r\n%s: %s\r\n", names->deadline,
+                 (unsigned long long)ab_gateway_flow_time_left (flow),
+                 names->incarnation, flow->grant.target);
+  return lines->error;
+}
+
+static struct ab_upstream_call *
+start_attempt (struct ab_gateway_flow *flow, struct ab_chunk lines)
+{
+  const struct ab_header_names *names = &flow->env->settings->headers;
+  struct evbuffer *input = evhttp_request_get_input_buffer (flow->req);
+  size_t len = evbuffer_get_length (input);
+  const struct ab_upstream_request request
+      = { .target = flow->grant.address,
+          .type = evhttp_request_get_command (flow->req),
+          .uri = evhttp_request_get_uri (flow->req),
+          .headers = lines,
+          .body = ab_chunk (len > 0 ? evbuffer_pullup (input, -1) : NULL, len),
+          .deadline_ms = flow->deadline_ms,
+          .idle_ms = flow->route->idempotent ? IDLE_MS : IDLE_ONCE_MS,
+          .connect_ms = CONNECT_MS,
+          .echo_name = names->request_id,
+          .echo_value = flow->id,
+          .not_run_name = names->not_run,
+          .accept_unframed = true };
+
+  return ab_upstream_send (flow->env->upstream, &request, on_result, flow);
+}
+
+static void
+send_request (struct ab_gateway_flow *flow)
+{
+  struct ab_buf lines = AB_BUF_INIT;
+
+  flow->sends++;
+  if (print_headers (flow, &lines) == 0)
+    flow->attempt = start_attempt (flow, ab_buf_chunk (&lines));
+  ab_buf_free (&lines);
+  if (flow->attempt)
+    return;
+  ab_schedule_outcome (flow->env->schedule, &flow->grant, AB_TARGET_UNUSED, 0);
+  ab_gateway_reply_unserved (flow, 503, "memory", AB_GATEWAY_RETRY_MS);
+}
+
+static void
+on_grant (void *ctx, enum ab_sched_kind kind,
+          const struct ab_schedule_grant *grant, uint64_t wait_ms)
+{
+  struct ab_gateway_flow *flow = ctx;
+
+  flow->call = NULL;
+  flow->ask_us += ab_clock_monotonic_us () - flow->sent_us;
+  if (kind != AB_SCHED_GRANTED)
+    {
+      ab_gateway_reply_unserved (flow, 503, ab_sched_kind_name (kind),
+                                 wait_ms);
+      return;
+    }
+  flow->grant = *grant;
+  send_request (flow);
+}
+
+void
+ab_gateway_attempt_ask (struct ab_gateway_flow *flow)
+{
+  uint64_t gone = now_ms () - flow->begin_ms + WAY_MS;
+
+  flow->ask.objective_ms = flow->route->objective_ms > gone + WAY_MS
+                               ? flow->route->objective_ms - gone - WAY_MS
+                               : 0;
+  flow->ask.time_ms = ab_gateway_flow_time_left (flow);
+  flow->sent_us = ab_clock_monotonic_us ();
+  flow->call
+      = ab_schedule_ask (flow->env->schedule, &flow->ask, on_grant, flow);
+  if (!flow->call)
+    ab_gateway_reply_unserved (flow, 503, "memory", AB_GATEWAY_RETRY_MS);
+}
+void
+ab_gateway_attempt_stop (struct ab_gateway_flow *flow)
+{
+  struct ab_attempt attempt;
+
+  if (flow->call)
+    ab_schedule_cancel (flow->call);
+  flow->call = NULL;
+  if (!flow->attempt)
+    return;
+  attempt = ab_upstream_cancel (flow->attempt);
+  note_attempt (flow, &attempt, 0);
+}
--- a/src/gateway_flow_task.h
+++ b/src/gateway_flow_task.h
@@ -32,11 +32,14 @@
   struct ab_rng rng;
   struct ab_gateway_flow *flows;
   size_t flow_count;
-  bool stopping; /* Replies close their connections.  */
+  uint64_t started_ms; /* Of the process.  */
+  bool stopping;       /* Replies close their connections.  */
 };
 
 void ab_gateway_flow_start (struct ab_gateway_env *env,
                             struct evhttp_request *req);
+/* A view was taken in: requests that waited for the first bundle go on.  */
+void ab_gateway_flow_resume (struct ab_gateway_env *env);
 /* Ends all flows without replies, when the process stops.  */
 void ab_gateway_flow_free_all (struct ab_gateway_env *env);
 
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -93,8 +93,18 @@
       = ab_fleet_view_hosts (gateway->env.view, &hosts);
 }
 
-static const struct ab_fleet_view_ops view_ops
-    = { .target = on_target, .bundle = on_bundle, .hosts = on_hosts };
+static void
+on_taken (void *ctx)
+{
+  struct ab_gateway *gateway = ctx;
+
+  ab_gateway_flow_resume (&gateway->env);
+}
+
+static const struct ab_fleet_view_ops view_ops = { .target = on_target,
+                                                   .bundle = on_bundle,
+                                                   .hosts = on_hosts,
+                                                   .taken = on_taken };
 
 /* Listeners.  */
 
@@ -315,6 +325,7 @@
   gateway->settings = settings;
   gateway->env.daemon = daemon;
   gateway->env.settings = settings;
+  gateway->env.started_ms = ab_clock_monotonic_ms (ab_clock_system ());
   ab_rng_init_system (&gateway->env.rng);
   rc = make_parts (gateway, error);
   if (rc < 0)
--- a/tests/fleet_gateway.c
+++ b/tests/fleet_gateway.c
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 
 #include "fleet_lib.h"
+#include "clock.h"
 #include "fleet_process.h"
 #include "gateway_fleet_lib.h"
 #include "suite_lib.h"
@@ -172,6 +173,57 @@
 }
 END_TEST
 
+/* Guards against callers that are turned away while a whole fleet comes back
+   from a loss of power, though it can serve them a moment later.  */
+START_TEST (requests_wait_for_the_first_bundle)
+{
+  struct gf_fleet fleet;
+  int status;
+
+  gf_start (&fleet, "gf_power", 3, 1);
+  gf_start_target (&fleet, 1, GF_SOUND);
+  ck_assert (gf_wait_status (&fleet, 1, "/look/1", 200, READY_MS));
+  for (int i = 1; i <= 3; i++)
+    gf_kill (&fleet.control_pids[i]);
+  gf_kill (&fleet.gateway_pids[1]);
+  gf_start_gateway (&fleet, 1);
+  for (int i = 1; i <= 3; i++)
+    gf_start_control (&fleet, i, false);
+  do
+    status = gf_request (&fleet, 1, "POST", "/shop/1", "early", NULL);
+  while (status <= 0);
+  ck_assert_int_eq (status, 200);
+  ck_assert_int_eq (gf_runs (&fleet, "early"), 1);
+  gf_stop (&fleet);
+}
+END_TEST
+
+/* Guards against requests that are held when no bundle is to be had.  */
+START_TEST (no_bundle_is_told_in_time)
+{
+  struct gf_fleet fleet;
+  uint64_t begin;
+  int status;
+
+  gf_start (&fleet, "gf_none", 3, 1);
+  for (int i = 1; i <= 3; i++)
+    gf_kill (&fleet.control_pids[i]);
+  gf_kill (&fleet.gateway_pids[1]);
+  gf_start_gateway (&fleet, 1);
+  do
+    status = gf_request (&fleet, 1, "GET", "/look/1", "held", NULL);
+  while (status <= 0);
+  ck_assert_int_eq (status, 503);
+  begin = ab_clock_monotonic_ms (ab_clock_system ());
+  ck_assert_int_eq (gf_request (&fleet, 1, "GET", "/look/1", "told", NULL),
+                    503);
+  ck_assert_uint_lt (ab_clock_monotonic_ms (ab_clock_system ()) - begin, 500);
+  ck_assert (
+      gf_logged (&fleet, 1, "request_odd", "id=told", "code=no-bundle"));
+  gf_stop (&fleet);
+}
+END_TEST
+
 /* Guards against a planned stop that cuts a request under way or takes new
    callers.  */
 START_TEST (planned_stop_cuts_nothing)
@@ -252,4 +304,5 @@
 SUITE_MAIN ("fleet_gateway", TEST_S, serves_and_follows_bundles,
             one_winner_for_each_base, runs_at_most_once,
             acknowledged_drain_binds, group_heals_alone,
+            requests_wait_for_the_first_bundle, no_bundle_is_told_in_time,
             planned_stop_cuts_nothing, logs_explain_failures)
