Schedule on hosts with wide links; know entry hosts before they take callers

Control hosts named only entry hosts that took callers, so that at first every gateway scheduled for itself; connections had not come up within 80 ms. Under load asks came late too, behind bodies of up to 24 KB on links of 2 Mbit/s (96 ms). A control host that lost power left its entry hosts in the lists for 14 s. After the start 450 orders were spent on targets of which nothing was known.

Change: a host tells the width of its link (setting link_mbps) and is named from its start on, with a mark whether it takes callers; schedule_hosts.c chooses the scheduler among the hosts with the widest links and gives one that was never heard 450 ms. Control hosts say every 0.9 s that they are there; the lists of a silent one are dropped after 3.5 s. Orders take a target of which nothing is known only while few are being tried; a request that outlasts the quick failures counts as evidence. Serving the queue looks at a summary of the targets before each choice.

--- a/src/conf.c
+++ b/src/conf.c
@@ -417,9 +417,9 @@
   return 0;
 }
 
-int
-ab_conf_fraction (struct ab_conf *conf, yaml_node_t *node,
-                  const struct ab_conf_field *field, void *dst)
+static int
+read_number (struct ab_conf *conf, yaml_node_t *node,
+             const struct ab_conf_field *field, uint64_t max, double *dst)
 {
   struct ab_chunk text;
   struct ab_chunk unit;
@@ -428,14 +428,29 @@
 
   if (rc < 0)
     return rc;
-  if (!split_unit (text, &number, &unit) || unit.len > 0 || number > 1)
+  if (!split_unit (text, &number, &unit) || unit.len > 0
+      || number > (double)max)
     return ab_conf_fail (conf, node,
-                         "'%s' is '%s'; expected a number from 0 to 1",
-                         field->key, text.data);
-  *(double *)dst = number;
+                         "'%s' is '%s'; expected a number from 0 to %llu",
+                         field->key, text.data, (unsigned long long)max);
+  *dst = number;
   return 0;
 }
 
+int
+ab_conf_fraction (struct ab_conf *conf, yaml_node_t *node,
+                  const struct ab_conf_field *field, void *dst)
+{
+  return read_number (conf, node, field, 1, dst);
+}
+
+int
+ab_conf_number (struct ab_conf *conf, yaml_node_t *node,
+                const struct ab_conf_field *field, void *dst)
+{
+  return read_number (conf, node, field, field->max, dst);
+}
+
 int
 ab_conf_rate (struct ab_conf *conf, yaml_node_t *node,
               const struct ab_conf_field *field, void *dst)
--- a/src/conf.h
+++ b/src/conf.h
@@ -89,6 +89,8 @@
                      const struct ab_conf_field *, void *); /* double 0..1 */
 int ab_conf_fraction (struct ab_conf *, yaml_node_t *,
                       const struct ab_conf_field *, void *); /* double 0..1 */
+int ab_conf_number (struct ab_conf *, yaml_node_t *,
+                    const struct ab_conf_field *, void *); /* double 0..max */
 int ab_conf_rate (struct ab_conf *, yaml_node_t *,
                   const struct ab_conf_field *, void *); /* double per s */
 int ab_conf_address (struct ab_conf *, yaml_node_t *,
--- a/src/fleet_settings.c
+++ b/src/fleet_settings.c
@@ -18,6 +18,7 @@
 #define ELECTION_MS 900
 /* Several heartbeats may be lost within one election timeout.  */
 #define HEARTBEAT_MS 280
+#define LINK_MBPS_MAX 1000000
 #define COUNT_OF(a) (sizeof (a) / sizeof (a)[0])
 
 static const struct ab_conf_field listen_fields[] = {
@@ -167,6 +168,8 @@
                  .max = REPEAT_EXTRA_MAX),
   AB_CONF_FIELD (ab_fleet_settings, "repeat_window", repeat_window_ms,
                  ab_conf_duration, .min = SECOND_MS, .max = HOUR_MS),
+  AB_CONF_FIELD (ab_fleet_settings, "link_mbps", link_mbps, ab_conf_number,
+                 .max = LINK_MBPS_MAX),
 };
 
 static const struct ab_fleet_settings defaults = {
--- a/src/fleet_settings.h
+++ b/src/fleet_settings.h
@@ -65,6 +65,7 @@
   double repeat_fraction;      /* Repeated attempts by request, fleet-wide.  */
   uint64_t repeat_extra;       /* Added to it in each window.  */
   uint64_t repeat_window_ms;
+  double link_mbps; /* Of the host's link, each way; 0: not known.  */
 };
 
 /* Reads the file PATH; ERROR holds "FILE:LINE: ..." on failure.  */
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -46,7 +46,7 @@
   size_t look;     /* The control host to ask next.  */
   uint64_t look_ms;
   bool found; /* A control host in the own failure domain, once.  */
-  bool ready;
+  enum ab_fleet_duty duty;
   bool fresh;
   uint64_t started_ms;
   uint64_t index;
@@ -109,7 +109,7 @@
   struct ab_fleet_watch_frame watch
       = { .follow = control == &view->controls[view->followed],
           .ack = ack,
-          .ready = view->ready,
+          .listed = view->duty != AB_FLEET_STOPPING,
           .index = view->index,
           .hosts_version = view->hosts_version };
   struct ab_buf body = AB_BUF_INIT;
@@ -120,6 +120,8 @@
           sizeof watch.host.callers);
   memcpy (watch.host.failure_domain, view->settings->base.failure_domain,
           sizeof watch.host.failure_domain);
+  watch.host.takes_callers = view->duty == AB_FLEET_TAKES_CALLERS;
+  watch.host.link_mbps = (uint64_t)view->settings->link_mbps;
   ab_fleet_pack_watch (&body, &watch);
   if (!body.error)
     ab_peer_task_send (view->daemon->peer, ab_chunk_str (control->address),
@@ -475,11 +477,11 @@
 }
 
 void
-ab_fleet_view_set_ready (struct ab_fleet_view *view, bool ready)
+ab_fleet_view_set_duty (struct ab_fleet_view *view, enum ab_fleet_duty duty)
 {
-  if (view->ready == ready)
+  if (view->duty == duty)
     return;
-  view->ready = ready;
+  view->duty = duty;
   if (view->followed < view->control_count)
     send_watch (view, &view->controls[view->followed], false);
 }
--- a/src/fleet_view_task.h
+++ b/src/fleet_view_task.h
@@ -32,8 +32,18 @@
                        struct ab_fleet_view **view);
 void ab_fleet_view_free (struct ab_fleet_view *view);
 
-/* Tells control hosts whether this host takes callers.  */
-void ab_fleet_view_set_ready (struct ab_fleet_view *view, bool ready);
+/* What this host does for others.  A host that has started may schedule
+   requests before it takes callers.  */
+enum ab_fleet_duty
+{
+  AB_FLEET_STARTING,
+  AB_FLEET_TAKES_CALLERS,
+  AB_FLEET_STOPPING
+};
+
+/* Tells control hosts.  */
+void ab_fleet_view_set_duty (struct ab_fleet_view *view,
+                             enum ab_fleet_duty duty);
 
 /* The table in force, or null before the first.  */
 struct ab_route_table *ab_fleet_view_table (const struct ab_fleet_view *view);
--- a/src/fleet_watch.c
+++ b/src/fleet_watch.c
@@ -5,7 +5,7 @@
 
 #define WATCH_FIELDS 6
 #define VIEW_FIELDS 6
-#define HOST_FIELDS 3
+#define HOST_FIELDS 5
 
 void
 ab_fleet_pack_host (struct ab_buf *out, const struct ab_fleet_host *host)
@@ -14,6 +14,8 @@
   ab_pack_bytes (out, ab_chunk_str (host->peer));
   ab_pack_bytes (out, ab_chunk_str (host->callers));
   ab_pack_bytes (out, ab_chunk_str (host->failure_domain));
+  ab_pack_u64 (out, host->link_mbps);
+  ab_pack_bool (out, host->takes_callers);
 }
 
 void
@@ -24,6 +26,8 @@
   ab_reader_str (reader, host->peer, sizeof host->peer);
   ab_reader_str (reader, host->callers, sizeof host->callers);
   ab_reader_str (reader, host->failure_domain, sizeof host->failure_domain);
+  host->link_mbps = ab_reader_u64 (reader);
+  host->takes_callers = ab_reader_bool (reader);
   ab_reader_leave (reader);
 }
 
@@ -35,7 +39,7 @@
   ab_fleet_pack_host (out, &watch->host);
   ab_pack_bool (out, watch->follow);
   ab_pack_bool (out, watch->ack);
-  ab_pack_bool (out, watch->ready);
+  ab_pack_bool (out, watch->listed);
   ab_pack_u64 (out, watch->index);
   ab_pack_u64 (out, watch->hosts_version);
 }
@@ -52,7 +56,7 @@
   ab_fleet_read_host (&reader, &watch->host);
   watch->follow = ab_reader_bool (&reader);
   watch->ack = ab_reader_bool (&reader);
-  watch->ready = ab_reader_bool (&reader);
+  watch->listed = ab_reader_bool (&reader);
   watch->index = ab_reader_u64 (&reader);
   watch->hosts_version = ab_reader_u64 (&reader);
   rc = ab_reader_error (&reader);
@@ -92,5 +96,6 @@
                                            ab_chunk_str (host->callers));
 
   return ab_rendezvous_mix (
-      hash ^ ab_rendezvous_hash (ab_chunk_str (host->failure_domain)));
+      hash ^ ab_rendezvous_hash (ab_chunk_str (host->failure_domain))
+      ^ host->link_mbps << 1 ^ host->takes_callers);
 }
--- a/src/fleet_watch.h
+++ b/src/fleet_watch.h
@@ -21,6 +21,8 @@
   char peer[AB_ADDRESS_BYTES];
   char callers[AB_ADDRESS_BYTES];
   char failure_domain[AB_NAME_BYTES];
+  uint64_t link_mbps; /* 0: not known.  */
+  bool takes_callers; /* It has a bundle.  */
 };
 
 struct ab_fleet_watch_frame
@@ -28,7 +30,7 @@
   struct ab_fleet_host host;
   bool follow; /* False: only asks how the control host is.  */
   bool ack;    /* Follows a view at once; false: one of the regular ones.  */
-  bool ready;  /* Takes callers.  */
+  bool listed; /* False when it stops.  */
   uint64_t index; /* All changes up to this log index are known.  */
   uint64_t hosts_version;
 };
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -12,7 +12,11 @@
 /* Control hosts tell each other which entry hosts they hear at once when that
    changes, and otherwise this often.  */
 #define HOSTS_MS 6000
-#define HOSTS_LOST_MS 14000
+/* In between they say that they are there, in a few bytes.  */
+#define ALIVE_MS 900
+/* The entry hosts of a control host that is silent are no longer named when
+   those that are well have found another control host.  */
+#define HOSTS_LOST_MS 3500
 #define PEERS_MAX 64
 /* An entry host is sent one view at a time, as its link may be slow; one that
    is not acknowledged counts as lost after this.  */
@@ -21,7 +25,7 @@
 struct watcher
 {
   struct ab_fleet_host host;
-  bool ready;
+  bool listed;
   uint64_t index;   /* That it said to know.  */
   uint64_t sent;    /* That was sent since.  */
   uint64_t sent_ms; /* When news were sent that are not acknowledged; 0: all
@@ -53,7 +57,8 @@
   uint64_t own_version; /* Of the entry hosts heard here.  */
   uint64_t told_version;
   uint64_t told_ms;
-  uint64_t version; /* Of all entry hosts.  */
+  uint64_t alive_ms; /* When the peers heard of this one last.  */
+  uint64_t version;  /* Of all entry hosts.  */
 };
 
 /* Entry hosts.  */
@@ -64,7 +69,7 @@
   uint64_t version = 1;
 
   for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
-    if (w->ready)
+    if (w->listed)
       version += ab_fleet_host_hash (&w->host);
   return version;
 }
@@ -78,7 +83,7 @@
   return watcher != NULL;
 }
 
-/* Calls VISIT for every entry host that takes callers.  One that moved from a
+/* Calls VISIT for every entry host that does not stop.  One that moved from a
    control host to another may be visited twice; readers replace it by its
    name.  */
 static void
@@ -87,7 +92,7 @@
              void *ctx)
 {
   for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
-    if (w->ready)
+    if (w->listed)
       visit (ctx, &w->host);
   for (size_t i = 0; i < watch->peer_count; i++)
     {
@@ -275,7 +280,7 @@
               ab_log_int ("index", (int64_t)said.index));
     }
   watcher->host = said.host;
-  watcher->ready = said.ready;
+  watcher->listed = said.listed;
   watcher->index = said.index;
   watcher->sent = 0;
   watcher->sent_ms = 0;
@@ -343,29 +348,51 @@
 }
 
 static void
-tell_peers (struct ab_fleet_watch *watch, uint64_t now)
+on_alive (void *ctx, const struct ab_frame *frame)
 {
-  struct ab_fleet_control *control = watch->control;
+  struct ab_fleet_watch *watch = ctx;
+  struct peer *peer = find_peer (watch, frame->sender);
+
+  /* One whose list was never heard has nothing that could be kept.  */
+  if (peer && peer->heard_ms)
+    peer->heard_ms = ab_fleet_now_ms ();
+}
+
+static void
+send_to_peers (const struct ab_fleet_watch *watch, enum ab_frame_type type,
+               struct ab_chunk body)
+{
+  const struct ab_fleet_control *control = watch->control;
   const struct ab_raft_member *members;
   size_t count = ab_group_members (control->group, &members);
+
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (members[i].host, control->daemon->settings->host) != 0)
+      ab_peer_task_send (control->daemon->peer, ab_chunk_str (members[i].host),
+                         type, body);
+}
+
+static void
+tell_peers (struct ab_fleet_watch *watch, uint64_t now)
+{
+  struct ab_fleet_control *control = watch->control;
   struct ab_buf body = AB_BUF_INIT;
   size_t hosts = 0;
 
   watch->told_version = watch->own_version;
   watch->told_ms = now;
+  watch->alive_ms = now;
   for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
-    hosts += w->ready;
+    hosts += w->listed;
   ab_pack_array (&body, 3);
   ab_pack_bytes (&body, ab_chunk_str (control->settings->base.failure_domain));
   ab_pack_bytes (&body, ab_chunk_str (control->settings->listen.admin));
   ab_pack_array (&body, hosts);
   for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
-    if (w->ready)
+    if (w->listed)
       ab_fleet_pack_host (&body, &w->host);
-  for (size_t i = 0; i < count && !body.error; i++)
-    if (strcmp (members[i].host, control->daemon->settings->host) != 0)
-      ab_peer_task_send (control->daemon->peer, ab_chunk_str (members[i].host),
-                         AB_FRAME_FLEET_HOSTS, ab_buf_chunk (&body));
+  if (!body.error)
+    send_to_peers (watch, AB_FRAME_FLEET_HOSTS, ab_buf_chunk (&body));
   ab_buf_free (&body);
 }
 
@@ -398,6 +425,11 @@
   if (watch->own_version != watch->told_version
       || now - watch->told_ms > HOSTS_MS)
     tell_peers (watch, now);
+  else if (now - watch->alive_ms > ALIVE_MS)
+    {
+      watch->alive_ms = now;
+      send_to_peers (watch, AB_FRAME_FLEET_ALIVE, ab_chunk ("", 0));
+    }
 }
 
 const char *
@@ -434,6 +466,8 @@
                        watch);
   ab_peer_task_handle (control->daemon->peer, AB_FRAME_FLEET_HOSTS, on_hosts,
                        watch);
+  ab_peer_task_handle (control->daemon->peer, AB_FRAME_FLEET_ALIVE, on_alive,
+                       watch);
   return 0;
 }
 
@@ -467,7 +501,7 @@
   for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
     json_array_append_new (
         list, json_pack ("{s:s, s:s, s:b, s:I}", "peer", w->host.peer,
-                         "failure_domain", w->host.failure_domain, "ready",
-                         w->ready, "index", (json_int_t)w->index));
+                         "failure_domain", w->host.failure_domain, "listed",
+                         w->listed, "index", (json_int_t)w->index));
   return list;
 }
--- a/src/frame.c
+++ b/src/frame.c
@@ -47,6 +47,7 @@
   [AB_FRAME_SCHED_ASK] = "sched_ask",
   [AB_FRAME_SCHED_REPLY] = "sched_reply",
   [AB_FRAME_SCHED_OUTCOME] = "sched_outcome",
+  [AB_FRAME_FLEET_ALIVE] = "fleet_alive",
 };
 
 const char *
--- a/src/frame.h
+++ b/src/frame.h
@@ -58,6 +58,7 @@
   AB_FRAME_SCHED_ASK,
   AB_FRAME_SCHED_REPLY,
   AB_FRAME_SCHED_OUTCOME,
+  AB_FRAME_FLEET_ALIVE, /* A control host is there; its list is unchanged.  */
   AB_FRAME_TYPE_COUNT
 };
 
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -80,7 +80,7 @@
   evhttp_set_max_body_size (gateway->callers, (ev_ssize_t)limits->body_bytes);
   evhttp_set_timeout_tv (gateway->callers, &idle);
   if (!gateway->stop_ms)
-    ab_fleet_view_set_ready (gateway->env.view, true);
+    ab_fleet_view_set_duty (gateway->env.view, AB_FLEET_TAKES_CALLERS);
 }
 
 static void
@@ -146,7 +146,8 @@
       /* A host that stops learns of it before others do.  */
       if ((gateway->stop_ms
            && strcmp (hosts[i].peer, gateway->daemon->settings->host) == 0)
-          || in_domain != same_domain || strcmp (of, region) != 0)
+          || !hosts[i].takes_callers || in_domain != same_domain
+          || strcmp (of, region) != 0)
         continue;
       json_array_append_new (list, json_string (hosts[i].callers));
     }
@@ -159,7 +160,8 @@
   size_t count = ab_fleet_view_hosts (gateway->env.view, &hosts);
 
   for (size_t i = 0; i < count && json_array_size (list) < ADDRESSES_MAX; i++)
-    json_array_append_new (list, json_string (hosts[i].callers));
+    if (hosts[i].takes_callers)
+      json_array_append_new (list, json_string (hosts[i].callers));
 }
 
 static json_t *
@@ -363,7 +365,7 @@
     {
       gateway->stop_ms = ab_clock_monotonic_ms (ab_clock_system ());
       gateway->env.stopping = true;
-      ab_fleet_view_set_ready (gateway->env.view, false);
+      ab_fleet_view_set_duty (gateway->env.view, AB_FLEET_STOPPING);
       ab_caller_conns_drain (gateway->env.conns, true);
     }
   if (gateway->listening
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -8,21 +8,13 @@
 #include "error.h"
 #include "log.h"
 #include "peer_task.h"
-#include "rendezvous.h"
 #include "schedule_areas.h"
 #include "schedule_frame.h"
+#include "schedule_hosts.h"
 
-/* A scheduler that has not answered after this is left for the next host:
-   several times a round trip within a region, and between regions.  */
-#define ANSWER_MS 80
-#define ANSWER_FAR_MS 180
 /* While a request waits, its scheduler is asked again this often; one that
    does not answer any more has lost it.  */
 #define POLL_MS 300
-/* A host that did not answer is left out this long, so that not every request
-   waits for it, and its link is not filled with asks.  */
-#define SILENT_MS 600
-#define SILENT_HOSTS 16
 /* Areas that one request is offered to.  */
 #define AREAS_ASKED 5
 /* Of them, in other regions.  */
@@ -61,13 +53,6 @@
   void *ctx;
 };
 
-/* A host that did not answer as a scheduler.  */
-struct silent
-{
-  char host[AB_ADDRESS_BYTES];
-  uint64_t until_ms;
-};
-
 struct ab_schedule_task
 {
   struct ab_daemon *daemon;
@@ -79,7 +64,7 @@
   struct ab_schedule_call *calls;
   uint64_t next_id;
   struct ab_areas *areas;
-  struct silent silent[SILENT_HOSTS];
+  struct ab_schedule_hosts *hosts;
 };
 
 static uint64_t
@@ -97,70 +82,16 @@
   return names[kind];
 }
 
-/* Hosts.  */
-
-static bool
-serves_area (const struct ab_schedule_task *task,
-             const struct ab_fleet_host *host, const struct ab_area *area)
-{
-  if (area->failure_domain[0])
-    return strcmp (host->failure_domain, area->failure_domain) == 0;
-  return strcmp (ab_fleet_region (task->settings, host->failure_domain),
-                 area->region)
-         == 0;
-}
-
-static bool
-is_silent (const struct ab_schedule_task *task, const char *host, uint64_t now)
-{
-  for (size_t i = 0; i < SILENT_HOSTS; i++)
-    if (now < task->silent[i].until_ms
-        && strcmp (task->silent[i].host, host) == 0)
-      return true;
-  return false;
-}
-
-static void
-note_silent (struct ab_schedule_task *task, const char *host, uint64_t now)
-{
-  struct silent *slot = &task->silent[0];
-
-  for (size_t i = 0; i < SILENT_HOSTS; i++)
-    if (task->silent[i].until_ms < slot->until_ms)
-      slot = &task->silent[i];
-  if (is_silent (task, host, now))
-    return;
-  ab_chunk_copy (ab_chunk_str (host), slot->host, sizeof slot->host);
-  slot->until_ms = now + SILENT_MS;
-}
-
-/* The host that comes first in rendezvous order for SERVICE in AREA, of those
-   that answer; null when there is none.  */
+/* The host that schedules SERVICE in AREA; null when there is none.  */
 static const char *
 scheduler_host (const struct ab_schedule_task *task,
                 const struct ab_area *area, const char *service)
 {
   const struct ab_fleet_host *hosts;
   size_t count = ab_fleet_view_hosts (task->view, &hosts);
-  uint64_t subject = ab_rendezvous_hash (ab_chunk_str (service));
-  uint64_t now = now_ms ();
-  uint64_t best_score = 0;
-  const char *best = NULL;
 
-  for (size_t i = 0; i < count; i++)
-    {
-      uint64_t score;
-      if (!serves_area (task, &hosts[i], area)
-          || is_silent (task, hosts[i].peer, now))
-        continue;
-      score = ab_rendezvous_score (
-          subject, ab_rendezvous_hash (ab_chunk_str (hosts[i].peer)));
-      if (best && score <= best_score)
-        continue;
-      best = hosts[i].peer;
-      best_score = score;
-    }
-  return best;
+  return ab_schedule_hosts_choose (task->hosts, hosts, count, area, service,
+                                   now_ms ());
 }
 
 /* Messages.  */
@@ -226,9 +157,9 @@
   return time > gone ? time - gone : 0;
 }
 
-/* Sends the ask, under a new number, to HOST, which has ANSWER_MS.  */
+/* Sends the ask, under a new number, to HOST, in another region if FAR.  */
 static void
-ask_host (struct ab_schedule_call *call, const char *host, uint64_t answer_ms)
+ask_host (struct ab_schedule_call *call, const char *host, bool far)
 {
   uint64_t now = now_ms ();
   uint64_t gone = now - call->started_ms;
@@ -242,7 +173,7 @@
   call->waiting = false;
   ab_chunk_copy (ab_chunk_str (host), call->host, sizeof call->host);
   send_ask (call);
-  arm (call, answer_ms);
+  arm (call, ab_schedule_hosts_answer_ms (call->task->hosts, host, far));
 }
 
 static void next_host (struct ab_schedule_call *call);
@@ -259,8 +190,7 @@
           const char *host)
 {
   memcpy (call->ask.area, area->failure_domain, sizeof call->ask.area);
-  ask_host (call, host,
-            is_near (call->task, area) ? ANSWER_MS : ANSWER_FAR_MS);
+  ask_host (call, host, !is_near (call->task, area));
 }
 
 /* Asks in the own area, skipping hosts that did not answer; this host is the
@@ -320,7 +250,7 @@
           ab_log_str ("service", call->ask.service),
           ab_log_int ("after_ms", (int64_t)(now_ms () - call->asked_ms)));
   ++*ab_counter (task->daemon->counters, "ab_scheduler_silent_total");
-  note_silent (task, call->host, now_ms ());
+  ab_schedule_hosts_silent (task->hosts, call->host, now_ms ());
   send_outcome (task, call->host, call->ask.id, AB_TARGET_UNUSED, 0);
   if (call->stage == STAGE_AWAY)
     next_host (call);
@@ -401,6 +331,7 @@
   if (ab_sched_read_reply (frame->body, &reply) < 0
       || !ab_chunk_copy (frame->sender, sender, sizeof sender))
     return;
+  ab_schedule_hosts_heard (task->hosts, sender);
   DL_SEARCH_SCALAR (task->calls, call, ask.id, reply.id);
   if (!call)
     {
@@ -616,9 +547,10 @@
           .repeat_window_ms = settings->repeat_window_ms };
 
   task->areas = ab_areas_new (settings);
+  task->hosts = ab_schedule_hosts_new (settings);
   task->scheduler = ab_scheduler_new (&config, &scheduler_ops, task);
   task->tick = event_new (task->daemon->base, -1, EV_PERSIST, on_tick, task);
-  if (!task->areas || !task->scheduler || !task->tick
+  if (!task->areas || !task->hosts || !task->scheduler || !task->tick
       || event_add (task->tick, &interval) < 0)
     return AB_ERR_MEMORY;
   return 0;
@@ -663,6 +595,7 @@
     event_free (task->tick);
   ab_scheduler_free (task->scheduler);
   ab_areas_free (task->areas);
+  ab_schedule_hosts_free (task->hosts);
   free (task);
 }
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -149,25 +149,32 @@
                uint64_t now_ms)
 {
   size_t count = service->waiting_count;
+  struct ab_sched_summary summary;
   struct ab_sched_request **list;
 
-  if (count == 0 || !ab_sched_has_free_slot (service, now_ms))
+  if (count == 0)
+    return;
+  ab_sched_summarise (service, now_ms, &summary);
+  if (summary.proven_free + summary.new_free + summary.trial_free == 0)
     return;
   list = ab_sched_list_waiting (service, now_ms);
-  for (size_t i = 0;
-       list && i < count && ab_sched_has_free_slot (service, now_ms); i++)
+  for (size_t i = 0; list && i < count; i++)
     {
-      struct ab_sched_target *target = ab_sched_choose_target (
-          service, &list[i]->ask, now_ms - list[i]->asked_ms,
-          waits_near (list[i], now_ms), now_ms);
-      if (target)
-        grant (s, list[i], target, now_ms);
+      uint64_t waited_ms = now_ms - list[i]->asked_ms;
+      struct ab_sched_target *target = NULL;
+      if (ab_sched_may_choose (service, &summary, &list[i]->ask, waited_ms,
+                               now_ms))
+        target = ab_sched_choose_target (service, &summary, &list[i]->ask,
+                                         waited_ms,
+                                         waits_near (list[i], now_ms), now_ms);
+      if (!target)
+        continue;
+      grant (s, list[i], target, now_ms);
+      ab_sched_summarise (service, now_ms, &summary);
     }
   free (list);
 }
 
-/* Arrivals.  */
-
 static void
 refuse (struct ab_scheduler *s, struct ab_sched_request *request,
         enum ab_sched_kind kind, uint64_t wait_ms, uint64_t now_ms)
@@ -185,6 +192,7 @@
                 uint64_t now_ms)
 {
   const struct ab_sched_ask *ask = &request->ask;
+  struct ab_sched_summary summary;
   double slots = ab_sched_usable_slots (request->service, now_ms);
   double usual = ab_sched_usual_ms (request->service);
   uint64_t wait;
@@ -194,6 +202,7 @@
       refuse (s, request, AB_SCHED_NONE, (uint64_t)usual, now_ms);
       return;
     }
+  ab_sched_summarise (request->service, now_ms, &summary);
   wait = (uint64_t)ab_sched_turn_ms (
       request->service, ask, ab_sched_ahead (request, now_ms), slots, now_ms);
   if ((double)wait + usual + AB_SCHED_REPLY_MARGIN_MS > (double)ask->time_ms
@@ -201,7 +210,7 @@
     refuse (s, request, AB_SCHED_FULL, wait, now_ms);
   else if (!ask->may_wait
            || (ask->may_move && !ask->idempotent
-               && ab_sched_has_free_slot (request->service, now_ms))
+               && summary.new_free + summary.trial_free > 0)
            || (ask->may_move
                && (double)wait + usual > (double)ask->objective_ms))
     refuse (s, request, AB_SCHED_MOVE, wait, now_ms);
@@ -236,6 +245,7 @@
                   uint64_t now_ms)
 {
   struct ab_sched_request *request = NULL;
+  struct ab_sched_summary summary;
   struct ab_sched_target *target;
 
   HASH_FIND (hh, s->requests, &ask->id, sizeof ask->id, request);
@@ -267,7 +277,9 @@
       decide (s, request, AB_SCHED_WAITING, NEAR_WAIT_MS, now_ms);
       return;
     }
-  target = ab_sched_choose_target (request->service, ask, 0, false, now_ms);
+  ab_sched_summarise (request->service, now_ms, &summary);
+  target = ab_sched_choose_target (request->service, &summary, ask, 0, false,
+                                   now_ms);
   if (target)
     grant (s, request, target, now_ms);
   else
@@ -356,6 +368,12 @@
     uint64_t age = now_ms - request->granted_ms;
     if (age > request->ask.time_ms + GRANT_SLACK_MS)
       release (s, request, now_ms);
+    else if (!request->outlasted
+             && ab_target_health_outlasted (age, ab_sched_usual_ms (service)))
+      {
+        request->outlasted = true;
+        ab_target_health_note_working (&request->target->health, now_ms);
+      }
     else if ((double)age > stuck_ms
              && request->target->done_ms <= request->granted_ms)
       ab_target_health_note_stuck (&request->target->health, now_ms);
--- a/src/scheduler_choice.c
+++ b/src/scheduler_choice.c
@@ -31,10 +31,12 @@
    this plus the range always.  */
 #define LATE_FROM 0.5
 #define LATE_RANGE 1.0
-/* A request that must not repeat takes a target that failed only when less
-   than this many times the usual time is left to it, or when no other target
-   is to be had.  */
+/* A request that must not repeat is urgent when less than this many times the
+   usual time is left to it.  */
 #define LAST_RESORT 2.5
+/* It takes a target of which nothing is known while less than this part of
+   them, and one, is being tried.  */
+#define EXPLORED_PART 12
 
 static bool
 tried (const struct ab_sched_ask *ask, const struct ab_sched_target *target)
@@ -58,9 +60,9 @@
   const struct ab_sched_ask *ask;
   uint64_t host;
   uint64_t objective_ms; /* What is left of it.  */
+  enum ab_target_trust least_trust;
   bool near;
-  bool trouble;     /* Many requests are not served.  */
-  bool last_resort; /* Targets that failed are taken too.  */
+  bool trouble; /* Many requests are not served.  */
   uint64_t now_ms;
 };
 
@@ -71,33 +73,55 @@
          && now_ms >= target->health.busy_until_ms;
 }
 
-static bool
-any_trusted (const struct ab_sched_service *service,
-             const struct ab_sched_ask *ask, uint64_t now_ms)
+static void
+count_target (struct ab_sched_summary *summary,
+              const struct ab_sched_target *target, uint64_t now_ms)
+{
+  enum ab_target_trust trust
+      = ab_target_health_trust (&target->health, now_ms);
+  bool is_free = is_ready (target, now_ms)
+                 && target->in_flight < ab_sched_slots (target, now_ms);
+
+  summary->ready++;
+  summary->trusted += trust < AB_TRUST_TRIAL;
+  summary->trials += trust != AB_TRUST_PROVEN && target->trials > 0;
+  summary->proven_free += is_free && trust == AB_TRUST_PROVEN;
+  summary->new_free += is_free && trust == AB_TRUST_NEW;
+  summary->trial_free += is_free && trust == AB_TRUST_TRIAL;
+}
+
+void
+ab_sched_summarise (const struct ab_sched_service *service, uint64_t now_ms,
+                    struct ab_sched_summary *summary)
 {
   const struct ab_sched_target *target;
 
+  memset (summary, 0, sizeof *summary);
   DL_FOREACH (service->targets, target)
-  if (target->known.state == AB_FLEET_TARGET_READY && !tried (ask, target)
-      && ab_target_health_trust (&target->health, now_ms) < AB_TRUST_TRIAL)
-    return true;
-  return false;
+  if (target->known.state == AB_FLEET_TARGET_READY)
+    count_target (summary, target, now_ms);
 }
 
-/* Whether a request may go to a target that failed.  What must not repeat is
-   tried in other regions first, and these give it none of theirs; it waits for
-   a better target while there is time.  */
-static bool
-is_last_resort (const struct ab_sched_service *service,
-                const struct ab_sched_ask *ask, uint64_t left_ms,
-                uint64_t now_ms)
+/* How little trusted a target may be that takes ASK, which has LEFT_MS.  What
+   may be repeated goes anywhere.  What must not is tried in other regions
+   before it goes to a target that failed, and these give it none of theirs.
+   It waits for a proven target while there is time and others prove some:
+   after a start nothing is known of any target, and a burst of orders would
+   find out all the gray ones at its own cost.  */
+static enum ab_target_trust
+least_trust (const struct ab_sched_service *service,
+             const struct ab_sched_summary *summary,
+             const struct ab_sched_ask *ask, uint64_t left_ms)
 {
+  bool is_urgent = (double)left_ms < LAST_RESORT * ab_sched_usual_ms (service);
+
   if (ask->idempotent)
-    return true;
-  if (ask->may_move || !ask->may_wait)
-    return false;
-  return (double)left_ms < LAST_RESORT * ab_sched_usual_ms (service)
-         || !any_trusted (service, ask, now_ms);
+    return AB_TRUST_TRIAL;
+  if (!ask->may_move && ask->may_wait && (is_urgent || summary->trusted == 0))
+    return AB_TRUST_TRIAL;
+  if (is_urgent || summary->trials < 1 + summary->ready / EXPLORED_PART)
+    return AB_TRUST_NEW;
+  return AB_TRUST_PROVEN;
 }
 
 /* Whether TARGET is to be tried because the service is in trouble.  */
@@ -122,8 +146,7 @@
       || (choice->near && !is_near (target, choice->ask))
       || ab_sched_path_broken (target, choice->host, choice->now_ms))
     return false;
-  return trust < AB_TRUST_TRIAL || choice->last_resort
-         || due_in_trouble (choice, target);
+  return trust <= choice->least_trust || due_in_trouble (choice, target);
 }
 
 /* The part of responses that miss the objective.  */
@@ -172,21 +195,44 @@
                / (double)ab_sched_slots (target, choice->now_ms);
 }
 
+static uint64_t
+what_is_left (uint64_t time_ms, uint64_t waited_ms)
+{
+  return time_ms > waited_ms ? time_ms - waited_ms : 0;
+}
+
+bool
+ab_sched_may_choose (const struct ab_sched_service *service,
+                     const struct ab_sched_summary *summary,
+                     const struct ab_sched_ask *ask, uint64_t waited_ms,
+                     uint64_t now_ms)
+{
+  size_t free_targets = summary->proven_free;
+  enum ab_target_trust least = least_trust (
+      service, summary, ask, what_is_left (ask->time_ms, waited_ms));
+
+  if (least >= AB_TRUST_NEW)
+    free_targets += summary->new_free;
+  if (least >= AB_TRUST_TRIAL)
+    free_targets += summary->trial_free;
+  return free_targets > 0 || ab_sched_in_trouble (&service->trouble, now_ms);
+}
+
 struct ab_sched_target *
 ab_sched_choose_target (const struct ab_sched_service *service,
+                        const struct ab_sched_summary *summary,
                         const struct ab_sched_ask *ask, uint64_t waited_ms,
                         bool near, uint64_t now_ms)
 {
-  uint64_t left_ms = ask->time_ms > waited_ms ? ask->time_ms - waited_ms : 0;
   const struct choice choice
       = { .service = service,
           .ask = ask,
           .host = ab_rendezvous_hash (ab_chunk_str (ask->host)),
-          .objective_ms
-          = ask->objective_ms > waited_ms ? ask->objective_ms - waited_ms : 0,
+          .objective_ms = what_is_left (ask->objective_ms, waited_ms),
+          .least_trust = least_trust (service, summary, ask,
+                                      what_is_left (ask->time_ms, waited_ms)),
           .near = near,
           .trouble = ab_sched_in_trouble (&service->trouble, now_ms),
-          .last_resort = is_last_resort (service, ask, left_ms, now_ms),
           .now_ms = now_ms };
   struct ab_sched_target *best = NULL;
   struct ab_sched_target *target;
@@ -237,17 +283,3 @@
     return true;
   return false;
 }
-
-bool
-ab_sched_has_free_slot (const struct ab_sched_service *service,
-                        uint64_t now_ms)
-{
-  const struct ab_sched_target *target;
-
-  DL_FOREACH (service->targets, target)
-  if (is_ready (target, now_ms)
-      && target->in_flight < ab_sched_slots (target, now_ms)
-      && ab_target_health_trust (&target->health, now_ms) < AB_TRUST_OUT)
-    return true;
-  return false;
-}
--- a/src/scheduler_impl.h
+++ b/src/scheduler_impl.h
@@ -60,6 +60,7 @@
   uint64_t asked_ms;
   uint64_t granted_ms;
   bool trial;
+  bool outlasted;   /* Counted as evidence that its target works.  */
   bool in_time;     /* As of the last look at the queue.  */
   uint64_t left_ms; /* Of the objective, or of all its time.  */
   UT_hash_handle hh;
@@ -144,18 +145,36 @@
 
 /* Choice.  */
 
+/* The targets of a service at a moment, by how far they are trusted.  */
+struct ab_sched_summary
+{
+  size_t ready;
+  size_t trusted;     /* Proven or new, free or not.  */
+  size_t trials;      /* Not proven, with a request under way.  */
+  size_t proven_free; /* With a free slot.  */
+  size_t new_free;
+  size_t trial_free;
+};
+
+void ab_sched_summarise (const struct ab_sched_service *service,
+                         uint64_t now_ms, struct ab_sched_summary *summary);
+/* Whether any target may be free for an ask that has waited for WAITED_MS;
+   cheaper than a choice.  */
+bool ab_sched_may_choose (const struct ab_sched_service *service,
+                          const struct ab_sched_summary *summary,
+                          const struct ab_sched_ask *ask, uint64_t waited_ms,
+                          uint64_t now_ms);
 /* The best target with a free slot for an ask that has waited for WAITED_MS,
    or null; in the asker's failure domain only if NEAR.  */
 struct ab_sched_target *
 ab_sched_choose_target (const struct ab_sched_service *service,
+                        const struct ab_sched_summary *summary,
                         const struct ab_sched_ask *ask, uint64_t waited_ms,
                         bool near, uint64_t now_ms);
 /* Slots of targets that are not out, each by the probability that its target
    is healthy.  */
 double ab_sched_usable_slots (const struct ab_sched_service *service,
                               uint64_t now_ms);
-bool ab_sched_has_free_slot (const struct ab_sched_service *service,
-                             uint64_t now_ms);
 /* Whether a busy target near the asker is worth waiting for.  */
 bool ab_sched_near_is_busy (const struct ab_sched_service *service,
                             const struct ab_sched_ask *ask, uint64_t now_ms);
--- a/src/target_health.c
+++ b/src/target_health.c
@@ -9,6 +9,8 @@
 /* How much more likely an outcome is at a gray target than at a healthy
    one.  */
 #define ODDS_OK 0.2
+/* Gray targets that do not fail at once hang.  */
+#define ODDS_WORKING 0.35
 #define ODDS_SLOW_FAILURE 6.0
 #define ODDS_QUICK_FAILURE 250.0
 #define ODDS_LOST 20.0
@@ -21,6 +23,8 @@
 #define QUICK_SHARE 0.2
 /* Up to this probability a target is trusted.  */
 #define PROVEN_RISK 0.12
+/* A request under way makes a target no surer than this.  */
+#define WORKING_RISK 0.06
 /* A failure that makes it more likely than this takes the target out for a
    while, twice as long after each further one.  */
 #define OUT_RISK 0.45
@@ -127,7 +131,7 @@
                        enum ab_target_event event, uint64_t latency_ms,
                        double usual_ms, uint64_t now_ms)
 {
-  bool quick = (double)latency_ms < QUICK_SHARE * usual_ms;
+  bool quick = !ab_target_health_outlasted (latency_ms, usual_ms);
 
   switch (event)
     {
@@ -161,6 +165,23 @@
     }
 }
 
+bool
+ab_target_health_outlasted (uint64_t age_ms, double usual_ms)
+{
+  return (double)age_ms >= QUICK_SHARE * usual_ms;
+}
+
+void
+ab_target_health_note_working (struct ab_target_health *health,
+                               uint64_t now_ms)
+{
+  if (ab_target_health_risk (health, now_ms) <= WORKING_RISK)
+    return;
+  weigh (health, ODDS_WORKING, now_ms);
+  if (health->gray < WORKING_RISK)
+    health->gray = WORKING_RISK;
+}
+
 void
 ab_target_health_note_stuck (struct ab_target_health *health, uint64_t now_ms)
 {
--- a/src/target_health.h
+++ b/src/target_health.h
@@ -54,6 +54,13 @@
                             enum ab_target_event event, uint64_t latency_ms,
                             double usual_ms, uint64_t now_ms);
 
+/* Whether a request that has been under way for AGE_MS has outlasted the quick
+   failures of a gray target.  */
+bool ab_target_health_outlasted (uint64_t age_ms, double usual_ms);
+/* A request has outlasted quick failures; once for each request.  */
+void ab_target_health_note_working (struct ab_target_health *health,
+                                    uint64_t now_ms);
+
 /* A request has been under way far longer than usual.  */
 void ab_target_health_note_stuck (struct ab_target_health *health,
                                   uint64_t now_ms);
--- a/tests/test_fleet_frames.c
+++ b/tests/test_fleet_frames.c
@@ -91,7 +91,7 @@
                                                   .callers = "1.1.1.1:2",
                                                   .failure_domain = "d" },
                                         .follow = true,
-                                        .ready = true,
+                                        .listed = true,
                                         .index = 8,
                                         .hosts_version = 9 };
   struct ab_fleet_watch_frame read;
@@ -101,7 +101,7 @@
   ab_fleet_pack_watch (&body, &watch);
   ck_assert_int_eq (ab_fleet_read_watch (ab_buf_chunk (&body), &read), 0);
   ck_assert_mem_eq (&read.host, &watch.host, sizeof watch.host);
-  ck_assert (read.follow && read.ready);
+  ck_assert (read.follow && read.listed);
   ck_assert_uint_eq (read.index, 8);
   ck_assert_uint_eq (read.hosts_version, 9);
   for (size_t len = 0; len < body.len; len++)
