One of two candidates gives way; look for a leader sooner after a start

Three voters of five were left, so all had to vote for one; two became candidates within 0.3 ms of each other when connections came up, in each of two terms: leader 1.35 s after the start. In the log members were also added and removed ten times in a second: one that was added just now had never been heard and so counted as silent.

Ruled out: a candidate that refuses pre-votes while it campaigns (it would keep a member from leading that only reaches others).

Change: of two members that ask each other for pre-votes the one with the smaller name goes on. The first pre-vote comes after an eighth to a quarter of the election timeout. A member that was added is heard when it asked to join.

--- a/src/group_task.c
+++ b/src/group_task.c
@@ -522,6 +522,9 @@
                        member->region, sizeof member->region);
       member->caught_up = progress.match >= status.commit_index;
       member->other_disk = progress.other_disk;
+      /* One that was added just now was heard when it asked to join.  */
+      if (progress.heard_ms == 0 && host)
+        progress.heard_ms = host->hello_ms;
       member->silent_ms
           = now > progress.heard_ms ? now - progress.heard_ms : 0;
     }
--- a/src/raft.c
+++ b/src/raft.c
@@ -4,6 +4,11 @@
 
 #include "error.h"
 
+/* The part of the election timeout after which a member that has started asks
+   for pre-votes at the earliest, and twice as long at the latest: some round
+   trips between regions.  */
+#define START_PART 8
+
 int
 ab_raft_fail (struct ab_raft *raft, int rc)
 {
@@ -194,8 +199,8 @@
   /* After a start no leader is known yet that would have to be given time; a
      pre-vote harms none that there is.  */
   raft->election_deadline_ms
-      = now_ms + raft->election_ms / 4
-        + ab_rng_below (raft->rng, raft->election_ms / 4 + 1);
+      = now_ms + raft->election_ms / START_PART
+        + ab_rng_below (raft->rng, raft->election_ms / START_PART + 1);
   *out = raft;
   return 0;
 }
--- a/src/raft_election.c
+++ b/src/raft_election.c
@@ -156,14 +156,19 @@
 }
 
 /* Lets a candidate that may win finish before this member campaigns itself:
-   two candidates at a time split the votes.  */
+   two candidates at a time split the votes.  Of two that ask each other for
+   pre-votes the one with the smaller name goes on.  */
 static void
-give_way (struct ab_raft *raft, uint64_t now_ms)
+give_way (struct ab_raft *raft, uint64_t now_ms, const char *from)
 {
   uint64_t deadline = raft->election_deadline_ms;
 
-  if (raft->role == AB_RAFT_LEADER)
+  if (raft->role == AB_RAFT_LEADER
+      || (raft->role == AB_RAFT_PRE_CANDIDATE
+          && strcmp (raft->host, from) < 0))
     return;
+  if (raft->role == AB_RAFT_PRE_CANDIDATE)
+    raft->role = AB_RAFT_FOLLOWER;
   set_campaign_deadline (raft, now_ms, true);
   if (raft->election_deadline_ms < deadline)
     raft->election_deadline_ms = deadline;
@@ -180,7 +185,7 @@
   if (reply.ok)
     {
       reply.term = msg->term;
-      give_way (raft, now_ms);
+      give_way (raft, now_ms, from);
     }
   ab_raft_queue (raft, from, &reply);
 }
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -129,6 +129,30 @@
 }
 END_TEST
 
+/* Guards against candidates that split the votes again and again: with two of
+   five disks emptied, all other members have to vote for the same one.  */
+START_TEST (leader_soon_after_emptied_disks)
+{
+  int leader;
+  struct fake_group *group = started_group (5, (uint64_t)_i + 1, &leader);
+  uint64_t started;
+
+  ck_assert (fake_settle (group, 10000));
+  group->delay_ms = 25;
+  for (int i = 0; i < 5; i++)
+    fake_crash (group, i);
+  fake_empty_disk (group, 1);
+  fake_empty_disk (group, 3);
+  for (int i = 0; i < 5; i++)
+    fake_start (group, i);
+  started = group->now_ms;
+  leader = fake_run_until_leader (group, 20000);
+  ck_assert_int_ge (leader, 0);
+  ck_assert_uint_le (group->now_ms - started, 2 * FAKE_ELECTION_MS);
+  finish (group);
+}
+END_TEST
+
 /* Guards against a read answered from the state of a leader that was replaced
    but still hears a minority: it would miss what is committed meanwhile.  */
 START_TEST (read_needs_quorum)
@@ -572,6 +596,7 @@
   tcase_add_test (tcase, isolated_leader);
   tcase_add_test (tcase, read_needs_quorum);
   tcase_add_loop_test (tcase, leader_soon_after_a_common_start, 0, 20);
+  tcase_add_loop_test (tcase, leader_soon_after_emptied_disks, 0, 40);
   tcase_add_test (tcase, one_way_cut);
   tcase_add_test (tcase, second_loss_after_repair);
   tcase_add_test (tcase, emptied_disk_does_not_vote);
