Count requests that take long against their target

Change: a request that takes two and a half times the usual time makes its target a little less trusted, and a time-out counts for its latency.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -7,6 +7,8 @@
 #include "scheduler_impl.h"
 
 #define LATENCY_WEIGHT 0.05
+/* Few requests take this many times as long as usual.  */
+#define LATE_FACTOR 2.5
 /* A request under way this many times as long as usual is stuck.  */
 #define STUCK_FACTOR 5
 #define STUCK_MIN_MS 900
@@ -351,6 +353,30 @@
   serve_waiting (s, service, now_ms);
 }
 
+/* What the time for which REQUEST has been under way says about its target. */
+static void
+note_age (struct ab_sched_request *request, uint64_t age_ms, uint64_t now_ms)
+{
+  double usual = ab_sched_usual_ms (request->service);
+  double stuck_ms = usual * STUCK_FACTOR > STUCK_MIN_MS ? usual * STUCK_FACTOR
+                                                        : STUCK_MIN_MS;
+  struct ab_target_health *health = &request->target->health;
+
+  if (!request->outlasted && ab_target_health_outlasted (age_ms, usual))
+    {
+      request->outlasted = true;
+      ab_target_health_note_working (health, now_ms);
+    }
+  if (!request->late && (double)age_ms > usual * LATE_FACTOR)
+    {
+      request->late = true;
+      ab_target_health_note_late (health, now_ms);
+    }
+  if ((double)age_ms > stuck_ms
+      && request->target->done_ms <= request->granted_ms)
+    ab_target_health_note_stuck (health, now_ms);
+}
+
 /* Grants whose outcome never came, and targets at which requests are
    stuck.  */
 static void
@@ -359,24 +385,14 @@
 {
   struct ab_sched_request *request;
   struct ab_sched_request *next;
-  double stuck_ms = ab_sched_usual_ms (service) * STUCK_FACTOR;
 
-  if (stuck_ms < STUCK_MIN_MS)
-    stuck_ms = STUCK_MIN_MS;
   DL_FOREACH_SAFE (service->granted, request, next)
   {
     uint64_t age = now_ms - request->granted_ms;
     if (age > request->ask.time_ms + GRANT_SLACK_MS)
       release (s, request, now_ms);
-    else if (!request->outlasted
-             && ab_target_health_outlasted (age, ab_sched_usual_ms (service)))
-      {
-        request->outlasted = true;
-        ab_target_health_note_working (&request->target->health, now_ms);
-      }
-    else if ((double)age > stuck_ms
-             && request->target->done_ms <= request->granted_ms)
-      ab_target_health_note_stuck (&request->target->health, now_ms);
+    else
+      note_age (request, age, now_ms);
   }
 }
 
--- a/src/scheduler_impl.h
+++ b/src/scheduler_impl.h
@@ -61,6 +61,7 @@
   uint64_t granted_ms;
   bool trial;
   bool outlasted;   /* Counted as evidence that its target works.  */
+  bool late;        /* Counted as evidence that it does not.  */
   bool in_time;     /* As of the last look at the queue.  */
   uint64_t left_ms; /* Of the objective, or of all its time.  */
   UT_hash_handle hh;
--- a/src/target_health.c
+++ b/src/target_health.c
@@ -11,6 +11,8 @@
 #define ODDS_OK 0.2
 /* Gray targets that do not fail at once hang.  */
 #define ODDS_WORKING 0.35
+/* Some slow down so far that requests end too late.  */
+#define ODDS_LATE 5.0
 #define ODDS_SLOW_FAILURE 6.0
 #define ODDS_QUICK_FAILURE 250.0
 #define ODDS_LOST 20.0
@@ -98,16 +100,22 @@
 }
 
 static void
-succeed (struct ab_target_health *health, uint64_t latency_ms, uint64_t now_ms)
+note_latency (struct ab_target_health *health, uint64_t latency_ms)
 {
   double latency = (double)latency_ms;
 
-  weigh (health, ODDS_OK, now_ms);
   health->latency_ms
       = health->latency_ms > 0
             ? health->latency_ms
                   + LATENCY_WEIGHT * (latency - health->latency_ms)
             : latency;
+}
+
+static void
+succeed (struct ab_target_health *health, uint64_t latency_ms, uint64_t now_ms)
+{
+  weigh (health, ODDS_OK, now_ms);
+  note_latency (health, latency_ms);
   health->sheds = 0;
   health->shed_rate *= 1 - SHED_WEIGHT;
   if (health->gray <= PROVEN_RISK)
@@ -145,6 +153,7 @@
       fail (health, ODDS_LOST, now_ms);
       break;
     case AB_TARGET_TIMEOUT:
+      note_latency (health, latency_ms);
       fail (health, ODDS_TIMEOUT, now_ms);
       leave_out (health, OUT_MS, now_ms);
       break;
@@ -182,6 +191,12 @@
     health->gray = WORKING_RISK;
 }
 
+void
+ab_target_health_note_late (struct ab_target_health *health, uint64_t now_ms)
+{
+  weigh (health, ODDS_LATE, now_ms);
+}
+
 void
 ab_target_health_note_stuck (struct ab_target_health *health, uint64_t now_ms)
 {
--- a/src/target_health.h
+++ b/src/target_health.h
@@ -61,7 +61,11 @@
 void ab_target_health_note_working (struct ab_target_health *health,
                                     uint64_t now_ms);
 
-/* A request has been under way far longer than usual.  */
+/* A request has been under way longer than most; once for each request.  */
+void ab_target_health_note_late (struct ab_target_health *health,
+                                 uint64_t now_ms);
+/* A request has been under way so long that no further one is sent until one
+   ends.  */
 void ab_target_health_note_stuck (struct ab_target_health *health,
                                   uint64_t now_ms);
 
