--- a/src/control_parts.h
+++ b/src/control_parts.h
@@ -12,8 +12,7 @@
 #include "error.h"
 #include "log.h"
 #include "peer_task.h"
-#include "raft.h"
-#include "storage.h"
+#include "raft_task.h"
 
 /* Who asked.  */
 struct ab_requester
@@ -75,19 +74,14 @@
 
 struct ab_control_task
 {
-  struct ab_raft_io io;
   struct ab_daemon *daemon;
   struct ab_secret_key key;
-  struct ab_storage *storage;
-  struct ab_raft *raft;
+  struct ab_raft_task *consensus;
+  struct ab_raft *raft; /* Its core.  */
   struct ab_control_state *state;
-  struct ab_rng rng;
-  struct event *raft_timer;
-  struct event *flush_event;
   struct event *watch_timer;
   struct ab_raft_member known[AB_RAFT_MEMBERS_MAX]; /* Addresses in use.  */
   size_t known_count;
-  uint8_t disk_id[AB_DISK_ID_BYTES];
   struct ab_pending *pending;         /* By log index.  */
   struct ab_pending *pending_senders; /* By requester.  */
   struct ab_pending_read *reads;
@@ -96,10 +90,6 @@
   struct ab_capacity *capacities;
   uint64_t leader_since_ms; /* 0: follower.  */
   uint64_t offered_index;   /* Log index of the bundle offered last.  */
-  uint64_t entries_since_snapshot;
-  uint64_t bytes_since_snapshot;
-  uint64_t snapshot_bytes;
-  uint64_t snapshot_retry_ms;
 };
 
 uint64_t ab_control_now_ms (void);
--- a/src/control_report_task.c
+++ b/src/control_report_task.c
@@ -117,7 +117,9 @@
                       (json_int_t)status.applied_index);
   if (!object)
     return NULL;
-  json_object_set_new (object, "disk", hex (task->disk_id, AB_DISK_ID_BYTES));
+  json_object_set_new (
+      object, "disk",
+      hex (ab_raft_task_disk_id (task->consensus), AB_DISK_ID_BYTES));
   json_object_set_new (object, "members", report_members (task));
   json_object_set_new (object, "member_change", report_change (task));
   json_object_set_new (object, "ledger", report_ledger (task));
--- a/src/group_task.c
+++ b/src/group_task.c
@@ -10,10 +10,9 @@
 #include "log.h"
 #include "pack.h"
 #include "peer_task.h"
-#include "storage.h"
+#include "raft_task.h"
 
 #define FOLDER_NAME "group"
-#define TICK_MIN_MS 1
 /* Membership is looked at this often.  */
 #define STEP_MS 100
 /* Requests to join, while this host does not belong to the group or hears no
@@ -24,7 +23,6 @@
 /* The log is folded into a snapshot at either bound.  */
 #define SNAPSHOT_ENTRIES 2000
 #define SNAPSHOT_BYTES (4ULL * 1024 * 1024)
-#define SNAPSHOT_RETRY_MS 5000
 #define HOSTS_MAX 64
 
 /* A control host that was heard or heard of.  */
@@ -38,27 +36,16 @@
 
 struct ab_group_task
 {
-  struct ab_raft_io io; /* First: raft's effects find the task by it.  */
   struct ab_daemon *daemon;
   const struct ab_fleet_settings *settings;
   const struct ab_group_state_ops *ops;
   void *ctx;
-  struct ab_raft *raft;
-  struct ab_storage *storage;
-  struct ab_rng rng;
-  uint8_t disk_id[AB_DISK_ID_BYTES];
-  struct event *raft_timer;
-  struct event *flush_event;
+  struct ab_raft_task *consensus;
+  struct ab_raft *raft; /* Its core.  */
   struct event *step_timer;
   struct host hosts[HOSTS_MAX];
   size_t host_count;
   uint64_t hello_ms;
-  uint64_t entries_since_snapshot;
-  uint64_t bytes_since_snapshot;
-  uint64_t snapshot_retry_ms;
-  bool leader;
-  bool applied;
-  uint64_t term; /* As logged last.  */
 };
 
 static uint64_t
@@ -67,20 +54,6 @@
   return ab_clock_monotonic_ms (ab_clock_system ());
 }
 
-static void
-fatal (const char *event, int rc)
-{
-  AB_LOG (AB_LOG_ERROR, event, ab_log_str ("error", ab_strerror (rc)),
-          ab_log_str ("action", "the process stops"));
-  exit (EXIT_FAILURE);
-}
-
-static void
-schedule_flush (struct ab_group_task *task)
-{
-  event_active (task->flush_event, EV_TIMEOUT, 0);
-}
-
 /* Known control hosts.  */
 
 static struct host *
@@ -150,230 +123,66 @@
     learn_host (task, ab_chunk_str (members[i].host));
 }
 
-/* Effects of the consensus core.  */
-
-static struct ab_group_task *
-task_of (struct ab_raft_io *io)
-{
-  return (struct ab_group_task *)io;
-}
+/* What the consensus core tells.  */
 
 static void
-io_send (struct ab_raft_io *io, const char *to, struct ab_chunk message)
+on_sending (void *ctx, const char *host)
 {
-  struct ab_group_task *task = task_of (io);
+  struct ab_group_task *task = ctx;
 
-  if (!find_host (task, to))
-    learn_host (task, ab_chunk_str (to));
-  ab_peer_task_send (task->daemon->peer, ab_chunk_str (to), AB_FRAME_RAFT,
-                     message);
+  if (!find_host (task, host))
+    learn_host (task, ab_chunk_str (host));
 }
 
 static int
-io_save_vote (struct ab_raft_io *io, const struct ab_raft_hard_state *state)
+on_apply (void *ctx, uint64_t index, uint64_t term, struct ab_chunk data)
 {
-  return ab_storage_save_vote (task_of (io)->storage, state);
-}
+  struct ab_group_task *task = ctx;
 
-static int
-io_append (struct ab_raft_io *io, const struct ab_raft_entry *entries,
-           size_t count)
-{
-  return ab_storage_append (task_of (io)->storage, entries, count);
+  return task->ops->apply (task->ctx, index, term, data);
 }
 
 static int
-io_truncate (struct ab_raft_io *io, uint64_t first_index)
+on_save (void *ctx, struct ab_buf *out)
 {
-  return ab_storage_truncate (task_of (io)->storage, first_index);
-}
+  struct ab_group_task *task = ctx;
 
-static int
-io_sync (struct ab_raft_io *io)
-{
-  return ab_storage_sync (task_of (io)->storage);
+  return task->ops->save (task->ctx, out);
 }
 
 static int
-io_install_snapshot (struct ab_raft_io *io, uint64_t index, uint64_t term,
-                     const struct ab_raft_member *members, size_t count,
-                     struct ab_chunk data)
+on_load (void *ctx, struct ab_chunk data)
 {
-  struct ab_group_task *task = task_of (io);
-  int rc = ab_storage_save_snapshot (task->storage, index, term, members,
-                                     count, data);
-
-  if (rc == 0)
-    rc = ab_storage_reset_log (task->storage, index + 1);
-  if (rc < 0)
-    return rc;
-  rc = task->ops->load (task->ctx, data);
-  if (rc < 0)
-    fatal ("group_snapshot_unusable", rc);
-  task->entries_since_snapshot = 0;
-  task->bytes_since_snapshot = 0;
-  task->applied = true;
-  AB_LOG (AB_LOG_INFO, "group_snapshot_installed",
-          ab_log_int ("index", (int64_t)index),
-          ab_log_int ("bytes", (int64_t)data.len));
-  return 0;
-}
-
-static int
-io_load_snapshot (struct ab_raft_io *io, uint64_t *index, uint64_t *term,
-                  struct ab_buf *data)
-{
-  return ab_storage_load_snapshot (task_of (io)->storage, index, term, data);
-}
-
-static void
-io_apply (struct ab_raft_io *io, const struct ab_raft_entry *entry)
-{
-  struct ab_group_task *task = task_of (io);
-  int rc = 0;
+  struct ab_group_task *task = ctx;
 
-  task->entries_since_snapshot++;
-  task->bytes_since_snapshot += entry->data.len;
-  task->applied = true;
-  if (entry->kind == AB_RAFT_ENTRY_COMMAND)
-    rc = task->ops->apply (task->ctx, entry->index, entry->term, entry->data);
-  if (rc < 0)
-    fatal ("group_apply_failed", rc);
+  return task->ops->load (task->ctx, data);
 }
 
 static void
-io_read_ready (struct ab_raft_io *io, uint64_t request, int rc)
+on_read_ready (void *ctx, uint64_t request, int rc)
 {
-  struct ab_group_task *task = task_of (io);
+  struct ab_group_task *task = ctx;
   struct ab_raft_status status;
 
   ab_raft_status (task->raft, &status);
   task->ops->read_ready (task->ctx, request, rc, status.applied_index);
 }
 
-static const struct ab_raft_io_ops io_ops
-    = { .send = io_send,
-        .save_vote = io_save_vote,
-        .append = io_append,
-        .truncate = io_truncate,
-        .sync = io_sync,
-        .install_snapshot = io_install_snapshot,
-        .load_snapshot = io_load_snapshot,
-        .apply = io_apply,
-        .read_ready = io_read_ready };
-
-/* Snapshots.  */
-
 static void
-write_snapshot (struct ab_group_task *task, uint64_t now)
-{
-  struct ab_buf data = AB_BUF_INIT;
-  struct ab_raft_point point;
-  int rc = ab_raft_applied_point (task->raft, &point);
-
-  if (rc == 0)
-    rc = task->ops->save (task->ctx, &data);
-  if (rc == 0)
-    rc = ab_storage_save_snapshot (task->storage, point.index, point.term,
-                                   point.members, point.member_count,
-                                   ab_buf_chunk (&data));
-  if (rc == 0)
-    {
-      ab_raft_compacted (task->raft, point.index, point.term);
-      task->entries_since_snapshot = 0;
-      task->bytes_since_snapshot = 0;
-      AB_LOG (AB_LOG_INFO, "group_snapshot_written",
-              ab_log_int ("index", (int64_t)point.index),
-              ab_log_int ("bytes", (int64_t)data.len));
-    }
-  else if (rc == AB_ERR_FULL || rc == AB_ERR_MEMORY || rc == AB_ERR_NOT_FOUND)
-    {
-      task->snapshot_retry_ms = now + SNAPSHOT_RETRY_MS;
-      AB_LOG (AB_LOG_WARN, "group_snapshot_postponed",
-              ab_log_str ("error", ab_strerror (rc)));
-    }
-  else
-    fatal ("group_snapshot_failed", rc);
-  ab_buf_free (&data);
-}
-
-/* Events.  */
-
-static void
-arm_raft_timer (struct ab_group_task *task, uint64_t now)
-{
-  uint64_t next = ab_raft_next_tick_ms (task->raft);
-  uint64_t delay = next > now ? next - now : TICK_MIN_MS;
-  struct timeval after = { .tv_sec = (time_t)(delay / 1000),
-                           .tv_usec = (suseconds_t)(delay % 1000 * 1000) };
-
-  evtimer_add (task->raft_timer, &after);
-}
-
-static bool
-note_leadership (struct ab_group_task *task)
-{
-  struct ab_raft_status status;
-
-  ab_raft_status (task->raft, &status);
-  if (status.term != task->term)
-    AB_LOG (AB_LOG_INFO, "group_term",
-            ab_log_int ("term", (int64_t)status.term),
-            ab_log_int ("last_index", (int64_t)status.last_index),
-            ab_log_str ("leader_host", status.leader_host));
-  task->term = status.term;
-  if (status.leader == task->leader)
-    return false;
-  task->leader = status.leader;
-  AB_LOG (AB_LOG_INFO, status.leader ? "group_leader" : "group_follower",
-          ab_log_int ("term", (int64_t)status.term),
-          ab_log_int ("commit", (int64_t)status.commit_index));
-  return true;
-}
-
-static void
-on_flush (evutil_socket_t fd, short events, void *ctx)
+on_flushed (void *ctx, bool applied, bool led)
 {
   struct ab_group_task *task = ctx;
-  uint64_t now = now_ms ();
-  int rc = ab_raft_flush (task->raft, now);
-  bool changed;
 
-  (void)fd;
-  (void)events;
-  if (rc < 0)
-    fatal ("group_storage_failed", rc);
-  changed = note_leadership (task) || task->applied;
-  task->applied = false;
-  if (changed)
+  if (applied || led)
     task->ops->changed (task->ctx);
-  if (now >= task->snapshot_retry_ms
-      && (task->entries_since_snapshot >= SNAPSHOT_ENTRIES
-          || task->bytes_since_snapshot >= SNAPSHOT_BYTES))
-    write_snapshot (task, now);
-  arm_raft_timer (task, now);
-}
-
-static void
-on_raft_timer (evutil_socket_t fd, short events, void *ctx)
-{
-  struct ab_group_task *task = ctx;
-
-  ab_raft_tick (task->raft, now_ms ());
-  on_flush (fd, events, ctx);
 }
 
-static void
-on_raft_frame (void *ctx, const struct ab_frame *frame)
-{
-  struct ab_group_task *task = ctx;
-  char from[AB_NAME_BYTES];
-
-  if (!ab_chunk_copy (frame->sender, from, sizeof from))
-    return;
-  ab_raft_receive (task->raft, now_ms (), from, frame->body);
-  schedule_flush (task);
-}
+static const struct ab_raft_task_ops raft_ops = { .apply = on_apply,
+                                                  .save = on_save,
+                                                  .load = on_load,
+                                                  .sending = on_sending,
+                                                  .read_ready = on_read_ready,
+                                                  .flushed = on_flushed };
 
 /* Membership.  */
 
@@ -385,7 +194,9 @@
 
   for (size_t i = 0; i < count; i++)
     if (strcmp (members[i].host, task->daemon->settings->host) == 0)
-      return memcmp (members[i].disk_id, task->disk_id, AB_DISK_ID_BYTES) == 0;
+      return memcmp (members[i].disk_id,
+                     ab_raft_task_disk_id (task->consensus), AB_DISK_ID_BYTES)
+             == 0;
   return false;
 }
 
@@ -395,7 +206,8 @@
   struct ab_buf body = AB_BUF_INIT;
 
   ab_pack_array (&body, 2);
-  ab_pack_bytes (&body, ab_chunk (task->disk_id, AB_DISK_ID_BYTES));
+  ab_pack_bytes (&body, ab_chunk (ab_raft_task_disk_id (task->consensus),
+                                  AB_DISK_ID_BYTES));
   ab_pack_bytes (&body, ab_chunk_str (task->settings->base.region));
   if (!body.error)
     ab_peer_task_send (task->daemon->peer, ab_chunk_str (address),
@@ -597,7 +409,7 @@
           ab_log_str ("change", names[step.change]),
           ab_log_str ("member", step.host), ab_log_str ("reason", step.reason),
           ab_log_str ("result", rc < 0 ? ab_strerror (rc) : "proposed"));
-  schedule_flush (task);
+  ab_raft_task_flush (task->consensus);
 }
 
 static void
@@ -605,12 +417,14 @@
 {
   struct ab_group_task *task = ctx;
   uint64_t now = now_ms ();
+  struct ab_raft_status status;
 
   (void)fd;
   (void)events;
   learn_members (task);
   say_hello (task, now);
-  if (task->leader)
+  ab_raft_status (task->raft, &status);
+  if (status.leader)
     change_group (task, now);
 }
 
@@ -642,56 +456,22 @@
 }
 
 static int
-open_storage (struct ab_group_task *task, struct ab_storage_content *content,
-              char error[AB_CONF_ERROR_BYTES])
+start_raft (struct ab_group_task *task, char error[AB_CONF_ERROR_BYTES])
 {
   struct ab_raft_member members[AB_CONTROL_MEMBERS_MAX] = { 0 };
-  size_t count = first_members (task, members);
-  struct ab_buf folder = AB_BUF_INIT;
-  int rc = ab_buf_printf (&folder, "%s/%s", task->settings->base.data_folder,
-                          FOLDER_NAME);
+  const struct ab_raft_task_config config
+      = { .folder = FOLDER_NAME,
+          .first = members,
+          .first_count = first_members (task, members),
+          .snapshot_entries = SNAPSHOT_ENTRIES,
+          .snapshot_bytes = SNAPSHOT_BYTES,
+          .ops = &raft_ops,
+          .ctx = task };
+  int rc = ab_raft_task_new (task->daemon, task->settings->base.data_folder,
+                             &config, &task->consensus, error);
 
   if (rc == 0)
-    rc = ab_storage_open (folder.data, members, count, &task->storage, content,
-                          error);
-  ab_buf_free (&folder);
-  if (rc < 0)
-    return rc;
-  memcpy (task->disk_id, content->disk_id, sizeof task->disk_id);
-  AB_LOG (AB_LOG_INFO, "group_storage_open",
-          ab_log_str ("disk", content->fresh ? "new" : "kept"),
-          ab_log_int ("members", (int64_t)content->start.member_count),
-          ab_log_int ("entries", (int64_t)content->start.entry_count),
-          ab_log_int ("snapshot", (int64_t)content->start.snapshot_index));
-  return 0;
-}
-
-static int
-start_raft (struct ab_group_task *task, char error[AB_CONF_ERROR_BYTES])
-{
-  const struct ab_settings *settings = task->daemon->settings;
-  struct ab_raft_config config = { .host = settings->host,
-                                   .heartbeat_ms = settings->raft_heartbeat_ms,
-                                   .election_ms = settings->raft_election_ms,
-                                   .rng = &task->rng,
-                                   .io = &task->io };
-  struct ab_storage_content content = { 0 };
-  int rc = open_storage (task, &content, error);
-
-  if (rc < 0)
-    goto out;
-  if (content.snapshot_data.len > 0)
-    rc = task->ops->load (task->ctx, ab_buf_chunk (&content.snapshot_data));
-  if (rc < 0)
-    {
-      snprintf (error, AB_CONF_ERROR_BYTES, "the snapshot cannot be read: %s",
-                ab_strerror (rc));
-      goto out;
-    }
-  memcpy (config.disk_id, content.disk_id, sizeof config.disk_id);
-  rc = ab_raft_new (&config, &content.start, now_ms (), &task->raft);
-out:
-  ab_storage_content_free (&content);
+    task->raft = ab_raft_task_core (task->consensus);
   return rc;
 }
 
@@ -701,13 +481,9 @@
   struct event_base *base = task->daemon->base;
   const struct timeval interval = { .tv_usec = STEP_MS * 1000 };
 
-  task->raft_timer = evtimer_new (base, on_raft_timer, task);
-  task->flush_event = evtimer_new (base, on_flush, task);
   task->step_timer = event_new (base, -1, EV_PERSIST, on_step, task);
-  if (!task->raft_timer || !task->flush_event || !task->step_timer
-      || event_add (task->step_timer, &interval) < 0)
+  if (!task->step_timer || event_add (task->step_timer, &interval) < 0)
     return AB_ERR_MEMORY;
-  schedule_flush (task);
   return 0;
 }
 
@@ -729,8 +505,6 @@
   task->settings = settings;
   task->ops = ops;
   task->ctx = ctx;
-  task->io.ops = &io_ops;
-  ab_rng_init_system (&task->rng);
   rc = start_raft (task, error);
   if (rc == 0)
     rc = start_events (task);
@@ -743,33 +517,22 @@
       return rc;
     }
   learn_seeds (task);
-  ab_peer_task_handle (daemon->peer, AB_FRAME_RAFT, on_raft_frame, task);
   ab_peer_task_handle (daemon->peer, AB_FRAME_GROUP_HELLO, on_hello, task);
   ab_peer_task_handle (daemon->peer, AB_FRAME_GROUP_INFO, on_info, task);
   *result = task;
   return 0;
 }
 
-static void
-free_event (struct event *event)
-{
-  if (event)
-    event_free (event);
-}
-
 void
 ab_group_task_free (struct ab_group_task *task)
 {
   if (!task)
     return;
-  ab_peer_task_handle (task->daemon->peer, AB_FRAME_RAFT, NULL, NULL);
   ab_peer_task_handle (task->daemon->peer, AB_FRAME_GROUP_HELLO, NULL, NULL);
   ab_peer_task_handle (task->daemon->peer, AB_FRAME_GROUP_INFO, NULL, NULL);
-  free_event (task->raft_timer);
-  free_event (task->flush_event);
-  free_event (task->step_timer);
-  ab_raft_free (task->raft);
-  ab_storage_close (task->storage);
+  if (task->step_timer)
+    event_free (task->step_timer);
+  ab_raft_task_free (task->consensus);
   free (task);
 }
 
@@ -780,7 +543,7 @@
   int rc = ab_raft_propose (task->raft, now_ms (), data, index);
 
   if (rc == 0)
-    schedule_flush (task);
+    ab_raft_task_flush (task->consensus);
   return rc;
 }
 
@@ -790,7 +553,7 @@
   int rc = ab_raft_read (task->raft, now_ms (), request);
 
   if (rc == 0)
-    schedule_flush (task);
+    ab_raft_task_flush (task->consensus);
   return rc;
 }
 
