Read maps and words of settings files by tables

Cause: settings.c, fleet_settings.c repeated a reader for each map and for the role.

Change: conf.c reads a map and one of several words from the field's table.

Measured: test_fleet_frames, test_operator_auth and test_bundle pass; messages as before.

--- a/src/conf.c
+++ b/src/conf.c
@@ -451,6 +451,41 @@
   return read_number (conf, node, field, field->max, dst);
 }
 
+int
+ab_conf_submap (struct ab_conf *conf, yaml_node_t *node,
+                const struct ab_conf_field *field, void *dst)
+{
+  const struct ab_conf_map *map = field->extra;
+
+  return ab_conf_read_map (conf, node, map->fields, map->count, dst);
+}
+
+int
+ab_conf_word (struct ab_conf *conf, yaml_node_t *node,
+              const struct ab_conf_field *field, void *dst)
+{
+  const char *const *words = field->extra;
+  char expected[128] = "";
+  struct ab_chunk text;
+  int rc = ab_conf_scalar (conf, node, "a word", &text);
+
+  if (rc < 0)
+    return rc;
+  for (unsigned i = 0; words[i]; i++)
+    {
+      size_t len = strlen (expected);
+      if (ab_chunk_equal (text, ab_chunk_str (words[i])))
+        {
+          *(unsigned *)dst = i;
+          return 0;
+        }
+      snprintf (expected + len, sizeof expected - len, "%s%s",
+                i > 0 ? " or " : "", words[i]);
+    }
+  return ab_conf_fail (conf, node, "'%s' is '%s'; expected %s", field->key,
+                       text.data, expected);
+}
+
 int
 ab_conf_rate (struct ab_conf *conf, yaml_node_t *node,
               const struct ab_conf_field *field, void *dst)
--- a/src/conf.h
+++ b/src/conf.h
@@ -98,6 +98,24 @@
 int ab_conf_hex (struct ab_conf *, yaml_node_t *, const struct ab_conf_field *,
                  void *); /* uint8_t[size] */
 
+/* The fields of a map that is the value of a key.  */
+struct ab_conf_map
+{
+  const struct ab_conf_field *fields;
+  size_t count;
+};
+
+#define AB_CONF_MAP(array)                                                    \
+  &(const struct ab_conf_map) { (array), sizeof (array) / sizeof (array)[0] }
+
+/* Reads a map by the struct ab_conf_map that is the field's extra.  */
+int ab_conf_submap (struct ab_conf *, yaml_node_t *,
+                    const struct ab_conf_field *, void *); /* struct */
+/* Reads one of the words that are the field's extra, an array of strings that
+   ends with a null, as its number in it.  */
+int ab_conf_word (struct ab_conf *, yaml_node_t *,
+                  const struct ab_conf_field *, void *); /* enum */
+
 /* The scalar NODE's text; AB_ERR_INVALID when it is a map or list.  */
 int ab_conf_scalar (struct ab_conf *conf, yaml_node_t *node,
                     const char *expected, struct ab_chunk *text);
--- a/src/fleet_settings.c
+++ b/src/fleet_settings.c
@@ -39,43 +39,7 @@
   AB_CONF_FIELD (ab_header_names, "answered_by", answered_by, ab_conf_name),
 };
 
-static int
-read_listen (struct ab_conf *conf, yaml_node_t *node,
-             const struct ab_conf_field *field, void *dst)
-{
-  (void)field;
-  return ab_conf_read_map (conf, node, listen_fields, COUNT_OF (listen_fields),
-                           dst);
-}
-
-static int
-read_headers (struct ab_conf *conf, yaml_node_t *node,
-              const struct ab_conf_field *field, void *dst)
-{
-  (void)field;
-  return ab_conf_read_map (conf, node, header_fields, COUNT_OF (header_fields),
-                           dst);
-}
-
-static int
-read_role (struct ab_conf *conf, yaml_node_t *node,
-           const struct ab_conf_field *field, void *dst)
-{
-  struct ab_chunk text;
-  int rc = ab_conf_scalar (conf, node, "gateway or control", &text);
-
-  if (rc < 0)
-    return rc;
-  if (ab_chunk_equal (text, AB_CHUNK ("gateway")))
-    *(enum ab_fleet_role *)dst = AB_FLEET_GATEWAY;
-  else if (ab_chunk_equal (text, AB_CHUNK ("control")))
-    *(enum ab_fleet_role *)dst = AB_FLEET_CONTROL;
-  else
-    return ab_conf_fail (conf, node,
-                         "'%s' is '%s'; expected gateway or control",
-                         field->key, text.data);
-  return 0;
-}
+static const char *const roles[] = { "gateway", "control", NULL };
 
 static const struct ab_conf_field seed_field
     = { .key = "seeds", .size = AB_ADDRESS_BYTES };
@@ -141,18 +105,20 @@
 static const struct ab_conf_field fields[] = {
   AB_CONF_FIELD (ab_fleet_settings, "host", name, ab_conf_string,
                  .required = true),
-  AB_CONF_FIELD (ab_fleet_settings, "role", role, read_role, .required = true),
+  AB_CONF_FIELD (ab_fleet_settings, "role", role, ab_conf_word,
+                 .required = true, .extra = roles),
   AB_CONF_FIELD (ab_fleet_settings, "region", base.region, ab_conf_string,
                  .required = true),
   AB_CONF_FIELD (ab_fleet_settings, "failure_domain", base.failure_domain,
                  ab_conf_string, .required = true),
-  AB_CONF_FIELD (ab_fleet_settings, "listen", listen, read_listen,
-                 .required = true),
+  AB_CONF_FIELD (ab_fleet_settings, "listen", listen, ab_conf_submap,
+                 .required = true, .extra = AB_CONF_MAP (listen_fields)),
   AB_CONF_FIELD (ab_fleet_settings, "control_port", control_port, ab_conf_u64,
                  .min = 1, .max = PORT_MAX, .required = true),
   { .key = "seeds", .read = read_seeds, .required = true },
   { .key = "domains", .read = read_domains, .required = true },
-  AB_CONF_FIELD (ab_fleet_settings, "headers", headers, read_headers),
+  AB_CONF_FIELD (ab_fleet_settings, "headers", headers, ab_conf_submap,
+                 .extra = AB_CONF_MAP (header_fields)),
   AB_CONF_FIELD (ab_fleet_settings, "data_folder", base.data_folder,
                  ab_conf_string),
   AB_CONF_FIELD (ab_fleet_settings, "first_start", first_start, ab_conf_bool),
--- a/src/settings.c
+++ b/src/settings.c
@@ -51,24 +51,6 @@
   AB_CONF_FIELD (ab_http_settings, "key", key_file, ab_conf_string),
 };
 
-static int
-read_listen (struct ab_conf *conf, yaml_node_t *node,
-             const struct ab_conf_field *field, void *dst)
-{
-  (void)field;
-  return ab_conf_read_map (conf, node, listen_fields, COUNT_OF (listen_fields),
-                           dst);
-}
-
-static int
-read_http (struct ab_conf *conf, yaml_node_t *node,
-           const struct ab_conf_field *field, void *dst)
-{
-  (void)field;
-  return ab_conf_read_map (conf, node, http_fields, COUNT_OF (http_fields),
-                           dst);
-}
-
 static int
 read_member (struct ab_conf *conf, yaml_node_t *node,
              const struct ab_conf_field *field, void *dst)
@@ -87,25 +69,6 @@
                            dst);
 }
 
-static int
-read_role (struct ab_conf *conf, yaml_node_t *node,
-           const struct ab_conf_field *field, void *dst)
-{
-  struct ab_chunk text;
-  int rc = ab_conf_scalar (conf, node, "entry or control", &text);
-
-  if (rc < 0)
-    return rc;
-  if (ab_chunk_equal (text, AB_CHUNK ("entry")))
-    *(enum ab_role *)dst = AB_ROLE_ENTRY;
-  else if (ab_chunk_equal (text, AB_CHUNK ("control")))
-    *(enum ab_role *)dst = AB_ROLE_CONTROL;
-  else
-    return ab_conf_fail (conf, node, "'%s' is '%s'; expected entry or control",
-                         field->key, text.data);
-  return 0;
-}
-
 static int
 read_level (struct ab_conf *conf, yaml_node_t *node,
             const struct ab_conf_field *field, void *dst)
@@ -223,30 +186,29 @@
   { .key = "accepted_fleet", .read = read_accepted },
 };
 
-static int
-read_keys (struct ab_conf *conf, yaml_node_t *node,
-           const struct ab_conf_field *field, void *dst)
-{
-  (void)field;
-  return ab_conf_read_map (conf, node, key_fields, COUNT_OF (key_fields), dst);
-}
+static const char *const roles[] = { "entry", "control", NULL };
 
 static const struct ab_conf_field settings_fields[] = {
   AB_CONF_FIELD (ab_settings, "host", host, ab_conf_name, .required = true),
-  AB_CONF_FIELD (ab_settings, "role", role, read_role, .required = true),
+  AB_CONF_FIELD (ab_settings, "role", role, ab_conf_word, .required = true,
+                 .extra = roles),
   AB_CONF_FIELD (ab_settings, "region", region, ab_conf_name,
                  .required = true),
   AB_CONF_FIELD (ab_settings, "failure_domain", failure_domain, ab_conf_name,
                  .required = true),
-  AB_CONF_FIELD (ab_settings, "listen", listen, read_listen, .required = true),
-  AB_CONF_FIELD (ab_settings, "advertise", advertise, read_listen),
+  AB_CONF_FIELD (ab_settings, "listen", listen, ab_conf_submap,
+                 .required = true, .extra = AB_CONF_MAP (listen_fields)),
+  AB_CONF_FIELD (ab_settings, "advertise", advertise, ab_conf_submap,
+                 .extra = AB_CONF_MAP (listen_fields)),
   { .key = "seeds", .read = read_seeds },
   { .key = "control", .read = read_control, .required = true },
   AB_CONF_FIELD (ab_settings, "data_folder", data_folder, ab_conf_string),
-  AB_CONF_FIELD (ab_settings, "keys", keys, read_keys, .required = true),
+  AB_CONF_FIELD (ab_settings, "keys", keys, ab_conf_submap, .required = true,
+                 .extra = AB_CONF_MAP (key_fields)),
   { .key = "approvers", .read = read_approvers, .required = true },
   { .key = "operators", .read = read_operators, .required = true },
-  AB_CONF_FIELD (ab_settings, "http", http, read_http),
+  AB_CONF_FIELD (ab_settings, "http", http, ab_conf_submap,
+                 .extra = AB_CONF_MAP (http_fields)),
   AB_CONF_FIELD (ab_settings, "address_ttl", address_ttl_ms, ab_conf_duration,
                  .min = 100, .max = HOUR_MS),
   AB_CONF_FIELD (ab_settings, "drain_margin", drain_margin_ms,
