Keep targets covered, check grants against the own view, let all control hosts vote

Change: a target that was idle for 0.9 s gets the next request that may be repeated, a proven one after 1.5 s the next order. A grant for a target that is not ready in the gateway's own view is rejected and asked again. All control hosts vote, up to nine; one that is silent for 15 s stops to count. Three control hosts at a time are asked when the followed one is silent.

--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -19,6 +19,9 @@
 /* While the followed control host is in another failure domain, others are
    asked this often.  */
 #define LOOK_MS 1500
+/* So many are asked at a time when the followed one is silent or cut off: half
+   of the control hosts may be cut off with it.  */
+#define LOOKS 3
 /* After a start the nearest control host is looked for this often and this
    long, before a farther one is followed.  All entry hosts may start at once;
    the control hosts have an election to hold meanwhile.  */
@@ -261,9 +264,8 @@
   if (view->control_count > 0)
     send_watch (view, followed, false);
   if (!usable (followed, now))
-    {
+    for (int i = 0; i < LOOKS; i++)
       look_around (view);
-    }
   else if (nearness (view, followed) < 2 && now - view->look_ms > LOOK_MS)
     {
       view->look_ms = now;
--- a/src/group_plan.c
+++ b/src/group_plan.c
@@ -82,6 +82,17 @@
   return found;
 }
 
+size_t
+ab_group_voters_wanted (const struct ab_group_member *members, size_t count,
+                        size_t least)
+{
+  size_t wanted = 0;
+
+  for (size_t i = 0; i < count && wanted < AB_GROUP_VOTERS_MAX; i++)
+    wanted += members[i].silent_ms <= AB_GROUP_FORGET_MS;
+  return wanted > least ? wanted : least;
+}
+
 static struct ab_group_step
 plan_voters (const struct ab_group_member *members, size_t count,
              size_t wanted)
--- a/src/group_plan.h
+++ b/src/group_plan.h
@@ -1,9 +1,11 @@
 /* Which change a control group's leader makes next, so that the group heals
    without an operator.
 
-   Every control host belongs to the group: some as voters, the others as
-   learners that hold the log and take a lost voter's place.  One change is
-   made at a time; a voter is replaced before it is removed.  No I/O.  */
+   Every control host belongs to the group, at first as a learner, and votes
+   once it holds the log.  All of them vote up to a bound, so that whichever
+   side of a partition has more than half of the control hosts is the only one
+   that can decide; with fewer voters a side with few hosts could hold most
+   votes.  One change is made at a time.  No I/O.  */
 
 #ifndef AB_GROUP_PLAN_H
 #define AB_GROUP_PLAN_H
@@ -20,6 +22,9 @@
 #define AB_GROUP_RESPONSIVE_MS 600
 /* A silent learner, or a replaced voter, leaves the group after this.  */
 #define AB_GROUP_FORGET_MS 15000
+/* Each commit waits for half of the voters; further hosts are learners that
+   take a lost voter's place.  */
+#define AB_GROUP_VOTERS_MAX 9
 /* A host whose request to join is older has gone.  */
 #define AB_GROUP_REQUEST_MS 3000
 
@@ -58,6 +63,10 @@
   const char *reason;
 };
 
+/* How many members should vote: those that are not gone, at least LEAST.  */
+size_t ab_group_voters_wanted (const struct ab_group_member *members,
+                               size_t count, size_t least);
+
 struct ab_group_step ab_group_plan (const struct ab_group_member *members,
                                     size_t member_count,
                                     const struct ab_group_request *requests,
--- a/src/group_task.c
+++ b/src/group_task.c
@@ -394,10 +394,11 @@
   static const char *const names[] = { "none", "add", "promote", "remove" };
   struct ab_group_member members[AB_RAFT_MEMBERS_MAX];
   struct ab_group_request requests[HOSTS_MAX];
-  struct ab_group_step step
-      = ab_group_plan (members, describe_members (task, now, members),
-                       requests, describe_requests (task, now, requests),
-                       2 * (size_t)task->settings->tolerated_losses + 1);
+  size_t count = describe_members (task, now, members);
+  size_t least = 2 * (size_t)task->settings->tolerated_losses + 1;
+  struct ab_group_step step = ab_group_plan (
+      members, count, requests, describe_requests (task, now, requests),
+      ab_group_voters_wanted (members, count, least));
   int rc;
 
   if (step.change == AB_GROUP_NONE)
--- a/src/schedule_areas.c
+++ b/src/schedule_areas.c
@@ -169,6 +169,15 @@
   moved (ctx, target, area_of (place));
 }
 
+bool
+ab_areas_target_ready (const struct ab_areas *areas, const char *id)
+{
+  struct known *known = NULL;
+
+  HASH_FIND_STR (areas->known, id, known);
+  return known && known->target.state == AB_FLEET_TARGET_READY;
+}
+
 static void
 add_area (struct ab_area *list, size_t *count, size_t max, const char *region,
           const struct place *place)
--- a/src/schedule_areas.h
+++ b/src/schedule_areas.h
@@ -36,6 +36,9 @@
                                          const char *area),
                           void *ctx);
 
+/* Whether the target ID is known and takes new requests.  */
+bool ab_areas_target_ready (const struct ab_areas *areas, const char *id);
+
 /* The areas of SERVICE in the order in which a host in FAILURE_DOMAIN asks
    them: its own, those of its region, the others.  Returns how many of at most
    MAX were written.  */
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -48,6 +48,7 @@
   uint64_t objective_ms; /* At the start.  */
   uint64_t time_ms;
   char host[AB_ADDRESS_BYTES]; /* Asked now.  */
+  bool far;                    /* It is in another region.  */
   struct event *timer;
   ab_schedule_callback callback;
   void *ctx;
@@ -171,7 +172,9 @@
   call->ask.may_move = call->stage == STAGE_HOME && call->area_count > 1;
   call->asked_ms = now;
   call->waiting = false;
-  ab_chunk_copy (ab_chunk_str (host), call->host, sizeof call->host);
+  call->far = far;
+  if (host != call->host)
+    ab_chunk_copy (ab_chunk_str (host), call->host, sizeof call->host);
   send_ask (call);
   arm (call, ab_schedule_hosts_answer_ms (call->task->hosts, host, far));
 }
@@ -284,6 +287,35 @@
   arm (call, POLL_MS);
 }
 
+/* The scheduler's view of the fleet may be older than this host's, for
+   instance when it is cut off from the control group: what is known here of a
+   target that drains or has left binds this host.  Asks again, for another
+   one.  */
+static void
+reject_grant (struct ab_schedule_call *call,
+              const struct ab_sched_reply *reply)
+{
+  struct ab_schedule_task *task = call->task;
+  struct ab_sched_ask *ask = &call->ask;
+
+  AB_LOG (AB_LOG_INFO, "grant_rejected", ab_log_str ("target", reply->target),
+          ab_log_str ("scheduler", call->host),
+          ab_log_str ("reason", "not ready in this host's view"));
+  ++*ab_counter (task->daemon->counters, "ab_grants_rejected_total");
+  send_outcome (task, call->host, reply->id, AB_TARGET_UNUSED, 0);
+  if (ask->tried_count < AB_SCHED_TRIED_MAX)
+    {
+      memcpy (ask->tried[ask->tried_count++], reply->target,
+              sizeof ask->tried[0]);
+      ask_host (call, call->host, call->far);
+    }
+  else
+    {
+      ab_schedule_hosts_silent (task->hosts, call->host, now_ms ());
+      next_host (call);
+    }
+}
+
 static void
 take_grant (struct ab_schedule_call *call, const struct ab_sched_reply *reply)
 {
@@ -343,7 +375,10 @@
   switch (reply.kind)
     {
     case AB_SCHED_GRANTED:
-      take_grant (call, &reply);
+      if (ab_areas_target_ready (task->areas, reply.target))
+        take_grant (call, &reply);
+      else
+        reject_grant (call, &reply);
       break;
     case AB_SCHED_WAITING:
       call->waiting = true;
--- a/src/scheduler_choice.c
+++ b/src/scheduler_choice.c
@@ -3,11 +3,12 @@
 #include "rendezvous.h"
 #include "scheduler_impl.h"
 
-/* While a service is in trouble, a target that got nothing for this long gets
-   a request, one that may be repeated sooner than another: each target has a
-   request within two seconds.  */
-#define TROUBLE_IDLE_MS 1500
-#define TROUBLE_IDLE_REPEATABLE_MS 700
+/* A target that got nothing for this long gets a request next, one that may be
+   repeated sooner than another: most healthy targets have a request within any
+   two seconds, whatever happens then, so that the load is on all of them when
+   some are lost.  */
+#define COVER_MS 1500
+#define COVER_REPEATABLE_MS 900
 /* A target that joined gets a request that may be repeated within this time,
    where there are such; any other then.  */
 #define JOIN_MS 2000
@@ -124,16 +125,21 @@
   return AB_TRUST_PROVEN;
 }
 
-/* Whether TARGET is to be tried because the service is in trouble.  */
+/* Whether TARGET has been idle so long that it gets the next request.  What
+   must not repeat goes to targets that are not trusted only while many
+   requests are not served: trust in few targets must not leave most of a
+   service idle.  */
 static bool
-due_in_trouble (const struct choice *choice,
-                const struct ab_sched_target *target)
+is_due (const struct choice *choice, const struct ab_sched_target *target,
+        enum ab_target_trust trust)
 {
   uint64_t idle_ms = choice->now_ms - target->granted_ms;
 
-  return choice->trouble && target->trials == 0
-         && idle_ms > (choice->ask->idempotent ? TROUBLE_IDLE_REPEATABLE_MS
-                                               : TROUBLE_IDLE_MS);
+  if (target->trials > 0)
+    return false;
+  if (choice->ask->idempotent)
+    return idle_ms > COVER_REPEATABLE_MS && !choice->ask->repeat;
+  return idle_ms > COVER_MS && (trust == AB_TRUST_PROVEN || choice->trouble);
 }
 
 static bool
@@ -146,7 +152,7 @@
       || (choice->near && !is_near (target, choice->ask))
       || ab_sched_path_broken (target, choice->host, choice->now_ms))
     return false;
-  return trust <= choice->least_trust || due_in_trouble (choice, target);
+  return trust <= choice->least_trust || is_due (choice, target, trust);
 }
 
 /* The part of responses that miss the objective.  */
@@ -178,7 +184,7 @@
   bool probes = ask->idempotent && !ask->repeat;
   double cost = ab_target_health_risk (&target->health, choice->now_ms);
 
-  if (due_in_trouble (choice, target))
+  if (is_due (choice, target, trust))
     return COST_FIRST;
   if (trust == AB_TRUST_NEW && !target->used && !ask->repeat
       && (probes || choice->now_ms - target->joined_ms > JOIN_MS))
--- a/tests/test_group_plan.c
+++ b/tests/test_group_plan.c
@@ -135,6 +135,40 @@
 }
 END_TEST
 
-SUITE_MAIN ("group_plan", 10, adds_hosts_that_ask, replaces_a_silent_voter,
-            removes_an_emptied_disk, promotes_only_ready_learners,
-            forgets_silent_learners)
+/* Guards against a minority of the control hosts that holds most votes: with
+   nine hosts split four to five, only the five may go on.  */
+START_TEST (all_hosts_vote)
+{
+  struct ab_group_member members[9];
+  struct ab_group_request none[1] = { request ("a", 0) };
+  struct ab_group_step step;
+  size_t promoted = 3;
+
+  for (int i = 0; i < 9; i++)
+    {
+      const char name[] = { (char)('a' + i), '\0' };
+      members[i] = member (name, "1", i >= 3);
+    }
+  members[0].self = true;
+  for (;;)
+    {
+      size_t wanted = ab_group_voters_wanted (members, 9, 5);
+      ck_assert_uint_eq (wanted, 9);
+      step = PLAN (members, none, wanted);
+      if (step.change == AB_GROUP_NONE)
+        break;
+      ck_assert_int_eq (step.change, AB_GROUP_PROMOTE);
+      members[step.host[0] - 'a'].learner = false;
+      promoted++;
+    }
+  ck_assert_uint_eq (promoted, 9);
+  /* One that is gone for good stops to count.  */
+  members[4].silent_ms = AB_GROUP_FORGET_MS + 1;
+  step = PLAN (members, none, ab_group_voters_wanted (members, 9, 5));
+  assert_step (&step, AB_GROUP_REMOVE, "e");
+}
+END_TEST
+
+SUITE_MAIN ("group_plan", 10, all_hosts_vote, adds_hosts_that_ask,
+            replaces_a_silent_voter, removes_an_emptied_disk,
+            promotes_only_ready_learners, forgets_silent_learners)
