Leave full areas out for a moment; tests of hosts, coverage and evidence

Change: an area that had no slot for a kind of request is not asked again before a slot is expected, 250 ms at most; a request whose objective is gone waits at home.

Tests: bursts of orders at unknown targets, coverage at light load, quick and late evidence, choice of schedulers, full areas, the width of links.

--- a/src/schedule_areas.c
+++ b/src/schedule_areas.c
@@ -21,11 +21,20 @@
   UT_hash_handle hh;
 };
 
+/* An area without a free slot for a kind of request.  */
+struct full
+{
+  char key[3 * AB_NAME_BYTES + 2];
+  uint64_t until_ms;
+  UT_hash_handle hh;
+};
+
 struct ab_areas
 {
   const struct ab_fleet_settings *settings;
   struct known *known;
   struct place *places;
+  struct full *full;
 };
 
 struct ab_areas *
@@ -43,11 +52,20 @@
 {
   struct known *known;
   struct place *place;
+  struct full *full;
 
   if (!areas)
     return;
   known = areas->known;
   place = areas->places;
+  full = areas->full;
+  HASH_CLEAR (hh, areas->full);
+  while (full)
+    {
+      struct full *next = full->hh.next;
+      free (full);
+      full = next;
+    }
   HASH_CLEAR (hh, areas->known);
   HASH_CLEAR (hh, areas->places);
   while (known)
@@ -169,6 +187,49 @@
   moved (ctx, target, area_of (place));
 }
 
+static struct full *
+find_full (const struct ab_areas *areas, const char *service,
+           const struct ab_area *area, bool idempotent,
+           char key[3 * AB_NAME_BYTES + 2])
+{
+  struct full *full = NULL;
+
+  snprintf (key, 3 * AB_NAME_BYTES + 2, "%c%s\n%s\n%s", idempotent ? 'i' : 'o',
+            service, area->region, area->failure_domain);
+  HASH_FIND_STR (areas->full, key, full);
+  return full;
+}
+
+void
+ab_areas_note_full (struct ab_areas *areas, const char *service,
+                    const struct ab_area *area, bool idempotent,
+                    uint64_t wait_ms, uint64_t now_ms)
+{
+  char key[3 * AB_NAME_BYTES + 2];
+  struct full *full = find_full (areas, service, area, idempotent, key);
+
+  if (!full)
+    {
+      full = calloc (1, sizeof *full);
+      if (!full)
+        return; /* It is asked once more.  */
+      memcpy (full->key, key, sizeof full->key);
+      HASH_ADD_STR (areas->full, key, full);
+    }
+  full->until_ms
+      = now_ms + (wait_ms < AB_AREA_FULL_MS ? wait_ms : AB_AREA_FULL_MS);
+}
+
+bool
+ab_areas_is_full (const struct ab_areas *areas, const char *service,
+                  const struct ab_area *area, bool idempotent, uint64_t now_ms)
+{
+  char key[3 * AB_NAME_BYTES + 2];
+  const struct full *full = find_full (areas, service, area, idempotent, key);
+
+  return full && now_ms < full->until_ms;
+}
+
 bool
 ab_areas_target_ready (const struct ab_areas *areas, const char *id)
 {
--- a/src/schedule_areas.h
+++ b/src/schedule_areas.h
@@ -22,6 +22,10 @@
   size_t targets;
 };
 
+/* An area that had no slot is not asked again for this long at most: while all
+   are full, each request would ask every one of them.  */
+#define AB_AREA_FULL_MS 250
+
 struct ab_areas;
 
 struct ab_areas *ab_areas_new (const struct ab_fleet_settings *settings);
@@ -39,6 +43,15 @@
 /* Whether the target ID is known and takes new requests.  */
 bool ab_areas_target_ready (const struct ab_areas *areas, const char *id);
 
+/* AREA had no slot of SERVICE for a request of this kind; one is expected to
+   be free in WAIT_MS.  */
+void ab_areas_note_full (struct ab_areas *areas, const char *service,
+                         const struct ab_area *area, bool idempotent,
+                         uint64_t wait_ms, uint64_t now_ms);
+bool ab_areas_is_full (const struct ab_areas *areas, const char *service,
+                       const struct ab_area *area, bool idempotent,
+                       uint64_t now_ms);
+
 /* The areas of SERVICE in the order in which a host in FAILURE_DOMAIN asks
    them: its own, those of its region, the others.  Returns how many of at most
    MAX were written.  */
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -217,7 +217,9 @@
     {
       const struct ab_area *area = &call->areas[call->away++];
       const char *host = scheduler_host (task, area, call->ask.service);
-      if (host)
+      if (host
+          && !ab_areas_is_full (task->areas, call->ask.service, area,
+                                call->ask.idempotent, now_ms ()))
         {
           ask_area (call, area, host);
           return;
@@ -344,8 +346,14 @@
       call->refusal = reply->kind;
       call->wait_ms = reply->wait_ms;
     }
-  else if (reply->wait_ms < call->wait_ms)
-    call->wait_ms = reply->wait_ms;
+  else
+    {
+      ab_areas_note_full (call->task->areas, call->ask.service,
+                          &call->areas[call->away - 1], call->ask.idempotent,
+                          reply->wait_ms, now_ms ());
+      if (reply->wait_ms < call->wait_ms)
+        call->wait_ms = reply->wait_ms;
+    }
   if (reply->kind == AB_SCHED_BUDGET)
     end_call (call, reply->kind, NULL, reply->wait_ms);
   else
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -213,7 +213,7 @@
   else if (!ask->may_wait
            || (ask->may_move && !ask->idempotent
                && summary.new_free + summary.trial_free > 0)
-           || (ask->may_move
+           || (ask->may_move && ask->objective_ms > 0
                && (double)wait + usual > (double)ask->objective_ms))
     refuse (s, request, AB_SCHED_MOVE, wait, now_ms);
   else
--- a/tests/test_fleet_frames.c
+++ b/tests/test_fleet_frames.c
@@ -89,7 +89,9 @@
 {
   struct ab_fleet_watch_frame watch = { .host = { .peer = "1.1.1.1:1",
                                                   .callers = "1.1.1.1:2",
-                                                  .failure_domain = "d" },
+                                                  .failure_domain = "d",
+                                                  .link_mbps = 100,
+                                                  .takes_callers = true },
                                         .follow = true,
                                         .listed = true,
                                         .index = 8,
@@ -143,6 +145,15 @@
   ck_assert_str_eq (ab_fleet_region (settings, "e"), "q");
   ck_assert_str_eq (ab_fleet_region (settings, "x"), "");
   ab_fleet_settings_free (settings);
+  ck_assert_int_eq (
+      ab_fleet_settings_parse (
+          "f", ab_chunk_str (GATEWAY "domains: {d: r}\nlink_mbps: 100.0\n"),
+          &settings, error),
+      0);
+  ck_assert_double_eq (settings->link_mbps, 100);
+  ab_fleet_settings_free (settings);
+  assert_settings_refused (GATEWAY "domains: {d: r}\nlink_mbps: wide\n",
+                           "number from 0 to");
   assert_settings_refused (GATEWAY "domains: {e: q}\n", "'d'");
   assert_settings_refused (GATEWAY, "domains");
   assert_settings_refused (GATEWAY "domains: {d: r}\nunknown: 1\n", "unknown");
--- a/tests/test_schedule_areas.c
+++ b/tests/test_schedule_areas.c
@@ -125,5 +125,44 @@
 }
 END_TEST
 
-SUITE_MAIN ("schedule_areas", 10, small_domains_share_an_area,
+/* All areas full: each request asks every area in turn, five times the
+   messages at the worst time.  An area that had no slot is left out for a
+   moment, for requests of the same kind only.  */
+START_TEST (full_area_is_left_out_for_a_moment)
+{
+  const struct ab_area area = { .region = "r", .failure_domain = "a" };
+  const struct ab_area other = { .region = "r", .failure_domain = "b" };
+
+  begin ();
+  ab_areas_note_full (areas, "s", &area, false, 60000, 1000);
+  ck_assert (ab_areas_is_full (areas, "s", &area, false, 1001));
+  ck_assert (!ab_areas_is_full (areas, "s", &area, true, 1001));
+  ck_assert (!ab_areas_is_full (areas, "s", &other, false, 1001));
+  ck_assert (!ab_areas_is_full (areas, "t", &area, false, 1001));
+  ck_assert (
+      !ab_areas_is_full (areas, "s", &area, false, 1000 + AB_AREA_FULL_MS));
+  ab_areas_note_full (areas, "s", &area, false, 50, 2000);
+  ck_assert (!ab_areas_is_full (areas, "s", &area, false, 2050));
+  end ();
+}
+END_TEST
+
+/* Guards against a request for a target that is known to drain or to be
+   gone.  */
+START_TEST (only_ready_targets_are_ready)
+{
+  begin ();
+  ck_assert (!ab_areas_target_ready (areas, "1"));
+  set (1, "a", AB_FLEET_TARGET_READY);
+  ck_assert (ab_areas_target_ready (areas, "1"));
+  set (1, "a", AB_FLEET_TARGET_DRAINING);
+  ck_assert (!ab_areas_target_ready (areas, "1"));
+  set (1, "a", AB_FLEET_TARGET_GONE);
+  ck_assert (!ab_areas_target_ready (areas, "1"));
+  end ();
+}
+END_TEST
+
+SUITE_MAIN ("schedule_areas", 10, full_area_is_left_out_for_a_moment,
+            only_ready_targets_are_ready, small_domains_share_an_area,
             areas_change_with_hysteresis, counts_each_target_once)
--- /dev/null
+++ b/tests/test_schedule_hosts.c
@@ -0,0 +1,94 @@
+/* Which host schedules, as one host sees it.  */
+
+#include "schedule_hosts.h"
+
+#include "suite_lib.h"
+
+static struct ab_domain domains[] = { { "a", "r" }, { "b", "r" } };
+static const struct ab_fleet_settings settings
+    = { .domains = domains, .domain_count = 2 };
+static const struct ab_area area_a = { .region = "r", .failure_domain = "a" };
+static const struct ab_area rest = { .region = "r" };
+static struct ab_schedule_hosts *hosts;
+
+static struct ab_fleet_host
+host (const char *peer, const char *domain, uint64_t link_mbps)
+{
+  struct ab_fleet_host result = { .link_mbps = link_mbps };
+
+  ab_chunk_copy (ab_chunk_str (peer), result.peer, sizeof result.peer);
+  ab_chunk_copy (ab_chunk_str (domain), result.failure_domain,
+                 sizeof result.failure_domain);
+  return result;
+}
+
+#define CHOOSE(list, area, now)                                               \
+  ab_schedule_hosts_choose (hosts, list, sizeof (list) / sizeof (list)[0],    \
+                            &(area), "s", now)
+
+/* Guards against asks that wait behind large bodies on a narrow link while
+   there is a wide one.  */
+START_TEST (wide_links_schedule)
+{
+  const struct ab_fleet_host list[]
+      = { host ("1", "a", 2), host ("2", "a", 100), host ("3", "a", 2),
+          host ("4", "b", 1000) };
+
+  hosts = ab_schedule_hosts_new (&settings);
+  ck_assert_str_eq (CHOOSE (list, area_a, 1000), "2");
+  ck_assert_str_eq (CHOOSE (list, rest, 1000), "4");
+  /* Better a narrow one than none.  */
+  ab_schedule_hosts_silent (hosts, "2", 1000);
+  ck_assert_str_ne (CHOOSE (list, area_a, 1001), "2");
+  ck_assert_ptr_nonnull (CHOOSE (list, area_a, 1001));
+  ab_schedule_hosts_free (hosts);
+}
+END_TEST
+
+/* Guards against two schedulers for the same targets: the choice depends on
+   the list alone, not on its order.  */
+START_TEST (hosts_agree)
+{
+  const struct ab_fleet_host list[]
+      = { host ("1", "a", 0), host ("2", "a", 0), host ("3", "a", 0) };
+  const struct ab_fleet_host reversed[] = { list[2], list[1], list[0] };
+
+  hosts = ab_schedule_hosts_new (&settings);
+  ck_assert_str_eq (CHOOSE (list, area_a, 1), CHOOSE (reversed, area_a, 1));
+  ab_schedule_hosts_free (hosts);
+}
+END_TEST
+
+/* Guards against every request waiting for a host that does not answer, and
+   against one that is left out for good.  */
+START_TEST (silent_host_is_left_out_for_a_while)
+{
+  const struct ab_fleet_host list[] = { host ("1", "a", 0) };
+
+  hosts = ab_schedule_hosts_new (&settings);
+  ck_assert_str_eq (CHOOSE (list, area_a, 1000), "1");
+  ab_schedule_hosts_silent (hosts, "1", 1000);
+  ck_assert_ptr_null (CHOOSE (list, area_a, 1100));
+  ck_assert_str_eq (CHOOSE (list, area_a, 3000), "1");
+  ab_schedule_hosts_free (hosts);
+}
+END_TEST
+
+/* Guards against asks that are given up while connections come up after a
+   start: each host would then schedule for itself.  */
+START_TEST (first_answer_has_more_time)
+{
+  uint64_t first;
+
+  hosts = ab_schedule_hosts_new (&settings);
+  first = ab_schedule_hosts_answer_ms (hosts, "1", false);
+  ab_schedule_hosts_heard (hosts, "1");
+  ck_assert_uint_lt (ab_schedule_hosts_answer_ms (hosts, "1", false),
+                     ab_schedule_hosts_answer_ms (hosts, "1", true));
+  ck_assert_uint_lt (ab_schedule_hosts_answer_ms (hosts, "1", true), first);
+  ab_schedule_hosts_free (hosts);
+}
+END_TEST
+
+SUITE_MAIN ("schedule_hosts", 10, wide_links_schedule, hosts_agree,
+            silent_host_is_left_out_for_a_while, first_answer_has_more_time)
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -284,6 +284,61 @@
 }
 END_TEST
 
+/* A start, or a new scheduler: nothing is known of any target, a quarter of
+   them may be gray, and a burst of orders arrives.  They wait until a few
+   tried targets turn out to work.  */
+START_TEST (burst_of_orders_tries_few_targets)
+{
+  unsigned granted = 0;
+
+  begin (12);
+  for (uint64_t id = 1; id <= 12; id++)
+    granted += ask (id, false)->granted;
+  ck_assert_uint_ge (granted, 1);
+  ck_assert_uint_le (granted, 2);
+  for (int i = 0; i < 10; i++)
+    {
+      now += AB_SCHED_TICK_MS;
+      ab_scheduler_tick (sched, now);
+    }
+  granted = 0;
+  for (uint64_t id = 1; id <= 12; id++)
+    granted += replays[id].granted;
+  ck_assert_uint_eq (granted, 12);
+  ab_scheduler_free (sched);
+}
+END_TEST
+
+/* Light load, then a loss of many requests at any moment: in the two seconds
+   before, most targets must have had a request, though few could carry the
+   load.  */
+START_TEST (light_load_covers_targets)
+{
+  uint64_t last_ms[8];
+  uint64_t id = 100;
+
+  begin (8);
+  prove (8, 1);
+  for (unsigned i = 0; i < 8; i++)
+    last_ms[i] = now;
+  for (unsigned step = 0; step < 1000; step++)
+    {
+      id++;
+      if (ask (id, false)->granted)
+        {
+          last_ms[replays[id].target] = now;
+          end (id, AB_TARGET_OK);
+        }
+      now += 20;
+      if (step % 3 == 0)
+        ab_scheduler_tick (sched, now);
+      for (unsigned i = 0; i < 8; i++)
+        ck_assert_uint_le (now - last_ms[i], 2000);
+    }
+  ab_scheduler_free (sched);
+}
+END_TEST
+
 /* Gray target, again: requests that may be repeated find out that it is well,
    one at a time.  */
 START_TEST (gray_target_is_tried_with_repeatable_requests)
@@ -680,7 +735,8 @@
 END_TEST
 
 SUITE_MAIN ("scheduler", 30, gray_target_gets_no_orders,
-            gray_turns_cost_few_orders,
+            gray_turns_cost_few_orders, burst_of_orders_tries_few_targets,
+            light_load_covers_targets,
             gray_target_is_tried_with_repeatable_requests,
             waiting_goes_by_priority, overload_serves_urgent_and_refuses_early,
             short_burst_is_served_whole, repeats_stay_within_budget,
--- a/tests/test_target_health.c
+++ b/tests/test_target_health.c
@@ -90,7 +90,61 @@
 }
 END_TEST
 
-SUITE_MAIN ("target_health", 10,
+/* Guards against a gray target that is taken for a healthy one with bad luck:
+   a failure that comes at once takes it out, one after the usual time does
+   not.  */
+START_TEST (quick_failure_weighs_more)
+{
+  for (int quick = 0; quick < 2; quick++)
+    {
+      health = (struct ab_target_health){ 0 };
+      for (uint64_t now = 1000; now < 1500; now += 100)
+        note (AB_TARGET_OK, now);
+      ab_target_health_note (&health, AB_TARGET_ERROR, quick ? 1 : 100, 100,
+                             1500);
+      ck_assert_int_eq (trust (1500) == AB_TRUST_OUT, quick);
+    }
+}
+END_TEST
+
+/* Guards against orders that wait for a whole response before a target counts
+   as working, and against hanging requests that make it ever surer.  */
+START_TEST (outlasted_failures_prove_a_little)
+{
+  double risk;
+
+  health = (struct ab_target_health){ 0 };
+  ck_assert (!ab_target_health_outlasted (10, 100));
+  ck_assert (ab_target_health_outlasted (30, 100));
+  ab_target_health_note_working (&health, 1000);
+  ck_assert_int_eq (trust (1000), AB_TRUST_PROVEN);
+  for (int i = 0; i < 10; i++)
+    ab_target_health_note_working (&health, 1000);
+  risk = ab_target_health_risk (&health, 1000);
+  for (int i = 0; i < 3; i++)
+    note (AB_TARGET_OK, 1000);
+  ck_assert (ab_target_health_risk (&health, 1000) < risk);
+}
+END_TEST
+
+/* Guards against a slow target that takes a second request while the first is
+   late.  */
+START_TEST (late_requests_count)
+{
+  double before;
+
+  health = (struct ab_target_health){ 0 };
+  note (AB_TARGET_OK, 1000);
+  before = ab_target_health_risk (&health, 1000);
+  ab_target_health_note_late (&health, 1000);
+  ck_assert (ab_target_health_risk (&health, 1000) > before);
+  note (AB_TARGET_OK, 1000);
+  ck_assert_int_eq (trust (1000), AB_TRUST_PROVEN);
+}
+END_TEST
+
+SUITE_MAIN ("target_health", 10, quick_failure_weighs_more,
+            outlasted_failures_prove_a_little, late_requests_count,
             one_failure_of_a_working_target_is_a_suspicion,
             two_failures_take_it_out,
             first_failure_of_a_new_target_takes_it_out,
