Try a silent scheduler with one request at a time, ever less often

Change: a host is left out for 0.6 s to 4.8 s, twice as long each time, then one request tries it; the longer time for a first answer holds only in the 5 s after this host's own start.

--- a/src/schedule_hosts.c
+++ b/src/schedule_hosts.c
@@ -8,12 +8,19 @@
 /* Several times a round trip within a region, and between regions.  */
 #define ANSWER_MS 80
 #define ANSWER_FAR_MS 180
-/* Of a host that was never heard: a connection and, after a common start, a
-   burst of asks.  */
+/* Of a host that was never heard, within START_MS of this host's start: after
+   a common start connections come up and bursts of asks arrive.  Later a
+   request may have to ask one silent host after the other.  */
 #define ANSWER_FIRST_MS 450
-/* A host that did not answer is left out this long, so that not every request
-   waits for it, and its link is not filled with asks.  */
+#define START_MS 5000
+/* A host that did not answer is left out this long, twice as long each further
+   time, so that requests do not wait for it and hosts that are cut off from it
+   agree on another one.  */
 #define SILENT_MS 600
+#define SILENT_MAX_MS 4800
+/* Then one request tries it, and others when that had no answer for so
+   long.  */
+#define TRIAL_MS 500
 /* Links with less than this part of the widest one are narrow.  */
 #define NARROW_PART 2
 
@@ -21,23 +28,29 @@
 {
   char host[AB_ADDRESS_BYTES];
   bool heard;
+  unsigned silences; /* Since it was heard.  */
   uint64_t silent_until_ms;
+  uint64_t tried_ms; /* When it was asked after a silence.  */
   UT_hash_handle hh;
 };
 
 struct ab_schedule_hosts
 {
   const struct ab_fleet_settings *settings;
+  uint64_t started_ms;
   struct known *known;
 };
 
 struct ab_schedule_hosts *
-ab_schedule_hosts_new (const struct ab_fleet_settings *settings)
+ab_schedule_hosts_new (const struct ab_fleet_settings *settings,
+                       uint64_t now_ms)
 {
   struct ab_schedule_hosts *hosts = calloc (1, sizeof *hosts);
 
-  if (hosts)
-    hosts->settings = settings;
+  if (!hosts)
+    return NULL;
+  hosts->settings = settings;
+  hosts->started_ms = now_ms;
   return hosts;
 }
 
@@ -90,7 +103,9 @@
 {
   const struct known *known = find_known (hosts, host);
 
-  return known && now_ms < known->silent_until_ms;
+  return known && known->silences > 0
+         && (now_ms < known->silent_until_ms
+             || now_ms < known->tried_ms + TRIAL_MS);
 }
 
 static bool
@@ -149,11 +164,11 @@
 
 uint64_t
 ab_schedule_hosts_answer_ms (const struct ab_schedule_hosts *hosts,
-                             const char *host, bool far)
+                             const char *host, bool far, uint64_t now_ms)
 {
   const struct known *known = find_known (hosts, host);
 
-  if (!known || !known->heard)
+  if ((!known || !known->heard) && now_ms < hosts->started_ms + START_MS)
     return ANSWER_FIRST_MS;
   return far ? ANSWER_FAR_MS : ANSWER_MS;
 }
@@ -163,8 +178,20 @@
 {
   struct known *known = get_known (hosts, host);
 
-  if (known)
-    known->heard = true;
+  if (!known)
+    return;
+  known->heard = true;
+  known->silences = 0;
+}
+
+void
+ab_schedule_hosts_asked (struct ab_schedule_hosts *hosts, const char *host,
+                         uint64_t now_ms)
+{
+  struct known *known = find_known (hosts, host);
+
+  if (known && known->silences > 0)
+    known->tried_ms = now_ms;
 }
 
 void
@@ -172,7 +199,12 @@
                           uint64_t now_ms)
 {
   struct known *known = get_known (hosts, host);
+  uint64_t time = SILENT_MS;
 
-  if (known && now_ms >= known->silent_until_ms)
-    known->silent_until_ms = now_ms + SILENT_MS;
+  if (!known || now_ms < known->silent_until_ms)
+    return;
+  for (unsigned i = 0; i < known->silences && time < SILENT_MAX_MS; i++)
+    time *= 2;
+  known->silences++;
+  known->silent_until_ms = now_ms + time;
 }
--- a/src/schedule_hosts.h
+++ b/src/schedule_hosts.h
@@ -17,7 +17,8 @@
 struct ab_schedule_hosts;
 
 struct ab_schedule_hosts *
-ab_schedule_hosts_new (const struct ab_fleet_settings *settings);
+ab_schedule_hosts_new (const struct ab_fleet_settings *settings,
+                       uint64_t now_ms);
 void ab_schedule_hosts_free (struct ab_schedule_hosts *hosts);
 
 /* The peer address of the scheduler for SERVICE in AREA among LIST, or null
@@ -29,8 +30,12 @@
 
 /* How long HOST, in the own region or FAR, has for an answer to an ask.  */
 uint64_t ab_schedule_hosts_answer_ms (const struct ab_schedule_hosts *hosts,
-                                      const char *host, bool far);
+                                      const char *host, bool far,
+                                      uint64_t now_ms);
 
+/* HOST is asked; after a silence, others wait for the outcome.  */
+void ab_schedule_hosts_asked (struct ab_schedule_hosts *hosts,
+                              const char *host, uint64_t now_ms);
 /* HOST answered, or did not in that time.  */
 void ab_schedule_hosts_heard (struct ab_schedule_hosts *hosts,
                               const char *host);
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -175,8 +175,9 @@
   call->far = far;
   if (host != call->host)
     ab_chunk_copy (ab_chunk_str (host), call->host, sizeof call->host);
+  ab_schedule_hosts_asked (call->task->hosts, call->host, now);
   send_ask (call);
-  arm (call, ab_schedule_hosts_answer_ms (call->task->hosts, host, far));
+  arm (call, ab_schedule_hosts_answer_ms (call->task->hosts, host, far, now));
 }
 
 static void next_host (struct ab_schedule_call *call);
@@ -590,7 +591,7 @@
           .repeat_window_ms = settings->repeat_window_ms };
 
   task->areas = ab_areas_new (settings);
-  task->hosts = ab_schedule_hosts_new (settings);
+  task->hosts = ab_schedule_hosts_new (settings, now_ms ());
   task->scheduler = ab_scheduler_new (&config, &scheduler_ops, task);
   task->tick = event_new (task->daemon->base, -1, EV_PERSIST, on_tick, task);
   if (!task->areas || !task->hosts || !task->scheduler || !task->tick
