Satisfy the analyser in the scheduler's lists

Cause: clang-tidy cannot follow uthash and utlist in functions that other files call, and wants parentheses around negative constants.

Ruled out: assertions (the linter's build defines NDEBUG).

Change: two conditions that always hold; parentheses.

Measured: clang-tidy is silent on the three files; test_scheduler passes.

Conclusion: no change of behaviour.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -107,7 +107,9 @@
       DL_DELETE (service->waiting, request);
       service->waiting_count--;
     }
-  HASH_DEL (s->requests, request);
+  /* Always: the analyser cannot follow the table.  */
+  if (s->requests && s->requests->hh.tbl)
+    HASH_DEL (s->requests, request);
   free (request);
 }
 
--- a/src/scheduler_choice.c
+++ b/src/scheduler_choice.c
@@ -20,13 +20,13 @@
 #define COST_LATE 0.5
 /* What may be repeated costs a repeat when it fails, and tells more the less
    sure the target is: it goes where least is known.  */
-#define COST_RISK_REPEATABLE -0.3
+#define COST_RISK_REPEATABLE (-0.3)
 /* How much less a target that sheds all is wanted.  */
 #define COST_SHED 0.5
 /* Between targets that are alike, the one with fewer requests.  */
 #define COST_LOAD 0.002
 /* Put before and behind all others.  */
-#define COST_FIRST -10.0
+#define COST_FIRST (-10.0)
 #define COST_LAST 10.0
 /* Work at an expected time of this part of the objective is never late, at
    this plus the range always.  */
--- a/src/scheduler_targets.c
+++ b/src/scheduler_targets.c
@@ -37,8 +37,13 @@
 void
 ab_sched_forget_target (struct ab_scheduler *s, struct ab_sched_target *target)
 {
-  DL_DELETE (target->service->targets, target);
-  HASH_DEL (s->targets, target);
+  struct ab_sched_service *service = target->service;
+
+  /* Always: the analyser cannot follow the list and the table.  */
+  if (target->prev == target || service->targets != target || target->next)
+    DL_DELETE (service->targets, target);
+  if (s->targets && s->targets->hh.tbl)
+    HASH_DEL (s->targets, target);
   free (target);
 }
 
