Harm the paths to targets in the fault soak

Cause: the soak injected signals and emptied disks; connections were never delayed, reset, cut one way or silenced.

Change: gf_start_proxy puts the fault proxy before targets; the soak harms the path to one target at a time in eight ways and heals it, with connections left out of step.

--- a/tests/fleet_soak.c
+++ b/tests/fleet_soak.c
@@ -206,11 +206,32 @@
   gf_start_target (&soak->fleet, number, GF_SOUND);
 }
 
+/* Harms the path to one target, and heals it after a while; connections that
+   lost bytes stay open and silent, or out of step.  */
+static void
+harm_path (struct soak *soak)
+{
+  static const char *const faults[] = { "up=drop",           "down=drop",
+                                        "up=drop&down=drop", "delay_ms=250",
+                                        "up_delay_ms=700",   "mode=reset",
+                                        "mode=close",        "bandwidth=300" };
+  int number = draw (soak, TARGETS) + 1;
+
+  gf_fault_path (&soak->fleet, number, faults[draw (soak, 8)]);
+  fleet_sleep_ms (200 + draw (soak, 1800));
+  gf_fault_path (&soak->fleet, number,
+                 "mode=pass&up=pass&down=pass&delay_ms=0&bandwidth=0");
+}
+
 static void
 play_fault (struct soak *soak)
 {
-  switch (draw (soak, 9))
+  switch (draw (soak, 11))
     {
+    case 9:
+    case 10:
+      harm_path (soak);
+      break;
     case 0:
     case 1:
       change_bundle (soak);
@@ -299,6 +320,7 @@
   fflush (stdout);
   ab_rng_init_seeded (&soak.rng, seed);
   gf_start (&soak.fleet, "gf_soak", CONTROLS, GATEWAYS);
+  gf_start_proxy (&soak.fleet);
   for (int i = 1; i <= TARGETS; i++)
     gf_start_target (&soak.fleet, i, GF_SOUND);
   for (int i = 1; i <= GATEWAYS; i++)
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -29,6 +29,9 @@
 #define SEEDS 3
 #define GATEWAY_OFFSET 20
 #define TARGET_OFFSET 40
+#define PROXIED_OFFSET 60
+#define PROXY_HOST 80
+#define PROXY_PORT 8083
 #define ANNOUNCE_MS 300
 #define POLL_MS 50
 #define START_MS 30000
@@ -203,6 +206,7 @@
     gf_kill (&fleet->gateway_pids[i]);
   for (int i = 0; i <= GF_CONTROLS_MAX; i++)
     gf_kill (&fleet->control_pids[i]);
+  gf_kill (&fleet->proxy_pid);
   remove_folder (fleet->folder);
 }
 
@@ -350,7 +354,8 @@
   target.base = event_base_new ();
   http = evhttp_new (target.base);
   snprintf (host, sizeof host, "127.%d.%d.%d", fleet->block[0],
-            fleet->block[1], number + TARGET_OFFSET);
+            fleet->block[1],
+            number + (fleet->proxy_pid ? PROXIED_OFFSET : TARGET_OFFSET));
   if (!target.runs || evhttp_bind_socket (http, host, TARGET_PORT) < 0)
     _exit (EXIT_FAILURE);
   evhttp_set_gencb (http, on_target_request, &target);
@@ -361,6 +366,64 @@
   _exit (EXIT_SUCCESS);
 }
 
+static const char *
+proxy_control (const struct gf_fleet *fleet, char *out, size_t size)
+{
+  print_address (fleet, PROXY_HOST, PROXY_PORT, out, size);
+  return out;
+}
+
+void
+gf_start_proxy (struct gf_fleet *fleet)
+{
+  char pairs[GF_TARGETS_MAX][160];
+  char control[64];
+  char program[256];
+  char log[256];
+  const char *arguments[2 * GF_TARGETS_MAX + 3] = { "--control" };
+  const char *build = getenv ("AB_BUILD");
+  int used = 1;
+
+  arguments[used++] = proxy_control (fleet, control, sizeof control);
+  for (int i = 1; i <= GF_TARGETS_MAX; i++)
+    {
+      char announced[64];
+      char real[64];
+      print_address (fleet, i + TARGET_OFFSET, TARGET_PORT, announced,
+                     sizeof announced);
+      print_address (fleet, i + PROXIED_OFFSET, TARGET_PORT, real,
+                     sizeof real);
+      snprintf (pairs[i - 1], sizeof pairs[0], "%s=%s", announced, real);
+      arguments[used++] = "--pair";
+      arguments[used++] = pairs[i - 1];
+    }
+  snprintf (program, sizeof program, "%s/standins/faultproxy",
+            build ? build : "build");
+  snprintf (log, sizeof log, "%s/proxy.log", fleet->folder);
+  fleet->proxy_pid = fleet_spawn_program (program, arguments, log);
+  ck_assert_int_gt (fleet->proxy_pid, 0);
+  for (int waited = 0;
+       fleet_http (control, "GET", "/pair/all", NULL, NULL, NULL) != 200;
+       waited += POLL_MS)
+    {
+      ck_assert_int_lt (waited, START_MS);
+      fleet_sleep_ms (POLL_MS);
+    }
+}
+
+void
+gf_fault_path (struct gf_fleet *fleet, int number, const char *query)
+{
+  char control[64];
+  char path[128];
+
+  /* Pairs are counted from 0.  */
+  snprintf (path, sizeof path, "/pair/%d?%s", number - 1, query);
+  ck_assert_int_eq (fleet_http (proxy_control (fleet, control, sizeof control),
+                                "PUT", path, NULL, "", NULL),
+                    200);
+}
+
 void
 gf_start_target (struct gf_fleet *fleet, int number, enum gf_fault fault)
 {
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -2,7 +2,8 @@
    targets that write down every request that they run.
 
    Every fleet has its own block of 127.x.y.0/24.  Control host N (from 1)
-   listens on .N, gateway N on .(N + 20), target N on .(N + 40).  */
+   listens on .N, gateway N on .(N + 20), target N on .(N + 40); behind a proxy
+   a target listens on .(N + 60).  */
 
 #ifndef GATEWAY_FLEET_LIB_H
 #define GATEWAY_FLEET_LIB_H
@@ -34,6 +35,7 @@
   pid_t control_pids[GF_CONTROLS_MAX + 1];
   pid_t gateway_pids[GF_GATEWAYS_MAX + 1];
   pid_t target_pids[GF_TARGETS_MAX + 1];
+  pid_t proxy_pid;  /* Before the targets; 0: none.  */
   char address[64]; /* Of the last gf_address.  */
 };
 
@@ -49,6 +51,13 @@
 void gf_kill (pid_t *pid);
 void gf_empty_disk (struct gf_fleet *fleet, int number);
 
+/* Puts a proxy before the targets that are started afterwards; it alone is
+   announced.  */
+void gf_start_proxy (struct gf_fleet *fleet);
+/* Sets the fault of the path to target NUMBER, "up=drop&delay_ms=20" and so
+   on; see faultproxy.  */
+void gf_fault_path (struct gf_fleet *fleet, int number, const char *query);
+
 /* Starts target NUMBER of service "shop"; it announces itself until it is
    killed.  */
 void gf_start_target (struct gf_fleet *fleet, int number, enum gf_fault fault);
