--- /dev/null
+++ b/bench/bench_scheduler.c
@@ -0,0 +1,123 @@
+/* Processor time of an ask and its outcome in the scheduler, by the number of
+   targets and of requests that wait.  */
+
+#include <stdio.h>
+
+#include "clock.h"
+#include "scheduler.h"
+
+#define SLOTS 6
+#define ROUNDS 4000
+#define OPEN_MAX 4096
+#define TARGETS_LEAST 36
+#define TARGETS_MOST 288
+#define WAITING_STEP 200
+#define WAITING_MOST 400
+#define LATENCY_MS 200
+#define PATIENCE_MS 600000
+
+/* Ids of granted requests, oldest first.  */
+struct load
+{
+  struct ab_scheduler *scheduler;
+  uint64_t now_ms;
+  uint64_t next_id;
+  uint64_t open[OPEN_MAX];
+  size_t begun;
+  size_t ended;
+};
+
+static void
+on_decide (void *ctx, const struct ab_sched_ask *ask,
+           const struct ab_sched_reply *reply)
+{
+  struct load *load = ctx;
+
+  if (reply->kind == AB_SCHED_GRANTED)
+    load->open[load->begun++ % OPEN_MAX] = ask->id;
+}
+
+static const struct ab_scheduler_ops ops = { .decide = on_decide };
+
+static void
+add_targets (struct load *load, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      struct ab_fleet_target target = { .service = "s",
+                                        .failure_domain = "d",
+                                        .born = 1,
+                                        .slots = SLOTS,
+                                        .state = AB_FLEET_TARGET_READY };
+      snprintf (target.id, sizeof target.id, "%u", i);
+      ab_scheduler_set_target (load->scheduler, &target, "", load->now_ms);
+    }
+}
+
+static void
+ask (struct load *load, bool idempotent)
+{
+  const struct ab_sched_ask request = { .id = load->next_id++,
+                                        .host = "h",
+                                        .failure_domain = "d",
+                                        .service = "s",
+                                        .idempotent = idempotent,
+                                        .may_wait = true,
+                                        .objective_ms = PATIENCE_MS,
+                                        .time_ms = PATIENCE_MS };
+
+  ab_scheduler_ask (load->scheduler, &request, load->now_ms);
+}
+
+static void
+end_oldest (struct load *load)
+{
+  if (load->ended < load->begun)
+    ab_scheduler_outcome (load->scheduler,
+                          load->open[load->ended++ % OPEN_MAX], AB_TARGET_OK,
+                          LATENCY_MS, load->now_ms);
+}
+
+static void
+measure (unsigned targets, unsigned waiting)
+{
+  const struct ab_scheduler_config config = { .repeat_fraction = 0.2,
+                                              .repeat_extra = 64,
+                                              .repeat_window_ms = 10000 };
+  struct load load = { .now_ms = 100000, .next_id = 1 };
+  unsigned busy = waiting > 0 ? targets * SLOTS : targets * SLOTS / 2;
+  uint64_t begin_us;
+
+  load.scheduler = ab_scheduler_new (&config, &ops, &load);
+  add_targets (&load, targets);
+  for (unsigned i = 0; i < busy; i++)
+    {
+      ask (&load, i % 4 == 0);
+      load.now_ms += 2;
+      if (i % 25 == 0)
+        ab_scheduler_tick (load.scheduler, load.now_ms);
+    }
+  for (unsigned i = 0; i < waiting; i++)
+    ask (&load, false);
+  begin_us = ab_clock_monotonic_us ();
+  for (unsigned i = 0; i < ROUNDS; i++)
+    {
+      end_oldest (&load);
+      ask (&load, i % 4 == 0);
+      load.now_ms += 2;
+    }
+  printf ("| %u | %u | %.1f |\n", targets, waiting,
+          (double)(ab_clock_monotonic_us () - begin_us) / ROUNDS);
+  ab_scheduler_free (load.scheduler);
+}
+
+int
+main (void)
+{
+  printf ("| targets | waiting | us an ask and outcome |\n|---|---|---|\n");
+  for (unsigned targets = TARGETS_LEAST; targets <= TARGETS_MOST; targets *= 2)
+    for (unsigned waiting = 0; waiting <= WAITING_MOST;
+         waiting += WAITING_STEP)
+      measure (targets, waiting);
+  return 0;
+}
