Test that an unread log delays no request

Cause: the promise that nothing waits for the log's reader had no test with real processes.

Change: a gateway logs into a pipe of one page that nobody reads; 400 orders are answered within half a second each, and the pipe is checked to hold unread bytes.

--- a/tests/fleet_gateway.c
+++ b/tests/fleet_gateway.c
@@ -1,11 +1,15 @@
 /* Gateways, a control group and targets as real processes: what callers,
    targets and operators are promised, under kills, lost disks and faults.  */
 
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include "fleet_lib.h"
 #include "clock.h"
@@ -224,6 +228,47 @@
 }
 END_TEST
 
+#define UNREAD_REQUESTS 400
+#define PIPE_BYTES 4096 /* A page, the least.  */
+#define UNREAD_REQUEST_MS 500
+
+/* Guards against requests that wait for a reader of standard output: the log
+   goes to a pipe that nobody reads, and is longer than the pipe holds.  */
+START_TEST (unread_log_delays_nothing)
+{
+  struct gf_fleet fleet;
+  char path[256];
+  char id[32];
+  int pipe_fd;
+  int unread = 0;
+
+  gf_start (&fleet, "gf_pipe", 3, 1);
+  gf_start_target (&fleet, 1, GF_SOUND);
+  gf_kill (&fleet.gateway_pids[1]);
+  snprintf (path, sizeof path, "%s/gateway1.log", fleet.folder);
+  ck_assert_int_eq (unlink (path), 0);
+  ck_assert_int_eq (mkfifo (path, 0600), 0);
+  pipe_fd = open (path, O_RDWR);
+  ck_assert_int_ge (pipe_fd, 0);
+  ck_assert_int_ge (fcntl (pipe_fd, F_SETPIPE_SZ, PIPE_BYTES), 0);
+  gf_start_gateway (&fleet, 1);
+  ck_assert (gf_wait_status (&fleet, 1, "/look/1", 200, READY_MS));
+  for (int i = 0; i < UNREAD_REQUESTS; i++)
+    {
+      uint64_t begin = ab_clock_monotonic_ms (ab_clock_system ());
+      snprintf (id, sizeof id, "unread-%d", i);
+      ck_assert_int_eq (gf_request (&fleet, 1, "POST", "/shop/1", id, NULL),
+                        200);
+      ck_assert_uint_lt (ab_clock_monotonic_ms (ab_clock_system ()) - begin,
+                         UNREAD_REQUEST_MS);
+    }
+  ck_assert_int_eq (ioctl (pipe_fd, FIONREAD, &unread), 0);
+  ck_assert_int_gt (unread, PIPE_BYTES / 2);
+  close (pipe_fd);
+  gf_stop (&fleet);
+}
+END_TEST
+
 /* Guards against a planned stop that cuts a request under way or takes new
    callers.  */
 START_TEST (planned_stop_cuts_nothing)
@@ -304,5 +349,6 @@
 SUITE_MAIN ("fleet_gateway", TEST_S, serves_and_follows_bundles,
             one_winner_for_each_base, runs_at_most_once,
             acknowledged_drain_binds, group_heals_alone,
-            requests_wait_for_the_first_bundle, no_bundle_is_told_in_time,
-            planned_stop_cuts_nothing, logs_explain_failures)
+            unread_log_delays_nothing, requests_wait_for_the_first_bundle,
+            no_bundle_is_told_in_time, planned_stop_cuts_nothing,
+            logs_explain_failures)
