Split the scheduler's tests; share their replay

Change: scheduler_replay_lib.c holds the simulated load, test_scheduler_gray.c the tests of gray, hanging and unknown targets.

--- /dev/null
+++ b/tests/scheduler_replay_lib.c
@@ -0,0 +1,109 @@
+#include "scheduler_replay_lib.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "suite_lib.h"
+
+struct ab_scheduler *replay_sched;
+struct replay replay_requests[REPLAY_REQUESTS_MAX];
+unsigned replay_in_flight[REPLAY_TARGETS_MAX];
+unsigned replay_most_in_flight;
+uint64_t replay_now_ms;
+
+static void
+on_decide (void *ctx, const struct ab_sched_ask *ask,
+           const struct ab_sched_reply *reply)
+{
+  struct replay *replay = &replay_requests[ask->id];
+
+  (void)ctx;
+  ck_assert_uint_eq (reply->id, ask->id);
+  replay->kind = reply->kind;
+  if (reply->kind == AB_SCHED_WAITING || replay->granted)
+    return;
+  replay->decided = true;
+  replay->decided_ms = replay_now_ms;
+  if (reply->kind != AB_SCHED_GRANTED)
+    return;
+  replay->granted = true;
+  replay->target = (unsigned)atoi (reply->target);
+  replay->ends_ms = replay_now_ms + REPLAY_WORK_MS;
+  if (++replay_in_flight[replay->target] > replay_most_in_flight)
+    replay_most_in_flight = replay_in_flight[replay->target];
+}
+
+static const struct ab_scheduler_ops ops = { .decide = on_decide };
+
+void
+replay_set_target (unsigned number, const char *domain,
+                   enum ab_fleet_target_state state)
+{
+  struct ab_fleet_target t
+      = { .service = "s", .born = 1, .slots = 2, .state = state };
+
+  snprintf (t.id, sizeof t.id, "%u", number);
+  snprintf (t.address, sizeof t.address, "10.0.0.%u:80", number);
+  ab_chunk_copy (ab_chunk_str (domain), t.failure_domain,
+                 sizeof t.failure_domain);
+  ab_scheduler_set_target (replay_sched, &t, "", replay_now_ms);
+}
+
+void
+replay_begin (unsigned targets)
+{
+  const struct ab_scheduler_config config = { .repeat_fraction = 0.2,
+                                              .repeat_extra = 8,
+                                              .repeat_window_ms = 10000 };
+
+  memset (replay_requests, 0, sizeof replay_requests);
+  memset (replay_in_flight, 0, sizeof replay_in_flight);
+  replay_most_in_flight = 0;
+  replay_now_ms = 100000;
+  replay_sched = ab_scheduler_new (&config, &ops, NULL);
+  for (unsigned i = 0; i < targets; i++)
+    replay_set_target (i, "d", AB_FLEET_TARGET_READY);
+}
+
+struct ab_sched_ask
+replay_make_ask (uint64_t id, bool idempotent)
+{
+  struct ab_sched_ask ask = { .id = id,
+                              .host = "h",
+                              .failure_domain = "d",
+                              .service = "s",
+                              .idempotent = idempotent,
+                              .may_wait = true,
+                              .objective_ms = 600,
+                              .time_ms = 1200 };
+
+  return ask;
+}
+
+struct replay *
+replay_ask (uint64_t id, bool idempotent)
+{
+  struct ab_sched_ask a = replay_make_ask (id, idempotent);
+
+  ab_scheduler_ask (replay_sched, &a, replay_now_ms);
+  return &replay_requests[id];
+}
+
+void
+replay_end (uint64_t id, enum ab_target_event event)
+{
+  replay_in_flight[replay_requests[id].target]--;
+  replay_requests[id].ends_ms = 0;
+  ab_scheduler_outcome (replay_sched, id, event, REPLAY_WORK_MS,
+                        replay_now_ms);
+}
+
+/* Makes every target proven.  */
+void
+replay_prove (unsigned targets, uint64_t first_id)
+{
+  for (unsigned i = 0; i < targets; i++)
+    replay_ask (first_id + i, true);
+  for (unsigned i = 0; i < targets; i++)
+    replay_end (first_id + i, AB_TARGET_OK);
+}
--- /dev/null
+++ b/tests/test_scheduler_gray.c
@@ -0,0 +1,283 @@
+/* Targets that turn gray, hang or are unknown: what the scheduler sends where.
+ */
+
+#include "scheduler_replay_lib.h"
+
+#include <math.h>
+
+#include "suite_lib.h"
+
+/* Gray target: after one failure of an unproven target no request that must
+   not repeat goes there, while others do well.  */
+START_TEST (gray_target_gets_no_orders)
+{
+  struct replay *replay;
+
+  replay_begin (3);
+  replay_prove (3, 1);
+  replay_ask (10, false);
+  replay_end (10, AB_TARGET_ERROR);
+  for (uint64_t id = 20; id < 60; id++)
+    {
+      replay = replay_ask (id, false);
+      ck_assert (replay->granted);
+      ck_assert_uint_ne (replay->target, replay_requests[10].target);
+      replay_end (id, AB_TARGET_OK);
+      replay_now_ms += 20;
+    }
+  ab_scheduler_free (replay_sched);
+}
+END_TEST
+
+/* Targets that turn gray and recover, each by itself, in a service at half of
+   its load: for seconds, GRAY of a target's requests fail at once.  */
+#define GRAY_TARGETS 12
+#define GRAY_MEAN_MS 9000
+#define HEALTHY_MEAN_MS 21000
+#define GRAY_FAILS 0.9
+#define GRAY_LATENCY_MS 1
+#define GRAY_REPLAY_MS 60000
+#define GRAY_WARM_MS 5000
+/* Healthy targets fail after they worked.  */
+#define CHANCE_FAILS 0.012
+
+struct gray_replay
+{
+  struct ab_rng rng;
+  bool gray[GRAY_TARGETS];
+  uint64_t turns_ms[GRAY_TARGETS];
+  bool gray_then[REPLAY_REQUESTS_MAX]; /* When the request began.  */
+  bool noted[REPLAY_REQUESTS_MAX];     /* Its fate is decided.  */
+  bool fails[REPLAY_REQUESTS_MAX];
+  unsigned orders;
+  unsigned failed;
+};
+
+static uint64_t
+draw_length (struct ab_rng *r, double mean_ms)
+{
+  return (uint64_t)(-mean_ms * log (1 - ab_rng_unit (r))) + 1;
+}
+
+static void
+turn_targets (struct gray_replay *play)
+{
+  for (unsigned i = 0; i < GRAY_TARGETS; i++)
+    if (replay_now_ms >= play->turns_ms[i])
+      {
+        play->gray[i] = play->turns_ms[i] > 0 && !play->gray[i];
+        play->turns_ms[i]
+            = replay_now_ms
+              + draw_length (&play->rng,
+                             play->gray[i] ? GRAY_MEAN_MS : HEALTHY_MEAN_MS);
+      }
+}
+
+/* Decides the fate of requests that were granted just replay_now_ms, and ends
+   those that are due.  */
+static void
+run_targets (struct gray_replay *play, uint64_t first, uint64_t last)
+{
+  for (uint64_t id = first; id <= last; id++)
+    {
+      struct replay *replay = &replay_requests[id];
+      if (!replay->granted || !replay->ends_ms)
+        continue;
+      if (!play->noted[id])
+        {
+          bool gray = play->gray[replay->target]
+                      && ab_rng_unit (&play->rng) < GRAY_FAILS;
+          play->noted[id] = true;
+          play->fails[id] = gray || ab_rng_unit (&play->rng) < CHANCE_FAILS;
+          if (gray)
+            replay->ends_ms = replay_now_ms + GRAY_LATENCY_MS;
+        }
+      if (replay->ends_ms > replay_now_ms)
+        continue;
+      if (replay->priority == 1 && replay->asked_ms > 100000 + GRAY_WARM_MS)
+        {
+          play->orders++;
+          play->failed += play->fails[id];
+        }
+      replay_in_flight[replay->target]--;
+      ab_scheduler_outcome (replay_sched, id,
+                            play->fails[id] ? AB_TARGET_ERROR : AB_TARGET_OK,
+                            replay_now_ms - replay->decided_ms, replay_now_ms);
+      replay->ends_ms = 0;
+    }
+}
+
+static void
+play_gray (struct gray_replay *play, uint64_t seed)
+{
+  double due = 0;
+  uint64_t id = 100;
+  uint64_t oldest = 101;
+
+  memset (play, 0, sizeof *play);
+  ab_rng_init_seeded (&play->rng, seed);
+  replay_begin (GRAY_TARGETS);
+  for (; replay_now_ms < 100000 + GRAY_REPLAY_MS; replay_now_ms++)
+    {
+      turn_targets (play);
+      run_targets (play, oldest, id);
+      /* 24 slots, half of them in use, a quarter of the requests may be
+         repeated.  */
+      due += 0.5 * 2 * GRAY_TARGETS / REPLAY_WORK_MS;
+      for (; due >= 1 && id + 1 < REPLAY_REQUESTS_MAX; due--)
+        {
+          id++;
+          replay_requests[id].priority = id % 4 != 0;
+          replay_requests[id].asked_ms = replay_now_ms;
+          replay_ask (id, id % 4 == 0);
+        }
+      while (oldest < id && play->noted[oldest]
+             && !replay_requests[oldest].ends_ms)
+        oldest++;
+      if (replay_now_ms % AB_SCHED_TICK_MS == 0)
+        ab_scheduler_tick (replay_sched, replay_now_ms);
+    }
+  ab_scheduler_free (replay_sched);
+}
+
+/* Each target that turns gray costs about one order, not one at every target
+   in turn.  Chance failures are 12 in 1,000.  The load needs six targets; of
+   so many one turns gray every 3.5 seconds, which costs one of the 160 orders
+   of that time: 6 in 1,000.  Twice as much is the bound.  */
+START_TEST (gray_turns_cost_few_orders)
+{
+  static struct gray_replay play;
+  unsigned orders = 0;
+  unsigned failed = 0;
+
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      play_gray (&play, seed);
+      orders += play.orders;
+      failed += play.failed;
+    }
+  ck_assert_uint_gt (orders, 20000);
+  ck_assert_msg (failed * 1000 <= orders * 24, "%u of %u failed", failed,
+                 orders);
+}
+END_TEST
+
+/* A start, or a new scheduler: nothing is known of any target, a quarter of
+   them may be gray, and a burst of orders arrives.  They wait until a few
+   tried targets turn out to work.  */
+START_TEST (burst_of_orders_tries_few_targets)
+{
+  unsigned granted = 0;
+
+  replay_begin (12);
+  for (uint64_t id = 1; id <= 12; id++)
+    granted += replay_ask (id, false)->granted;
+  ck_assert_uint_ge (granted, 1);
+  ck_assert_uint_le (granted, 2);
+  for (int i = 0; i < 10; i++)
+    {
+      replay_now_ms += AB_SCHED_TICK_MS;
+      ab_scheduler_tick (replay_sched, replay_now_ms);
+    }
+  granted = 0;
+  for (uint64_t id = 1; id <= 12; id++)
+    granted += replay_requests[id].granted;
+  ck_assert_uint_eq (granted, 12);
+  ab_scheduler_free (replay_sched);
+}
+END_TEST
+
+/* Light load, then a loss of many requests at any moment: in the two seconds
+   before, most targets must have had a request, though few could carry the
+   load.  */
+START_TEST (light_load_covers_targets)
+{
+  uint64_t last_ms[8];
+  uint64_t id = 100;
+
+  replay_begin (8);
+  replay_prove (8, 1);
+  for (unsigned i = 0; i < 8; i++)
+    last_ms[i] = replay_now_ms;
+  for (unsigned step = 0; step < 1000; step++)
+    {
+      id++;
+      if (replay_ask (id, false)->granted)
+        {
+          last_ms[replay_requests[id].target] = replay_now_ms;
+          replay_end (id, AB_TARGET_OK);
+        }
+      replay_now_ms += 20;
+      if (step % 3 == 0)
+        ab_scheduler_tick (replay_sched, replay_now_ms);
+      for (unsigned i = 0; i < 8; i++)
+        ck_assert_uint_le (replay_now_ms - last_ms[i], 2000);
+    }
+  ab_scheduler_free (replay_sched);
+}
+END_TEST
+
+/* Gray target, again: requests that may be repeated find out that it is well,
+   one at a time.  */
+START_TEST (gray_target_is_tried_with_repeatable_requests)
+{
+  bool tried = false;
+
+  replay_begin (3);
+  replay_prove (3, 1);
+  replay_ask (10, false);
+  replay_end (10, AB_TARGET_ERROR);
+  for (uint64_t id = 20; id < 24; id++)
+    tried
+        = tried || replay_ask (id, true)->target == replay_requests[10].target;
+  ck_assert (tried);
+  ab_scheduler_free (replay_sched);
+}
+END_TEST
+
+/* Gray targets in one region: a request that must not repeat is sent to
+   another region before it goes to a target that failed.  */
+START_TEST (orders_move_before_they_take_a_suspect)
+{
+  struct ab_sched_ask order = replay_make_ask (12, false);
+
+  replay_begin (1);
+  replay_prove (1, 1);
+  replay_ask (10, false);
+  replay_end (10, AB_TARGET_ERROR);
+  order.may_move = true;
+  ab_scheduler_ask (replay_sched, &order, replay_now_ms);
+  ck_assert_int_eq (replay_requests[12].kind, AB_SCHED_MOVE);
+  order.id = 13;
+  order.may_move = false;
+  ab_scheduler_ask (replay_sched, &order, replay_now_ms);
+  ck_assert (replay_requests[13].granted);
+  ab_scheduler_free (replay_sched);
+}
+END_TEST
+
+/* Requests that hang: no further one goes to the target before one ends.  */
+START_TEST (stuck_target_gets_nothing_new)
+{
+  replay_begin (2);
+  replay_prove (2, 1);
+  replay_ask (10, false);
+  for (int i = 0; i < 40; i++)
+    {
+      replay_now_ms += AB_SCHED_TICK_MS;
+      ab_scheduler_tick (replay_sched, replay_now_ms);
+    }
+  for (uint64_t id = 20; id < 24; id++)
+    if (replay_ask (id, false)->granted)
+      ck_assert_uint_ne (replay_requests[id].target,
+                         replay_requests[10].target);
+  ab_scheduler_free (replay_sched);
+}
+END_TEST
+
+SUITE_MAIN ("scheduler_gray", 30, gray_target_gets_no_orders,
+            gray_turns_cost_few_orders, burst_of_orders_tries_few_targets,
+            light_load_covers_targets,
+            gray_target_is_tried_with_repeatable_requests,
+            orders_move_before_they_take_a_suspect,
+            stuck_target_gets_nothing_new)
