Answer requests that wait for a target before a planned stop ends

Cause: a stop ends nine tenths of its time after SIGTERM; requests that waited in a scheduler's queue then got a closed connection.

Ruled out: requests under way at a target (answered, planned_stop_cuts_nothing).

Change: seven tenths into a stop, requests that no target has are refused with 503 stopping, which is true.

Measured: the new test of fleet_gateway (all slots busy, stop of 1 s) fails before with a closed connection, passes after.

--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -290,6 +290,20 @@
     }
 }
 
+void
+ab_gateway_flow_refuse_waiting (struct ab_gateway_env *env)
+{
+  struct ab_gateway_flow *flow;
+  struct ab_gateway_flow *next;
+
+  DL_FOREACH_SAFE (env->flows, flow, next)
+  if (!flow->attempt)
+    {
+      ab_gateway_attempt_stop (flow);
+      ab_gateway_reply_unserved (flow, 503, "stopping", AB_GATEWAY_RETRY_MS);
+    }
+}
+
 void
 ab_gateway_flow_free_all (struct ab_gateway_env *env)
 {
--- a/src/gateway_flow_task.h
+++ b/src/gateway_flow_task.h
@@ -40,6 +40,9 @@
                             struct evhttp_request *req);
 /* A view was taken in: requests that waited for the first bundle go on.  */
 void ab_gateway_flow_resume (struct ab_gateway_env *env);
+/* Refuses all requests that no target has: the process stops before one could
+   be found and answer.  */
+void ab_gateway_flow_refuse_waiting (struct ab_gateway_env *env);
 /* Ends all flows without replies, when the process stops.  */
 void ab_gateway_flow_free_all (struct ab_gateway_env *env);
 
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -28,8 +28,10 @@
 #define RESPONSE_BYTES (64ULL * 1024 * 1024)
 #define RESPONSE_HEADER_BYTES (64 * 1024)
 /* Of a stop: new connections are taken for this long, as callers keep using an
-   answer; the end leaves time for the last replies.  */
+   answer; then requests that still wait for a target are refused; the end
+   leaves time for the last replies.  */
 #define STOP_ACCEPT_SHARE 0.55
+#define STOP_REFUSE_SHARE 0.7
 #define STOP_END_SHARE 0.9
 
 struct ab_gateway
@@ -375,6 +377,8 @@
           evhttp_bound_socket_get_listener (gateway->bound));
       gateway->listening = false;
     }
+  if ((double)stopping_ms > STOP_REFUSE_SHARE * (double)limit)
+    ab_gateway_flow_refuse_waiting (&gateway->env);
   if ((double)stopping_ms > STOP_END_SHARE * (double)limit)
     return true;
   return !gateway->listening && gateway->env.flow_count == 0
--- a/tests/fleet_gateway.c
+++ b/tests/fleet_gateway.c
@@ -296,6 +296,56 @@
 }
 END_TEST
 
+#define SHORT_STOP_MS 1000
+#define SLOTS 4
+
+/* Guards against a planned stop that ends while a request still waits for a
+   slot: its caller got a closed connection instead of an answer.  */
+START_TEST (planned_stop_answers_those_that_wait)
+{
+  struct gf_fleet fleet;
+  int status;
+  pid_t busy[SLOTS];
+  pid_t caller;
+
+  gf_start (&fleet, "gf_wait", 3, 2);
+  gf_start_target (&fleet, 1, GF_SOUND);
+  ck_assert (gf_wait_status (&fleet, 2, "/look/1", 200, READY_MS));
+  gf_kill (&fleet.gateway_pids[1]);
+  fleet.stop_ms = SHORT_STOP_MS;
+  gf_start_gateway (&fleet, 1);
+  ck_assert (gf_wait_status (&fleet, 1, "/look/1", 200, READY_MS));
+  for (int i = 0; i < SLOTS; i++)
+    {
+      busy[i] = fork ();
+      if (busy[i] == 0)
+        _exit (gf_request (&fleet, 2, "POST", "/shop/slow", "busy", NULL)
+                       == 200
+                   ? 0
+                   : 1);
+    }
+  fleet_sleep_ms (300);
+  caller = fork ();
+  if (caller == 0)
+    {
+      int answer = gf_request (&fleet, 1, "POST", "/shop/1", "waits", NULL);
+      _exit (answer == 503 || answer == 200 ? 0 : 1);
+    }
+  fleet_sleep_ms (100);
+  kill (fleet.gateway_pids[1], SIGTERM);
+  ck_assert_int_eq (waitpid (caller, &status, 0), caller);
+  ck_assert_int_eq (status, 0);
+  ck_assert_int_eq (fleet_wait_process (fleet.gateway_pids[1], 6000), 0);
+  fleet.gateway_pids[1] = 0;
+  for (int i = 0; i < SLOTS; i++)
+    {
+      ck_assert_int_eq (waitpid (busy[i], &status, 0), busy[i]);
+      ck_assert_int_eq (status, 0);
+    }
+  gf_stop (&fleet);
+}
+END_TEST
+
 /* Runs almondctl explain log on the gateway's and the control hosts' files;
    its exit status.  */
 static int
@@ -351,4 +401,5 @@
             acknowledged_drain_binds, group_heals_alone,
             unread_log_delays_nothing, requests_wait_for_the_first_bundle,
             no_bundle_is_told_in_time, planned_stop_cuts_nothing,
+            planned_stop_answers_those_that_wait,
             logs_explain_failures)
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -35,6 +35,7 @@
 #define ANNOUNCE_MS 300
 #define POLL_MS 50
 #define START_MS 30000
+#define STOP_MS 4000
 
 /* Addresses and files.  */
 
@@ -141,8 +142,9 @@
   print_common (fleet, &text, "gateway", number);
   ab_buf_printf (&text,
                  "listen: {callers: %s, ready: %s, addresses: %s, peers: %s}\n"
-                 "stop_time: 4s\n",
-                 at[0], at[1], at[2], at[3]);
+                 "stop_time: %dms\n",
+                 at[0], at[1], at[2], at[3],
+                 fleet->stop_ms ? fleet->stop_ms : STOP_MS);
   spawn (fleet, "gateway", number, &text, &fleet->gateway_pids[number]);
 }
 
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -36,6 +36,7 @@
   pid_t gateway_pids[GF_GATEWAYS_MAX + 1];
   pid_t target_pids[GF_TARGETS_MAX + 1];
   pid_t proxy_pid;  /* Before the targets; 0: none.  */
+  int stop_ms;      /* Of gateways started from now on; 0: 4 s.  */
   char address[64]; /* Of the last gf_address.  */
 };
 
