--- a/tests/fleet_gateway.c
+++ b/tests/fleet_gateway.c
@@ -401,5 +401,4 @@
             acknowledged_drain_binds, group_heals_alone,
             unread_log_delays_nothing, requests_wait_for_the_first_bundle,
             no_bundle_is_told_in_time, planned_stop_cuts_nothing,
-            planned_stop_answers_those_that_wait,
-            logs_explain_failures)
+            planned_stop_answers_those_that_wait, logs_explain_failures)
