Serve routes of large responses

Cause: a bundle with a route of the kind 'download' was refused whole, so that a fleet with one served nothing.

Ruled out: a mapping of the word at the platform's boundary; the mapping must be one to one, and the kind says more than that a request may be repeated.

Change: the kinds of routes are a table; a further kind is one line. Requests of a download route prefer targets of the own failure domain, as those with large bodies do.

--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -202,7 +202,7 @@
   memcpy (ask->service, flow->service->name, sizeof ask->service);
   ask->idempotent = flow->route->idempotent;
   ask->priority = flow->route->priority;
-  ask->bulky = flow->body_bytes >= BULKY_BYTES;
+  ask->bulky = flow->route->large || flow->body_bytes >= BULKY_BYTES;
 }
 
 /* Chooses a route and starts the first attempt.  */
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -173,6 +173,20 @@
   return rc;
 }
 
+/* What a route's kind allows.  */
+static const struct route_kind
+{
+  const char *name;
+  bool idempotent; /* A request may run more than once.  */
+  bool large;      /* Responses fill a narrow link for a while.  */
+} route_kinds[] = {
+  { .name = "idempotent", .idempotent = true },
+  { .name = "download", .idempotent = true, .large = true },
+  { .name = "once" },
+};
+
+#define ROUTE_KINDS (sizeof route_kinds / sizeof route_kinds[0])
+
 static int
 read_kind (struct ab_fleet_route *route, const json_t *item, char *error)
 {
@@ -180,12 +194,17 @@
 
   if (!kind)
     return fail (error, "route '%s' has no 'kind'", route->name);
-  route->idempotent = strcmp (kind, "idempotent") == 0;
-  if (!route->idempotent && strcmp (kind, "once") != 0)
-    return fail (error,
-                 "the kind '%s' of route '%s' is neither idempotent nor once",
-                 kind, route->name);
-  return 0;
+  for (size_t i = 0; i < ROUTE_KINDS; i++)
+    if (strcmp (kind, route_kinds[i].name) == 0)
+      {
+        route->idempotent = route_kinds[i].idempotent;
+        route->large = route_kinds[i].large;
+        return 0;
+      }
+  return fail (error,
+               "the kind '%s' of route '%s' is none of idempotent, download "
+               "and once",
+               kind, route->name);
 }
 
 static int
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -34,6 +34,7 @@
   char host[AB_ROUTE_HOST_BYTES];
   char prefix[AB_ROUTE_PATH_BYTES];
   bool idempotent;
+  bool large;        /* Responses are large: near targets are preferred.  */
   uint64_t priority; /* 0 is served first.  */
   uint64_t timeout_ms;
   uint64_t objective_ms; /* A later response is worth less.  */
--- a/tests/test_route_table.c
+++ b/tests/test_route_table.c
@@ -13,6 +13,9 @@
 #define ROUTE(prefix, rest)                                                   \
   "{\"name\":\"r\",\"prefix\":\"" prefix "\",\"kind\":\"idempotent\","        \
   "\"timeout_ms\":1000,\"objective_ms\":500,\"priority\":1," rest "}"
+#define KIND(prefix, kind)                                                    \
+  "{\"name\":\"r\",\"prefix\":\"" prefix "\",\"kind\":\"" kind "\","          \
+  "\"timeout_ms\":1000,\"service\":\"a\"}"
 #define TABLE(routes)                                                         \
   "{\"version\":7,\"base_version\":5," SERVICES "," LIMITS                    \
   ",\"hosts\":[{\"host\":\"Shop.example\",\"prefixes\":[" routes "]}]}"
@@ -86,6 +89,31 @@
 }
 END_TEST
 
+static const struct ab_fleet_route *
+find_kind (const struct ab_route_table *table, const char *path)
+{
+  return ab_route_table_find (table, AB_CHUNK ("shop.example"),
+                              ab_chunk_str (path));
+}
+
+/* Guards against a kind of route that is refused, or repeated when it must
+   not be.  */
+START_TEST (knows_kinds)
+{
+  struct ab_route_table *table
+      = parse (TABLE (KIND ("/i/", "idempotent") "," KIND (
+          "/d/", "download") "," KIND ("/o/", "once")));
+
+  ck_assert (find_kind (table, "/i/1")->idempotent);
+  ck_assert (!find_kind (table, "/i/1")->large);
+  ck_assert (find_kind (table, "/d/1")->idempotent);
+  ck_assert (find_kind (table, "/d/1")->large);
+  ck_assert (!find_kind (table, "/o/1")->idempotent);
+  ck_assert (!find_kind (table, "/o/1")->large);
+  ab_route_table_unref (table);
+}
+END_TEST
+
 /* Guards against bundles in force that no host can serve.  */
 START_TEST (refuses_invalid)
 {
@@ -130,4 +158,4 @@
 END_TEST
 
 SUITE_MAIN ("route_table", 10, finds_longest_prefix, splits_by_weight,
-            refuses_invalid, accepts_odd_but_valid)
+            knows_kinds, refuses_invalid, accepts_odd_but_valid)
