Answer peers on the connection that they made

Cause: a process answered each peer over a socket of its own. With hundreds of gateways that ask one control host, each answer closed the least used of 128 sockets and connected a new one; two processes that talk held two connections, each with its buffers.

Ruled out: a higher bound on sockets; the memory of 447 more connections does not fit beside the first 447.

Change: a frame to a peer that was heard within a second goes back through the router on the peer's connection, otherwise through a socket as before. Sockets without a frame for 30 s are closed.

Measured: test_peer answers_on_the_callers_connection, 1 and 0 sockets where there were 1 and 1.

Conclusion: a process that only answers opens no socket.

--- a/src/peer_link_task.c
+++ b/src/peer_link_task.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <uthash.h>
 #include <utlist.h>
-#include <zmq.h>
 
 #include "buf.h"
 #include "clock.h"
@@ -24,6 +23,8 @@
 #define HANDSHAKE_MS 1000
 #define LINGER_MS 200
 #define MONITOR_BYTES 48
+/* Frames handled before other events of the loop get their turn.  */
+#define RECEIVE_BATCH 64
 
 struct waiting
 {
@@ -46,6 +47,8 @@
   uint64_t used_ms;
   uint64_t sent;
   uint64_t dropped;
+  bool receiving; /* Frames are being handled.  */
+  bool closed;    /* Meanwhile; freed after that.  */
   UT_hash_handle hh;
 };
 
@@ -53,6 +56,8 @@
 {
   void *context;
   struct event_base *base;
+  ab_peer_links_receive receive;
+  void *ctx;
   struct ab_curve_pair pair;
   char keys[AB_PEER_KEYS_MAX][AB_CURVE_KEY_BYTES];
   size_t key_count;
@@ -63,7 +68,8 @@
 
 struct ab_peer_links *
 ab_peer_links_new (void *context, struct event_base *base,
-                   const struct ab_curve_pair *pair)
+                   const struct ab_curve_pair *pair,
+                   ab_peer_links_receive receive, void *ctx)
 {
   struct ab_peer_links *links = calloc (1, sizeof *links);
 
@@ -71,6 +77,8 @@
     return NULL;
   links->context = context;
   links->base = base;
+  links->receive = receive;
+  links->ctx = ctx;
   if (pair)
     {
       links->pair = *pair;
@@ -103,15 +111,24 @@
 }
 
 static void
-drop_link (struct ab_peer_links *links, struct link *link)
+free_link (struct link *link)
 {
-  HASH_DEL (links->links, link);
   close_sockets (link);
   while (link->waiting)
     free_waiting (link, link->waiting);
   free (link);
 }
 
+static void
+drop_link (struct ab_peer_links *links, struct link *link)
+{
+  HASH_DEL (links->links, link);
+  if (link->receiving)
+    link->closed = true;
+  else
+    free_link (link);
+}
+
 void
 ab_peer_links_free (struct ab_peer_links *links)
 {
@@ -150,16 +167,43 @@
     }
 }
 
-/* The peer never sends on this connection; anything received is dropped.  */
+/* Handles frames that the peer sent back; false when none is left.  */
+static bool
+receive_frames (struct link *link)
+{
+  zmq_msg_t message;
+
+  for (int i = 0; i < RECEIVE_BATCH && !link->closed; i++)
+    {
+      zmq_msg_init (&message);
+      if (zmq_msg_recv (&message, link->socket.zmq, ZMQ_DONTWAIT) < 0)
+        {
+          zmq_msg_close (&message);
+          return false;
+        }
+      link->owner->receive (link->owner->ctx, &message);
+      zmq_msg_close (&message);
+    }
+  return true;
+}
+
 static void
 on_ready (void *ctx)
 {
   struct link *link = ctx;
-  char data[1];
+  bool more;
 
-  while (zmq_recv (link->socket.zmq, data, sizeof data, ZMQ_DONTWAIT) >= 0)
-    continue;
+  link->receiving = true;
+  more = receive_frames (link);
+  link->receiving = false;
+  if (link->closed)
+    {
+      free_link (link);
+      return;
+    }
   send_waiting (link);
+  if (more)
+    ab_peer_socket_check (&link->socket);
 }
 
 static int
@@ -170,7 +214,7 @@
     int option;
     int value;
   } options[] = { { ZMQ_SNDHWM, AB_PEER_SEND_FRAMES },
-                  { ZMQ_RCVHWM, 1 },
+                  { ZMQ_RCVHWM, AB_PEER_SEND_FRAMES },
                   { ZMQ_IMMEDIATE, 1 },
                   { ZMQ_LINGER, LINGER_MS },
                   { ZMQ_RECONNECT_IVL, RECONNECT_MS },
@@ -423,9 +467,13 @@
   for (link = links->links; link; link = next)
     {
       next = link->hh.next;
-      on_ready (link);
+      send_waiting (link);
+      ab_peer_socket_check (&link->socket);
       drop_old (link, now_ms);
-      try_next_key (link);
+      if (now_ms > link->used_ms + AB_PEER_IDLE_MS)
+        drop_link (links, link);
+      else
+        try_next_key (link);
     }
 }
 
--- a/src/peer_link_task.h
+++ b/src/peer_link_task.h
@@ -1,4 +1,5 @@
-/* The sending sockets of the peer task: one DEALER for each address.
+/* The sending sockets of the peer task: one DEALER for each address.  A peer
+   may answer on the connection that was made to it.
 
    A socket passes frames on only while its connection is up
    (ZMQ_IMMEDIATE), so a peer that is down collects nothing.  Frames sent
@@ -10,6 +11,7 @@
 
 #include <jansson.h>
 #include <stdint.h>
+#include <zmq.h>
 
 #include "chunk.h"
 #include "keys.h"
@@ -24,14 +26,21 @@
 #define AB_PEER_WAIT_FRAMES 32
 #define AB_PEER_WAIT_BYTES (1024 * 1024)
 #define AB_PEER_WAIT_MS 500
+/* A socket that has carried no frame for this long is closed.  */
+#define AB_PEER_IDLE_MS 30000
 
 struct event_base;
 struct ab_peer_links;
 
+/* Takes a frame that a peer sent back.  It may use the links.  */
+typedef void (*ab_peer_links_receive) (void *ctx, zmq_msg_t *message);
+
 /* Without PAIR the connections are neither encrypted nor authenticated.  */
 struct ab_peer_links *ab_peer_links_new (void *context,
                                          struct event_base *base,
-                                         const struct ab_curve_pair *pair);
+                                         const struct ab_curve_pair *pair,
+                                         ab_peer_links_receive receive,
+                                         void *ctx);
 void ab_peer_links_free (struct ab_peer_links *links);
 
 /* Public keys that a peer may listen with, the own key first.  With more than
--- a/src/peer_task.c
+++ b/src/peer_task.c
@@ -1,5 +1,6 @@
 #include "peer_task.h"
 
+#include <errno.h>
 #include <event2/event.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -29,6 +30,10 @@
    an older incarnation, which a clock that was set back gives.  */
 #define INCARNATION_KEEP_MS 30000
 #define CORRUPT_LOG_MS 10000
+/* A peer that was heard this recently is answered on its own connection; one
+   that has gone silent may have lost it without notice.  */
+#define ROUTE_FRESH_MS 1000
+#define ROUTE_BYTES 16
 #define CORRUPT_PEERS_MAX 256
 #define ENDPOINT_BYTES (AB_ADDRESS_BYTES + 8)
 #define COUNTER_NAME_BYTES 96
@@ -45,6 +50,9 @@
   char name[AB_HOST_NAME_BYTES];
   uint64_t incarnation;
   uint64_t heard_ms;
+  /* The router's name of the connection that the last frame came on.  */
+  char route[ROUTE_BYTES];
+  size_t route_len; /* 0: it came on a connection made here.  */
   UT_hash_handle hh;
 };
 
@@ -187,9 +195,11 @@
   return sender;
 }
 
-/* Whether a frame is from the newest process of its sender.  */
+/* Whether a frame, which came by ROUTE, is from the newest process of its
+   sender.  */
 static bool
-is_current (struct ab_peer_task *task, const struct ab_frame *frame)
+is_current (struct ab_peer_task *task, const struct ab_frame *frame,
+            struct ab_chunk route)
 {
   struct sender *sender = find_sender (task, frame->sender);
   uint64_t now = now_ms ();
@@ -204,6 +214,11 @@
     }
   sender->incarnation = frame->incarnation;
   sender->heard_ms = now;
+  if (route.len > 0 && route.len <= ROUTE_BYTES)
+    {
+      memcpy (sender->route, route.data, route.len);
+      sender->route_len = route.len;
+    }
   return true;
 }
 
@@ -217,8 +232,10 @@
     handler->handle (handler->ctx, frame);
 }
 
+/* Handles a frame that came by ROUTE; empty: on a connection made here.  */
 static void
-handle_message (struct ab_peer_task *task, zmq_msg_t *message)
+handle_message (struct ab_peer_task *task, zmq_msg_t *message,
+                struct ab_chunk route)
 {
   struct ab_chunk input
       = ab_chunk (zmq_msg_data (message), zmq_msg_size (message));
@@ -232,16 +249,24 @@
     rc = AB_ERR_CORRUPT;
   if (rc < 0)
     note_corrupt (task, message, rc);
-  else if (is_current (task, &frame))
+  else if (is_current (task, &frame, route))
     deliver (task, &frame);
 }
 
+static void
+on_answer (void *ctx, zmq_msg_t *message)
+{
+  handle_message (ctx, message, ab_chunk ("", 0));
+}
+
 /* Receives one message of two parts, routing id and frame; false when none
    waits.  */
 static bool
 receive_message (struct ab_peer_task *task)
 {
   zmq_msg_t part;
+  char route[ROUTE_BYTES];
+  size_t route_len = 0;
   int parts = 0;
   bool more;
 
@@ -254,8 +279,13 @@
           return false;
         }
       more = zmq_msg_more (&part);
-      if (++parts == 2 && !more)
-        handle_message (task, &part);
+      if (++parts == 1 && zmq_msg_size (&part) <= sizeof route)
+        {
+          route_len = zmq_msg_size (&part);
+          memcpy (route, zmq_msg_data (&part), route_len);
+        }
+      if (parts == 2 && !more)
+        handle_message (task, &part, ab_chunk (route, route_len));
       else if (!more)
         note_corrupt (task, &part, AB_ERR_CORRUPT);
       zmq_msg_close (&part);
@@ -340,6 +370,8 @@
                          sizeof max_bytes)
              < 0
       || ab_peer_socket_set (router, ZMQ_LINGER, 0) < 0
+      || ab_peer_socket_set (router, ZMQ_SNDHWM, AB_PEER_SEND_FRAMES) < 0
+      || ab_peer_socket_set (router, ZMQ_ROUTER_MANDATORY, 1) < 0
       || ab_peer_socket_set (router, ZMQ_IPV6, address[0] == '[') < 0
       || (task->zap && require_keys (task) < 0))
     return AB_ERR_UNAVAILABLE;
@@ -415,8 +447,8 @@
     rc = ab_peer_zap_new (task->context, base, &task->zap);
   if (rc < 0)
     return rc;
-  task->links
-      = ab_peer_links_new (task->context, base, plain ? NULL : &task->pair);
+  task->links = ab_peer_links_new (
+      task->context, base, plain ? NULL : &task->pair, on_answer, task);
   if (!task->links)
     return AB_ERR_MEMORY;
   if (!plain)
@@ -562,28 +594,69 @@
   return 0;
 }
 
-int
-ab_peer_task_send_address (struct ab_peer_task *task, const char *address,
-                           enum ab_frame_type type, struct ab_chunk body)
+static int
+encode (struct ab_peer_task *task, enum ab_frame_type type,
+        struct ab_chunk body)
 {
   struct ab_frame frame
       = { .type = type,
           .sender = ab_chunk_str (task->daemon->settings->host),
           .incarnation = task->daemon->incarnation,
           .body = body };
-  int rc;
 
   ab_buf_clear (&task->out);
-  rc = ab_frame_encode (&frame, &task->out);
-  if (rc < 0)
-    return rc;
-  rc = ab_peer_links_send (task->links, address, ab_buf_chunk (&task->out),
-                           now_ms ());
-  if (rc < 0)
-    return rc;
+  return ab_frame_encode (&frame, &task->out);
+}
+
+static void
+count_sent (struct ab_peer_task *task, enum ab_frame_type type)
+{
   ++*task->sent[type];
   *task->bytes_sent += task->out.len;
-  return 0;
+}
+
+int
+ab_peer_task_send_address (struct ab_peer_task *task, const char *address,
+                           enum ab_frame_type type, struct ab_chunk body)
+{
+  int rc = encode (task, type, body);
+
+  if (rc == 0)
+    rc = ab_peer_links_send (task->links, address, ab_buf_chunk (&task->out),
+                             now_ms ());
+  if (rc == 0)
+    count_sent (task, type);
+  return rc;
+}
+
+/* Sends on the connection that HOST made.  AB_ERR_NOT_FOUND when there is none
+   that is known to work, AB_ERR_FULL.  */
+static int
+send_back (struct ab_peer_task *task, struct ab_chunk host,
+           enum ab_frame_type type, struct ab_chunk body)
+{
+  const struct sender *sender = NULL;
+  void *zmq = task->router.zmq;
+  int rc;
+
+  HASH_FIND (hh, task->senders, host.data, host.len, sender);
+  if (!sender || sender->route_len == 0
+      || now_ms () - sender->heard_ms > ROUTE_FRESH_MS)
+    return AB_ERR_NOT_FOUND;
+  rc = encode (task, type, body);
+  if (rc < 0)
+    return rc;
+  if (zmq_send (zmq, sender->route, sender->route_len,
+                ZMQ_DONTWAIT | ZMQ_SNDMORE)
+      < 0)
+    rc = zmq_errno () == EAGAIN ? AB_ERR_FULL : AB_ERR_NOT_FOUND;
+  else if (zmq_send (zmq, task->out.data, task->out.len, ZMQ_DONTWAIT) < 0)
+    rc = AB_ERR_FULL;
+  else
+    count_sent (task, type);
+  /* Sending may take the notice of a frame that has arrived.  */
+  ab_peer_socket_check (&task->router);
+  return rc;
 }
 
 int
@@ -591,9 +664,13 @@
                    enum ab_frame_type type, struct ab_chunk body)
 {
   const struct peer *peer;
+  int rc;
 
   if (ab_chunk_equal (host, ab_chunk_str (task->daemon->settings->host)))
     return send_own (task, type, body);
+  rc = send_back (task, host, type, body);
+  if (rc != AB_ERR_NOT_FOUND)
+    return rc;
   peer = find_peer (task, host);
   if (!peer)
     return AB_ERR_NOT_FOUND;
--- a/src/peer_task.h
+++ b/src/peer_task.h
@@ -1,6 +1,9 @@
 /* Frames to and from the other processes, over ZeroMQ with CURVE.
 
-   Owns one ROUTER, bound to the peer listen address, and one DEALER a peer.
+   Owns one ROUTER, bound to the peer listen address, and one DEALER for each
+   peer that is called.  A frame to a peer that was heard just now goes back on
+   the connection that the peer made, so that two processes share one and a
+   process that only answers opens none.
    A frame to this host itself is delivered through the event loop without a
    socket.  Queues are bounded: when a peer's queue is full, new frames to it
    are dropped and counted.  */
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -355,6 +355,58 @@
 }
 END_TEST
 
+static size_t
+link_count (const struct side *side)
+{
+  json_t *state = ab_peer_task_state (side->daemon.peer);
+  size_t count = json_array_size (json_object_get (state, "links"));
+
+  json_decref (state);
+  return count;
+}
+
+/* Guards against a connection back to each peer that asks, which a process
+   that hundreds ask has neither the memory nor the time for.  */
+START_TEST (answers_on_the_callers_connection)
+{
+  start_both ();
+  ck_assert_int_eq (send_to_two ("question"), 0);
+  for (int i = 0; i < STEPS_MAX && two.received == 0; i++)
+    run_loop ();
+  ck_assert_int_eq (ab_peer_task_send (two.daemon.peer, AB_CHUNK ("one"),
+                                       AB_FRAME_PING, AB_CHUNK ("answer")),
+                    0);
+  for (int i = 0; i < STEPS_MAX && one.received == 0; i++)
+    run_loop ();
+  ck_assert_str_eq (one.last, "answer");
+  ck_assert_uint_eq (one.incarnation, 20);
+  ck_assert_uint_eq (link_count (&one), 1);
+  ck_assert_uint_eq (link_count (&two), 0);
+}
+END_TEST
+
+/* Guards against frames that go on to a connection whose peer has closed
+   it.  */
+START_TEST (peer_that_came_back_is_reached)
+{
+  start_both ();
+  ck_assert_int_eq (send_to_two ("question"), 0);
+  for (int i = 0; i < STEPS_MAX && two.received == 0; i++)
+    run_loop ();
+  ab_peer_task_free (one.daemon.peer);
+  start_side (&one, "one", 11);
+  ab_peer_task_set_address (two.daemon.peer, AB_CHUNK ("one"),
+                            ab_peer_task_address (one.daemon.peer));
+  for (int i = 0; i < STEPS_MAX && one.received == 0; i++)
+    {
+      ab_peer_task_send (two.daemon.peer, AB_CHUNK ("one"), AB_FRAME_PING,
+                         AB_CHUNK ("again"));
+      run_loop ();
+    }
+  ck_assert_str_eq (one.last, "again");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -373,6 +425,8 @@
   tcase_add_test (tcase, frames_to_a_down_peer_expire);
   tcase_add_test (tcase, older_incarnation_is_dropped);
   tcase_add_test (tcase, rotation_keeps_contact);
+  tcase_add_test (tcase, answers_on_the_callers_connection);
+  tcase_add_test (tcase, peer_that_came_back_is_reached);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
