Batch target changes, list hosts by failure domain, spread the start

Cause: with 447 gateways and 1,080 targets no control group forms a leader. At the start each gateway asks all seeds four times a second, each change of a target is a command of its own that is sent to every member and pushed at once to every gateway, each push is packed for each gateway alone, and whenever one gateway changes the whole list of gateways goes to all.

Ruled out: more memory or sockets on the control hosts; the load grows with the square of the gateways.

Change: a control host gathers changes of targets into batches, at most two under way. News are gathered for 60 ms and packed once for all gateways of a failure domain that know the same. A gateway that starts asks one control host at a time, and learns from it the control host of its own domain. A change without a leader for 1.2 s is refused at once. Views and scheduling replies use the callers' connections.

--- a/src/fleet_api_task.c
+++ b/src/fleet_api_task.c
@@ -8,11 +8,19 @@
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <utlist.h>
 
 #include "route_table.h"
 
 /* Targets give a call up after a second, operators too.  */
 #define CHANGE_TIMEOUT_MS 900
+/* Changes of targets are gathered for this long, and while so many commands
+   with earlier ones are under way: thousands of targets may announce
+   themselves at once, and each command costs a message to every member.  */
+#define BATCH_GATHER_MS 20
+#define BATCHES_MAX 2
+/* Without a leader for this long, a change is refused at once.  */
+#define LEADERLESS_MS 1200
 #define BUNDLE_TIMEOUT_MS 2500
 #define READ_TIMEOUT_MS 900
 /* A target's announcement.  */
@@ -28,6 +36,10 @@
   struct ab_fleet_control *control;
   struct evhttp *http;
   size_t open;
+  struct call *gathered; /* Changes of targets for the next batch.  */
+  struct batch *batches; /* Under way.  */
+  size_t batch_count;
+  struct event *flush;
   struct ab_route_table *table; /* Parsed from the current bundle.  */
   uint64_t table_index;         /* Log index of that bundle.  */
 };
@@ -35,6 +47,8 @@
 /* A request that waits for the group.  */
 struct call
 {
+  struct call *prev;
+  struct call *next;
   struct ab_fleet_api *api;
   struct evhttp_request *req;
   uint64_t begin_ms;
@@ -134,9 +148,8 @@
 }
 
 static void
-on_target_done (void *ctx, int rc, enum ab_fleet_result result)
+end_target_call (struct call *call, int rc, enum ab_fleet_result result)
 {
-  struct call *call = ctx;
   bool ok = rc == 0 && result <= AB_FLEET_REPEATED;
 
   AB_LOG (
@@ -154,6 +167,101 @@
   free_call (call);
 }
 
+/* Calls whose changes went out in one command.  */
+struct batch
+{
+  struct batch *prev;
+  struct batch *next;
+  struct ab_fleet_api *api;
+  struct call *calls;
+};
+
+static void flush_changes (struct ab_fleet_api *api);
+
+static void
+on_batch_done (void *ctx, int rc, enum ab_fleet_result result)
+{
+  struct batch *batch = ctx;
+  struct ab_fleet_api *api = batch->api;
+  struct call *call;
+  struct call *next;
+
+  DL_DELETE (api->batches, batch);
+  api->batch_count--;
+  DL_FOREACH_SAFE (batch->calls, call, next)
+  end_target_call (call, rc, result);
+  free (batch);
+  flush_changes (api);
+}
+
+/* Moves up to AB_FLEET_BATCH_MAX gathered calls to BATCH and appends their
+   changes to DATA.  */
+static void
+fill_batch (struct ab_fleet_api *api, struct batch *batch, struct ab_buf *data)
+{
+  struct call *call;
+  struct call *next;
+  size_t count = 0;
+
+  DL_COUNT (api->gathered, call, count);
+  if (count > AB_FLEET_BATCH_MAX)
+    count = AB_FLEET_BATCH_MAX;
+  ab_fleet_pack_target_changes (data, count);
+  DL_FOREACH_SAFE (api->gathered, call, next)
+  {
+    if (count == 0)
+      return;
+    count--;
+    ab_fleet_pack_target (data, &call->target);
+    DL_DELETE (api->gathered, call);
+    DL_APPEND (batch->calls, call);
+  }
+}
+
+/* Sends a batch of the changes that are gathered.  */
+static void
+flush_changes (struct ab_fleet_api *api)
+{
+  struct ab_buf data = AB_BUF_INIT;
+  struct batch *batch;
+  int rc;
+
+  if (!api->gathered || api->batch_count >= BATCHES_MAX)
+    return;
+  batch = calloc (1, sizeof *batch);
+  if (!batch)
+    return; /* Tried again with the next change.  */
+  batch->api = api;
+  DL_APPEND (api->batches, batch);
+  api->batch_count++;
+  fill_batch (api, batch, &data);
+  rc = data.error;
+  if (rc == 0)
+    rc = ab_fleet_control_change (api->control, ab_buf_chunk (&data),
+                                  CHANGE_TIMEOUT_MS, on_batch_done, batch);
+  if (rc < 0)
+    on_batch_done (batch, rc, AB_FLEET_UNUSABLE);
+  ab_buf_free (&data);
+}
+
+static void
+on_flush (evutil_socket_t fd, short events, void *ctx)
+{
+  (void)fd;
+  (void)events;
+  flush_changes (ctx);
+}
+
+static void
+gather_change (struct ab_fleet_api *api, struct call *call)
+{
+  const struct timeval tv = { .tv_usec = BATCH_GATHER_MS * 1000 };
+
+  DL_APPEND (api->gathered, call);
+  if (!event_pending (api->flush, EV_TIMEOUT, NULL))
+    event_add (api->flush, &tv);
+}
+
 /* Text of 1 to SIZE - 1 bytes.  */
 static bool
 take_text (const json_t *object, const char *key, char *dst, size_t size)
@@ -268,7 +376,6 @@
 change_target (struct ab_fleet_api *api, struct evhttp_request *req,
                const struct ab_fleet_target *target)
 {
-  struct ab_buf data = AB_BUF_INIT;
   struct call *call;
 
   if (!ab_fleet_state_is_news (api->control->state, target))
@@ -276,20 +383,16 @@
       reply_target (api, req, target);
       return;
     }
+  if (ab_fleet_control_leaderless_ms (api->control) > LEADERLESS_MS)
+    {
+      reply_error (req, 503, "the control group has no leader");
+      return;
+    }
   call = new_call (api, req);
   if (!call)
     return;
   call->target = *target;
-  ab_fleet_pack_target_change (&data, target);
-  if (data.error
-      || ab_fleet_control_change (api->control, ab_buf_chunk (&data),
-                                  CHANGE_TIMEOUT_MS, on_target_done, call)
-             < 0)
-    {
-      reply_error (req, 503, "out of memory");
-      free_call (call);
-    }
-  ab_buf_free (&data);
+  gather_change (api, call);
 }
 
 static void
@@ -477,8 +580,10 @@
     return AB_ERR_MEMORY;
   result->control = control;
   result->http = evhttp_new (control->daemon->base);
-  rc = result->http ? ab_address_split (address, host, sizeof host, &port)
-                    : AB_ERR_MEMORY;
+  result->flush = evtimer_new (control->daemon->base, on_flush, result);
+  rc = result->http && result->flush
+           ? ab_address_split (address, host, sizeof host, &port)
+           : AB_ERR_MEMORY;
   if (rc == 0 && evhttp_bind_socket (result->http, host, port) < 0)
     {
       snprintf (error, AB_CONF_ERROR_BYTES, "cannot listen on %s", address);
@@ -497,11 +602,32 @@
   return 0;
 }
 
+static void
+free_calls (struct call *calls)
+{
+  struct call *call;
+  struct call *next;
+
+  DL_FOREACH_SAFE (calls, call, next)
+  free_call (call);
+}
+
 void
 ab_fleet_api_free (struct ab_fleet_api *api)
 {
+  struct batch *batch;
+  struct batch *next;
+
   if (!api)
     return;
+  free_calls (api->gathered);
+  DL_FOREACH_SAFE (api->batches, batch, next)
+  {
+    free_calls (batch->calls);
+    free (batch);
+  }
+  if (api->flush)
+    event_free (api->flush);
   if (api->http)
     evhttp_free (api->http);
   ab_route_table_unref (api->table);
--- a/src/fleet_control_parts.h
+++ b/src/fleet_control_parts.h
@@ -70,6 +70,7 @@
   struct ab_fleet_lead *leads;
   struct event *timer;
   uint64_t next_id;
+  uint64_t led_ms; /* When a leader was known last.  */
   bool stopping;
 };
 
@@ -83,6 +84,10 @@
                            uint64_t timeout_ms, ab_fleet_op_callback callback,
                            void *ctx);
 
+/* For how long no leader has been known; 0 when one is.  */
+uint64_t
+ab_fleet_control_leaderless_ms (const struct ab_fleet_control *control);
+
 /* fleet_api_task.c */
 int ab_fleet_api_new (struct ab_fleet_control *control,
                       struct ab_fleet_api **api,
--- a/src/fleet_control_task.c
+++ b/src/fleet_control_task.c
@@ -114,6 +114,21 @@
     end_op (control, op, 0, AB_FLEET_ACCEPTED);
 }
 
+static bool
+has_leader (const struct ab_fleet_control *control)
+{
+  struct ab_raft_status status;
+
+  ab_group_status (control->group, &status);
+  return status.leader_host[0] != '\0';
+}
+
+uint64_t
+ab_fleet_control_leaderless_ms (const struct ab_fleet_control *control)
+{
+  return has_leader (control) ? 0 : ab_fleet_now_ms () - control->led_ms;
+}
+
 static void
 on_timer (evutil_socket_t fd, short events, void *ctx)
 {
@@ -124,6 +139,8 @@
 
   (void)fd;
   (void)events;
+  if (has_leader (control))
+    control->led_ms = now;
   DL_FOREACH_SAFE (control->ops, op, next)
   {
     if (now >= op->deadline_ms)
@@ -369,6 +386,7 @@
     return rc;
   control->daemon = daemon;
   control->settings = settings;
+  control->led_ms = ab_fleet_now_ms ();
   /* Numbers of an earlier process must not be taken for this one's.  */
   control->next_id = daemon->incarnation << 20;
   control->state = ab_fleet_state_new ();
--- a/src/fleet_state.c
+++ b/src/fleet_state.c
@@ -13,7 +13,8 @@
 enum command
 {
   COMMAND_BUNDLE = 1,
-  COMMAND_TARGET
+  COMMAND_TARGET, /* Of earlier versions.  */
+  COMMAND_TARGETS
 };
 
 struct target
@@ -42,6 +43,7 @@
   struct ab_buf packed; /* The same, compressed.  */
   uint64_t version;
   uint64_t bundle_index;
+  uint64_t targets_index; /* Of the last change of a target.  */
   struct accepted history[AB_FLEET_HISTORY_MAX]; /* A ring.  */
   uint64_t history_count;
   struct target *targets;
@@ -149,12 +151,11 @@
 }
 
 void
-ab_fleet_pack_target_change (struct ab_buf *out,
-                             const struct ab_fleet_target *target)
+ab_fleet_pack_target_changes (struct ab_buf *out, size_t count)
 {
   ab_pack_array (out, 2);
-  ab_pack_u64 (out, COMMAND_TARGET);
-  ab_fleet_pack_target (out, target);
+  ab_pack_u64 (out, COMMAND_TARGETS);
+  ab_pack_array (out, count);
 }
 
 /* Bundles.  */
@@ -411,6 +412,7 @@
         state->gone_count--;
       release_address (state, target);
     }
+  state->targets_index = index;
   target->target = change;
   target->target.changed = index;
   if (change.state == AB_FLEET_TARGET_GONE)
@@ -423,6 +425,25 @@
   return 0;
 }
 
+/* A change that cannot be read ends the list, on every replica alike.  */
+static int
+apply_targets (struct ab_fleet_state *state, uint64_t index,
+               struct ab_reader *reader, enum ab_fleet_result *result)
+{
+  size_t count = ab_reader_enter (reader, AB_FLEET_BATCH_MAX);
+  enum ab_fleet_result each = AB_FLEET_REPEATED;
+  int rc = 0;
+
+  for (size_t i = 0; i < count && rc == 0 && each != AB_FLEET_UNUSABLE; i++)
+    {
+      each = AB_FLEET_UNUSABLE;
+      rc = apply_target (state, index, reader, &each);
+    }
+  ab_reader_leave (reader);
+  *result = each;
+  return rc;
+}
+
 int
 ab_fleet_state_apply (struct ab_fleet_state *state, uint64_t index,
                       struct ab_chunk data, enum ab_fleet_result *result)
@@ -440,6 +461,8 @@
     rc = apply_bundle (state, index, &reader, result);
   else if (command == COMMAND_TARGET)
     rc = apply_target (state, index, &reader, result);
+  else if (command == COMMAND_TARGETS)
+    rc = apply_targets (state, index, &reader, result);
   ab_reader_free (&reader);
   return rc;
 }
@@ -513,6 +536,8 @@
         return AB_ERR_MEMORY;
       ab_fleet_read_target (reader, &target->target);
       HASH_ADD_STR (state->targets, target.id, target);
+      if (target->target.changed > state->targets_index)
+        state->targets_index = target->target.changed;
       if (target->target.state == AB_FLEET_TARGET_GONE)
         state->gone_count++;
       else if (take_address (state, target, target->target.changed) < 0)
@@ -578,6 +603,8 @@
                                        const struct ab_fleet_target *),
                         void *ctx)
 {
+  if (index >= state->targets_index)
+    return;
   for (const struct target *t = state->targets; t; t = t->hh.next)
     if (t->target.changed > index)
       visit (ctx, &t->target);
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -25,6 +25,8 @@
 #define AB_FLEET_PACKED_BYTES (600 * 1024)
 /* Accepted bundles whose repetition is recognised.  */
 #define AB_FLEET_HISTORY_MAX 1024
+/* Changes of targets in one command.  */
+#define AB_FLEET_BATCH_MAX 256
 /* A target that left is remembered until this many newer ones left, so that
    late announcements do not bring it back.  */
 #define AB_FLEET_GONE_MAX 4096
@@ -68,8 +70,9 @@
    AB_FLEET_PACKED_BYTES when compressed.  */
 int ab_fleet_pack_bundle (struct ab_buf *out, uint64_t version, uint64_t base,
                           struct ab_chunk text);
-void ab_fleet_pack_target_change (struct ab_buf *out,
-                                  const struct ab_fleet_target *target);
+/* Changes of COUNT targets, at most AB_FLEET_BATCH_MAX, which are applied in
+   order; ab_fleet_pack_target appends each of them.  */
+void ab_fleet_pack_target_changes (struct ab_buf *out, size_t count);
 
 /* Applies the command DATA at INDEX of the log.  AB_ERR_MEMORY is fatal: the
    replica would differ from the others.  */
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -11,6 +11,7 @@
 #include "log.h"
 #include "pack.h"
 #include "peer_task.h"
+#include "rng.h"
 
 #define CONTROLS_MAX 64
 #define TARGETS_MAX 131072
@@ -22,16 +23,19 @@
 /* So many are asked at a time when the followed one is silent or cut off: half
    of the control hosts may be cut off with it.  */
 #define LOOKS 3
-/* After a start the nearest control host is looked for this often and this
-   long, before a farther one is followed.  All entry hosts may start at once;
-   the control hosts have an election to hold meanwhile.  */
+/* After a start the nearest control host is looked for this long before a
+   farther one is followed.  All entry hosts may start at once, and the control
+   hosts have an election to hold meanwhile: each asks one control host at a
+   time, another one each time, first after SEARCH_MS, then ever less often,
+   and no two at the same moments.  */
 #define SEARCH_MS 250
+#define SEARCH_MAX_MS 1000
 #define SEARCH_END_MS 1500
 
 struct control
 {
   char address[AB_ADDRESS_BYTES];
-  char failure_domain[AB_NAME_BYTES]; /* Empty until it answered.  */
+  char failure_domain[AB_NAME_BYTES]; /* Empty until it is known.  */
   uint64_t heard_ms;                  /* 0: never.  */
   uint64_t age_ms;                    /* That it told.  */
 };
@@ -49,6 +53,8 @@
   size_t look;     /* The control host to ask next.  */
   uint64_t look_ms;
   bool found; /* A control host in the own failure domain, once.  */
+  unsigned searches;
+  struct ab_rng rng;
   enum ab_fleet_duty duty;
   bool fresh;
   uint64_t started_ms;
@@ -214,30 +220,56 @@
           ab_log_int ("view_index", (int64_t)view->index));
 }
 
+static size_t
+find_own (const struct ab_fleet_view *view)
+{
+  for (size_t i = 0; i < view->control_count; i++)
+    if (nearness (view, &view->controls[i]) == 2)
+      return i;
+  return CONTROLS_MAX;
+}
+
 /* Looks for a control host in the own failure domain; true while none was
    found and there is time.  */
 static bool
 search (struct ab_fleet_view *view, uint64_t now)
 {
+  size_t own;
+
   if (view->found || now - view->started_ms > SEARCH_END_MS)
     return false;
   view->followed = CONTROLS_MAX;
-  for (size_t i = 0; i < view->control_count && !view->found; i++)
-    {
-      const struct control *control = &view->controls[i];
-      view->found = control->heard_ms && nearness (view, control) == 2;
-      if (view->found)
-        follow (view, i);
-      else if (!control->heard_ms)
-        send_watch (view, control, false);
-    }
+  own = find_own (view);
+  view->found = own < CONTROLS_MAX;
+  if (view->found)
+    follow (view, own);
+  else if (view->control_count > 0)
+    send_watch (
+        view,
+        &view->controls[(view->look + view->searches++) % view->control_count],
+        false);
   return !view->found;
 }
 
+/* When to look again.  */
+static uint64_t
+search_pause_ms (struct ab_fleet_view *view)
+{
+  uint64_t pause = SEARCH_MS;
+
+  for (unsigned i = 1; i < view->searches && pause < SEARCH_MAX_MS; i++)
+    pause *= 2;
+  if (pause > SEARCH_MAX_MS)
+    pause = SEARCH_MAX_MS;
+  return pause / 2 + ab_rng_below (&view->rng, pause);
+}
+
 static void
 arm_timer (struct ab_fleet_view *view, uint64_t after_ms)
 {
-  const struct timeval tv = { .tv_usec = (suseconds_t)after_ms * 1000 };
+  const struct timeval tv
+      = { .tv_sec = (time_t)(after_ms / 1000),
+          .tv_usec = (suseconds_t)(after_ms % 1000 * 1000) };
 
   evtimer_add (view->timer, &tv);
 }
@@ -253,10 +285,10 @@
   (void)events;
   if (search (view, now))
     {
-      arm_timer (view, SEARCH_MS);
+      arm_timer (view, search_pause_ms (view));
       return;
     }
-  arm_timer (view, view->table ? AB_FLEET_WATCH_MS : SEARCH_MS);
+  arm_timer (view, AB_FLEET_WATCH_MS);
   if (view->followed == CONTROLS_MAX)
     view->followed = 0;
   choose_control (view, now);
@@ -359,16 +391,23 @@
   view->ops->hosts (view->ctx);
 }
 
+/* Takes the control hosts and their failure domains.  */
 static void
-take_members (struct ab_fleet_view *view, struct ab_reader *reader)
+take_controls (struct ab_fleet_view *view, struct ab_reader *reader)
 {
-  size_t count = ab_reader_enter (reader, CONTROLS_MAX);
+  size_t count = ab_reader_enter (reader, 2 * CONTROLS_MAX);
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i + 1 < count; i += 2)
     {
       struct ab_chunk address = ab_reader_bytes (reader, AB_ADDRESS_BYTES);
-      if (ab_reader_error (reader) == 0)
-        learn_control (view, address);
+      struct ab_chunk domain = ab_reader_bytes (reader, AB_NAME_BYTES);
+      struct control *control;
+      if (ab_reader_error (reader) < 0)
+        return;
+      control = learn_control (view, address);
+      if (control && domain.len > 0 && !control->failure_domain[0])
+        ab_chunk_copy (domain, control->failure_domain,
+                       sizeof control->failure_domain);
     }
   ab_reader_leave (reader);
 }
@@ -404,7 +443,7 @@
   take_bundle (view, bundle_index, bundle);
   news = take_targets (view, reader) > 0 || bundle.len > 0 || frame.has_hosts;
   take_hosts (view, reader, &frame);
-  take_members (view, reader);
+  take_controls (view, reader);
   if (ab_reader_error (reader) < 0 || look)
     return;
   if (frame.upto > view->index)
@@ -435,6 +474,8 @@
     AB_LOG (AB_LOG_WARN, "view_unusable",
             ab_log_str ("control", control->address));
   ab_reader_free (&reader);
+  if (!view->found && find_own (view) < CONTROLS_MAX)
+    arm_timer (view, 0);
 }
 
 int
@@ -453,6 +494,8 @@
   view->ops = ops;
   view->ctx = ctx;
   view->started_ms = now_ms ();
+  ab_rng_init_system (&view->rng);
+  view->look = ab_rng_below (&view->rng, CONTROLS_MAX);
   view->timer = evtimer_new (daemon->base, on_timer, view);
   if (!view->timer)
     {
--- a/src/fleet_watch.c
+++ b/src/fleet_watch.c
@@ -5,7 +5,7 @@
 
 #define WATCH_FIELDS 6
 #define VIEW_FIELDS 6
-#define HOST_FIELDS 5
+#define HOST_FIELDS 6
 
 void
 ab_fleet_pack_host (struct ab_buf *out, const struct ab_fleet_host *host)
@@ -16,6 +16,7 @@
   ab_pack_bytes (out, ab_chunk_str (host->failure_domain));
   ab_pack_u64 (out, host->link_mbps);
   ab_pack_bool (out, host->takes_callers);
+  ab_pack_bool (out, host->schedules);
 }
 
 void
@@ -28,6 +29,7 @@
   ab_reader_str (reader, host->failure_domain, sizeof host->failure_domain);
   host->link_mbps = ab_reader_u64 (reader);
   host->takes_callers = ab_reader_bool (reader);
+  host->schedules = ab_reader_bool (reader);
   ab_reader_leave (reader);
 }
 
@@ -97,5 +99,6 @@
 
   return ab_rendezvous_mix (
       hash ^ ab_rendezvous_hash (ab_chunk_str (host->failure_domain))
-      ^ host->link_mbps << 1 ^ host->takes_callers);
+      ^ host->link_mbps << 2 ^ (uint64_t)host->schedules << 1
+      ^ host->takes_callers);
 }
--- a/src/fleet_watch.h
+++ b/src/fleet_watch.h
@@ -23,6 +23,7 @@
   char failure_domain[AB_NAME_BYTES];
   uint64_t link_mbps; /* 0: not known.  */
   bool takes_callers; /* It has a bundle.  */
+  bool schedules;     /* Marked by control hosts: it may place requests.  */
 };
 
 struct ab_fleet_watch_frame
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "fleet_directory.h"
 #include "fleet_watch.h"
 #include "pack.h"
 
@@ -21,6 +22,9 @@
 /* An entry host is sent one view at a time, as its link may be slow; one that
    is not acknowledged counts as lost after this.  */
 #define VIEW_LOST_MS 1200
+/* News are gathered for this long after a view was pushed: many targets and
+   hosts change at once when a fleet starts.  */
+#define PUSH_GATHER_MS 60
 
 struct watcher
 {
@@ -47,18 +51,33 @@
   uint64_t heard_ms;
 };
 
+/* The body of a view, which all entry hosts of a failure domain that know the
+   same are sent.  */
+struct view_body
+{
+  uint64_t from;
+  bool has_hosts;
+  char failure_domain[AB_NAME_BYTES];
+  struct ab_buf bytes;
+  bool news; /* There is anything in its lists.  */
+};
+
 struct ab_fleet_watch
 {
   struct ab_fleet_control *control;
   struct event *timer;
+  struct event *push;
+  uint64_t pushed_ms;
   struct watcher *watchers;
   struct peer peers[PEERS_MAX];
   size_t peer_count;
+  struct ab_directory *directory; /* Of all entry hosts.  */
+  bool stale;                     /* The directory is.  */
+  size_t live_peers;
   uint64_t own_version; /* Of the entry hosts heard here.  */
   uint64_t told_version;
   uint64_t told_ms;
   uint64_t alive_ms; /* When the peers heard of this one last.  */
-  uint64_t version;  /* Of all entry hosts.  */
 };
 
 /* Entry hosts.  */
@@ -83,45 +102,37 @@
   return watcher != NULL;
 }
 
-/* Calls VISIT for every entry host that does not stop.  One that moved from a
-   control host to another may be visited twice; readers replace it by its
-   name.  */
+static bool
+is_live (const struct peer *peer, uint64_t now)
+{
+  return now - peer->heard_ms <= HOSTS_LOST_MS;
+}
+
+/* Every entry host that does not stop.  What is heard here goes before what
+   another control host told.  */
 static void
-visit_hosts (const struct ab_fleet_watch *watch, uint64_t now,
-             void (*visit) (void *ctx, const struct ab_fleet_host *),
-             void *ctx)
+fill_directory (struct ab_fleet_watch *watch, uint64_t now)
 {
   for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
     if (w->listed)
-      visit (ctx, &w->host);
+      ab_directory_add (watch->directory, &w->host);
   for (size_t i = 0; i < watch->peer_count; i++)
     {
       const struct peer *peer = &watch->peers[i];
-      if (now - peer->heard_ms > HOSTS_LOST_MS)
+      if (!is_live (peer, now))
         continue;
       for (size_t j = 0; j < peer->host_count; j++)
         if (!heard_here (watch, peer->hosts[j].peer))
-          visit (ctx, &peer->hosts[j]);
+          ab_directory_add (watch->directory, &peer->hosts[j]);
     }
 }
 
-static void
-add_hash (void *ctx, const struct ab_fleet_host *host)
-{
-  *(uint64_t *)ctx += ab_fleet_host_hash (host);
-}
-
-static void
-count_host (void *ctx, const struct ab_fleet_host *host)
-{
-  (void)host;
-  ++*(size_t *)ctx;
-}
-
-static void
-pack_host (void *ctx, const struct ab_fleet_host *host)
+/* Version of what the host of WATCHER should know.  */
+static uint64_t
+hosts_version (const struct ab_fleet_watch *watch,
+               const struct watcher *watcher)
 {
-  ab_fleet_pack_host (ctx, host);
+  return ab_directory_version (watch->directory, watcher->host.failure_domain);
 }
 
 /* Views.  */
@@ -139,26 +150,44 @@
   ab_fleet_pack_target (ctx, target);
 }
 
+/* The failure domain of the control host at ADDRESS; empty when it is not
+   known.  */
+static const char *
+control_domain (const struct ab_fleet_watch *watch, const char *address)
+{
+  const struct ab_fleet_control *control = watch->control;
+
+  if (strcmp (address, control->daemon->settings->host) == 0)
+    return control->settings->base.failure_domain;
+  for (size_t i = 0; i < watch->peer_count; i++)
+    if (strcmp (watch->peers[i].address, address) == 0
+        && watch->peers[i].failure_domain[0])
+      return watch->peers[i].failure_domain;
+  return ab_group_domain (control->group, address);
+}
+
 static void
-pack_members (struct ab_buf *out, const struct ab_group_task *group)
+pack_controls (struct ab_buf *out, const struct ab_fleet_watch *watch)
 {
-  const struct ab_raft_member *members;
-  size_t count = ab_group_members (group, &members);
+  const char *hosts[AB_GROUP_HOSTS_MAX];
+  size_t count = ab_group_hosts (watch->control->group, hosts);
 
-  ab_pack_array (out, count);
+  ab_pack_array (out, 2 * count);
   for (size_t i = 0; i < count; i++)
-    ab_pack_bytes (out, ab_chunk_str (members[i].host));
+    {
+      ab_pack_bytes (out, ab_chunk_str (hosts[i]));
+      ab_pack_bytes (out, ab_chunk_str (control_domain (watch, hosts[i])));
+    }
 }
 
 /* Returns whether there is anything in the lists.  */
 static bool
 pack_lists (struct ab_buf *out, const struct ab_fleet_watch *watch,
-            const struct ab_fleet_view_frame *view, uint64_t now)
+            const struct ab_fleet_view_frame *view, const char *domain)
 {
   const struct ab_fleet_control *control = watch->control;
   struct ab_chunk bundle = ab_chunk ("", 0);
   size_t targets = 0;
-  size_t hosts = 0;
 
   if (ab_fleet_state_bundle_index (control->state) > view->from)
     bundle = ab_fleet_state_packed (control->state);
@@ -168,22 +197,37 @@
   ab_pack_array (out, targets);
   ab_fleet_state_changes (control->state, view->from, pack_target, out);
   if (view->has_hosts)
-    visit_hosts (watch, now, count_host, &hosts);
-  ab_pack_array (out, hosts);
-  if (view->has_hosts)
-    visit_hosts (watch, now, pack_host, out);
-  pack_members (out, control->group);
-  return bundle.len > 0 || targets > 0 || hosts > 0;
+    ab_directory_pack (watch->directory, domain, out);
+  else
+    ab_pack_array (out, 0);
+  pack_controls (out, watch);
+  return bundle.len > 0 || targets > 0 || view->has_hosts;
 }
 
 static void
-send_view (struct ab_fleet_watch *watch, struct watcher *watcher, uint64_t now)
+pack_view (struct view_body *body, const struct ab_fleet_watch *watch,
+           const struct ab_fleet_view_frame *view, const char *domain)
+{
+  body->from = view->from;
+  body->has_hosts = view->has_hosts;
+  ab_chunk_copy (ab_chunk_str (domain), body->failure_domain,
+                 sizeof body->failure_domain);
+  ab_buf_clear (&body->bytes);
+  ab_pack_array (&body->bytes, 6);
+  ab_fleet_pack_view (&body->bytes, view);
+  body->news = pack_lists (&body->bytes, watch, view, domain);
+}
+
+/* Sends a view to WATCHER.  BODY holds the last one that was packed; it is
+   sent again where it fits.  */
+static void
+send_view (struct ab_fleet_watch *watch, struct watcher *watcher,
+           struct view_body *body, uint64_t now)
 {
   struct ab_fleet_control *control = watch->control;
+  const char *domain = watcher->host.failure_domain;
   struct ab_raft_status status;
   struct ab_fleet_view_frame view = { 0 };
-  struct ab_buf body = AB_BUF_INIT;
-  bool news;
 
   ab_group_status (control->group, &status);
   memcpy (view.failure_domain, control->settings->base.failure_domain,
@@ -191,45 +235,98 @@
   view.from = watcher->sent > watcher->index ? watcher->sent : watcher->index;
   view.upto = status.applied_index;
   view.age_ms = ab_group_age_ms (control->group);
-  view.hosts_version = watch->version;
-  view.has_hosts = watcher->hosts_version != watch->version;
-  ab_pack_array (&body, 6);
-  ab_fleet_pack_view (&body, &view);
-  news = pack_lists (&body, watch, &view, now);
-  if (!body.error)
-    ab_peer_task_send (control->daemon->peer,
-                       ab_chunk_str (watcher->host.peer), AB_FRAME_FLEET_VIEW,
-                       ab_buf_chunk (&body));
+  view.hosts_version = hosts_version (watch, watcher);
+  view.has_hosts = watcher->index != UINT64_MAX
+                   && watcher->hosts_version != view.hosts_version;
+  if (body->bytes.len == 0 || body->bytes.error || body->from != view.from
+      || body->has_hosts != view.has_hosts
+      || strcmp (body->failure_domain, domain) != 0)
+    pack_view (body, watch, &view, domain);
+  if (!body->bytes.error)
+    ab_peer_task_answer (control->daemon->peer,
+                         ab_chunk_str (watcher->host.peer),
+                         AB_FRAME_FLEET_VIEW, ab_buf_chunk (&body->bytes));
   watcher->sent = view.upto;
-  watcher->sent_ms = news ? now : 0;
+  watcher->sent_ms = body->news ? now : 0;
   watcher->behind = false;
   watcher->hosts_version = view.hosts_version;
-  ab_buf_free (&body);
 }
 
-void
-ab_fleet_watch_push (struct ab_fleet_watch *watch)
+/* Sends a view to WATCHER alone.  */
+static void
+answer_with_view (struct ab_fleet_watch *watch, struct watcher *watcher,
+                  uint64_t now)
 {
-  uint64_t now = ab_fleet_now_ms ();
+  struct view_body body = { 0 };
+
+  send_view (watch, watcher, &body, now);
+  ab_buf_free (&body.bytes);
+}
+
+static void
+push_views (struct ab_fleet_watch *watch, uint64_t now)
+{
+  struct view_body body = { 0 };
 
+  watch->pushed_ms = now;
   for (struct watcher *w = watch->watchers; w; w = w->hh.next)
     if (w->sent_ms && now - w->sent_ms < VIEW_LOST_MS)
       w->behind = true;
     else
-      send_view (watch, w, now);
+      send_view (watch, w, &body, now);
+  ab_buf_free (&body.bytes);
 }
 
 static void
-update_version (struct ab_fleet_watch *watch, uint64_t now)
+on_push (evutil_socket_t fd, short events, void *ctx)
 {
-  uint64_t version = 1;
+  (void)fd;
+  (void)events;
+  push_views (ctx, ab_fleet_now_ms ());
+}
 
-  visit_hosts (watch, now, add_hash, &version);
-  watch->own_version = own_version (watch);
-  if (version == watch->version)
+void
+ab_fleet_watch_push (struct ab_fleet_watch *watch)
+{
+  uint64_t now = ab_fleet_now_ms ();
+  uint64_t due = watch->pushed_ms + PUSH_GATHER_MS;
+  struct timeval tv = { 0 };
+
+  if (event_pending (watch->push, EV_TIMEOUT, NULL))
+    return;
+  if (now >= due)
+    push_views (watch, now);
+  else
+    {
+      tv.tv_usec = (suseconds_t)(due - now) * 1000;
+      event_add (watch->push, &tv);
+    }
+}
+
+static size_t
+count_live (const struct ab_fleet_watch *watch, uint64_t now)
+{
+  size_t live = 0;
+
+  for (size_t i = 0; i < watch->peer_count; i++)
+    live += is_live (&watch->peers[i], now);
+  return live;
+}
+
+static void
+update_directory (struct ab_fleet_watch *watch, uint64_t now)
+{
+  size_t live = count_live (watch, now);
+
+  if (!watch->stale && live == watch->live_peers)
     return;
-  watch->version = version;
-  ab_fleet_watch_push (watch);
+  watch->stale = false;
+  watch->live_peers = live;
+  watch->own_version = own_version (watch);
+  ab_directory_begin (watch->directory);
+  fill_directory (watch, now);
+  if (ab_directory_end (watch->directory))
+    ab_fleet_watch_push (watch);
 }
 
 static void
@@ -238,6 +335,7 @@
   if (watch->watchers)
     HASH_DEL (watch->watchers, watcher);
   free (watcher);
+  watch->stale = true;
 }
 
 static void
@@ -254,14 +352,10 @@
   HASH_FIND_STR (watch->watchers, said.host.peer, watcher);
   if (!said.follow)
     {
-      struct watcher asker = { .host = said.host,
-                               .index = UINT64_MAX,
-                               .hosts_version = watch->version };
+      struct watcher asker = { .host = said.host, .index = UINT64_MAX };
       if (watcher)
         drop_watcher (watch, watcher);
-      ab_peer_task_set_address (watch->control->daemon->peer, frame->sender,
-                                said.host.peer);
-      send_view (watch, &asker, now);
+      answer_with_view (watch, &asker, now);
       return;
     }
   if (!watcher)
@@ -272,6 +366,7 @@
       if (!watcher)
         return;
       watcher->host = said.host;
+      watch->stale = true;
       HASH_ADD_STR (watch->watchers, host.peer, watcher);
       ab_peer_task_set_address (watch->control->daemon->peer, frame->sender,
                                 said.host.peer);
@@ -279,6 +374,10 @@
               ab_log_str ("peer", said.host.peer),
               ab_log_int ("index", (int64_t)said.index));
     }
+  if (watcher->listed != said.listed
+      || ab_fleet_host_hash (&watcher->host)
+             != ab_fleet_host_hash (&said.host))
+    watch->stale = true;
   watcher->host = said.host;
   watcher->listed = said.listed;
   watcher->index = said.index;
@@ -286,8 +385,9 @@
   watcher->sent_ms = 0;
   watcher->hosts_version = said.hosts_version;
   watcher->heard_ms = now;
-  if (!said.ack || watcher->behind || said.hosts_version != watch->version)
-    send_view (watch, watcher, now);
+  if (!said.ack || watcher->behind
+      || said.hosts_version != hosts_version (watch, watcher))
+    answer_with_view (watch, watcher, now);
 }
 
 /* Other control hosts.  */
@@ -342,6 +442,7 @@
   ab_reader_str (&reader, peer->failure_domain, sizeof peer->failure_domain);
   ab_reader_str (&reader, peer->admin, sizeof peer->admin);
   read_peer_hosts (&reader, peer);
+  watch->stale = true;
   if (ab_reader_error (&reader) == 0)
     peer->heard_ms = ab_fleet_now_ms ();
   ab_reader_free (&reader);
@@ -421,7 +522,7 @@
   (void)fd;
   (void)events;
   drop_silent (watch, now);
-  update_version (watch, now);
+  update_directory (watch, now);
   if (watch->own_version != watch->told_version
       || now - watch->told_ms > HOSTS_MS)
     tell_peers (watch, now);
@@ -458,9 +559,13 @@
   if (!watch)
     return AB_ERR_MEMORY;
   watch->control = control;
+  watch->stale = true;
+  watch->directory = ab_directory_new ();
+  watch->push = evtimer_new (control->daemon->base, on_push, watch);
   watch->timer
       = event_new (control->daemon->base, -1, EV_PERSIST, on_timer, watch);
-  if (!watch->timer || event_add (watch->timer, &interval) < 0)
+  if (!watch->directory || !watch->push || !watch->timer
+      || event_add (watch->timer, &interval) < 0)
     return AB_ERR_MEMORY;
   ab_peer_task_handle (control->daemon->peer, AB_FRAME_FLEET_WATCH, on_watch,
                        watch);
@@ -490,6 +595,9 @@
     free (watch->peers[i].hosts);
   if (watch->timer)
     event_free (watch->timer);
+  if (watch->push)
+    event_free (watch->push);
+  ab_directory_free (watch->directory);
   free (watch);
 }
 
--- a/src/group_task.c
+++ b/src/group_task.c
@@ -23,13 +23,15 @@
 /* The log is folded into a snapshot at either bound.  */
 #define SNAPSHOT_ENTRIES 2000
 #define SNAPSHOT_BYTES (4ULL * 1024 * 1024)
-#define HOSTS_MAX 64
+/* A control host that is no member and was not heard for this long has gone.
+ */
+#define STRANGER_MS 3000
 
 /* A control host that was heard or heard of.  */
 struct host
 {
   char address[AB_ADDRESS_BYTES];
-  char region[AB_NAME_BYTES];
+  char failure_domain[AB_NAME_BYTES]; /* Empty until it said so.  */
   uint8_t disk_id[AB_DISK_ID_BYTES];
   uint64_t hello_ms; /* 0: never.  */
 };
@@ -43,7 +45,7 @@
   struct ab_raft_task *consensus;
   struct ab_raft *raft; /* Its core.  */
   struct event *step_timer;
-  struct host hosts[HOSTS_MAX];
+  struct host hosts[AB_GROUP_HOSTS_MAX];
   size_t host_count;
   uint64_t hello_ms;
 };
@@ -77,8 +79,9 @@
   host = find_host (task, text);
   if (!host)
     {
-      host = &task->hosts[task->host_count < HOSTS_MAX ? task->host_count++
-                                                       : HOSTS_MAX - 1];
+      host = &task->hosts[task->host_count < AB_GROUP_HOSTS_MAX
+                              ? task->host_count++
+                              : AB_GROUP_HOSTS_MAX - 1];
       memset (host, 0, sizeof *host);
       memcpy (host->address, text, sizeof text);
     }
@@ -208,7 +211,7 @@
   ab_pack_array (&body, 2);
   ab_pack_bytes (&body, ab_chunk (ab_raft_task_disk_id (task->consensus),
                                   AB_DISK_ID_BYTES));
-  ab_pack_bytes (&body, ab_chunk_str (task->settings->base.region));
+  ab_pack_bytes (&body, ab_chunk_str (task->settings->base.failure_domain));
   if (!body.error)
     ab_peer_task_send (task->daemon->peer, ab_chunk_str (address),
                        AB_FRAME_GROUP_HELLO, ab_buf_chunk (&body));
@@ -266,17 +269,17 @@
   struct host *host = learn_host (task, frame->sender);
   struct ab_reader reader;
   uint8_t disk_id[AB_DISK_ID_BYTES];
-  char region[AB_NAME_BYTES];
+  char failure_domain[AB_NAME_BYTES];
 
   if (!host || ab_reader_init (&reader, frame->body) < 0)
     return;
   ab_reader_enter (&reader, 2);
   ab_reader_fixed (&reader, disk_id, sizeof disk_id);
-  ab_reader_str (&reader, region, sizeof region);
+  ab_reader_str (&reader, failure_domain, sizeof failure_domain);
   if (ab_reader_error (&reader) == 0)
     {
       memcpy (host->disk_id, disk_id, sizeof disk_id);
-      memcpy (host->region, region, sizeof region);
+      memcpy (host->failure_domain, failure_domain, sizeof failure_domain);
       host->hello_ms = now_ms ();
       send_info (task, frame->sender);
     }
@@ -328,7 +331,9 @@
       if (!member->self)
         ab_raft_member_progress (task->raft, members[i].host, &progress);
       if (host)
-        memcpy (member->region, host->region, sizeof member->region);
+        ab_chunk_copy (ab_chunk_str (ab_fleet_region (task->settings,
+                                                      host->failure_domain)),
+                       member->region, sizeof member->region);
       if (member->self)
         ab_chunk_copy (ab_chunk_str (task->settings->base.region),
                        member->region, sizeof member->region);
@@ -393,7 +398,7 @@
 {
   static const char *const names[] = { "none", "add", "promote", "remove" };
   struct ab_group_member members[AB_RAFT_MEMBERS_MAX];
-  struct ab_group_request requests[HOSTS_MAX];
+  struct ab_group_request requests[AB_GROUP_HOSTS_MAX];
   size_t count = describe_members (task, now, members);
   size_t least = 2 * (size_t)task->settings->tolerated_losses + 1;
   struct ab_group_step step = ab_group_plan (
@@ -572,6 +577,46 @@
   return ab_raft_members (task->raft, members);
 }
 
+static bool
+is_member (const struct ab_group_task *task, const char *address)
+{
+  const struct ab_raft_member *members;
+  size_t count = ab_raft_members (task->raft, &members);
+
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (members[i].host, address) == 0)
+      return true;
+  return false;
+}
+
+size_t
+ab_group_hosts (const struct ab_group_task *task,
+                const char *hosts[AB_GROUP_HOSTS_MAX])
+{
+  uint64_t now = now_ms ();
+  size_t count = 0;
+
+  hosts[count++] = task->daemon->settings->host;
+  for (size_t i = 0; i < task->host_count && count < AB_GROUP_HOSTS_MAX; i++)
+    {
+      const struct host *host = &task->hosts[i];
+      bool heard = host->hello_ms && now - host->hello_ms < STRANGER_MS;
+      if (strcmp (host->address, hosts[0]) != 0
+          && (heard || is_member (task, host->address)))
+        hosts[count++] = host->address;
+    }
+  return count;
+}
+
+const char *
+ab_group_domain (const struct ab_group_task *task, const char *address)
+{
+  for (size_t i = 0; i < task->host_count; i++)
+    if (strcmp (task->hosts[i].address, address) == 0)
+      return task->hosts[i].failure_domain;
+  return "";
+}
+
 uint64_t
 ab_group_age_ms (const struct ab_group_task *task)
 {
--- a/src/group_task.h
+++ b/src/group_task.h
@@ -14,6 +14,9 @@
 #include "fleet_settings.h"
 #include "raft.h"
 
+/* Control hosts that are remembered.  */
+#define AB_GROUP_HOSTS_MAX 64
+
 struct ab_group_task;
 
 /* The replicated state machine.  */
@@ -48,6 +51,13 @@
                       struct ab_raft_status *status);
 size_t ab_group_members (const struct ab_group_task *task,
                          const struct ab_raft_member **members);
+/* The members, this host, and the control hosts heard of late that may become
+   members; addresses of their peer listeners.  Returns how many.  */
+size_t ab_group_hosts (const struct ab_group_task *task,
+                       const char *hosts[AB_GROUP_HOSTS_MAX]);
+/* The failure domain of a control host; empty when it is not known.  */
+const char *ab_group_domain (const struct ab_group_task *task,
+                             const char *address);
 /* How long ago this host knew to be current.  */
 uint64_t ab_group_age_ms (const struct ab_group_task *task);
 
--- a/src/peer_task.c
+++ b/src/peer_task.c
@@ -664,19 +664,25 @@
                    enum ab_frame_type type, struct ab_chunk body)
 {
   const struct peer *peer;
-  int rc;
 
   if (ab_chunk_equal (host, ab_chunk_str (task->daemon->settings->host)))
     return send_own (task, type, body);
-  rc = send_back (task, host, type, body);
-  if (rc != AB_ERR_NOT_FOUND)
-    return rc;
   peer = find_peer (task, host);
   if (!peer)
     return AB_ERR_NOT_FOUND;
   return ab_peer_task_send_address (task, peer->address, type, body);
 }
 
+int
+ab_peer_task_answer (struct ab_peer_task *task, struct ab_chunk host,
+                     enum ab_frame_type type, struct ab_chunk body)
+{
+  int rc = send_back (task, host, type, body);
+
+  return rc == AB_ERR_NOT_FOUND ? ab_peer_task_send (task, host, type, body)
+                                : rc;
+}
+
 const char *
 ab_peer_task_address (const struct ab_peer_task *task)
 {
--- a/src/peer_task.h
+++ b/src/peer_task.h
@@ -1,9 +1,8 @@
 /* Frames to and from the other processes, over ZeroMQ with CURVE.
 
    Owns one ROUTER, bound to the peer listen address, and one DEALER for each
-   peer that is called.  A frame to a peer that was heard just now goes back on
-   the connection that the peer made, so that two processes share one and a
-   process that only answers opens none.
+   peer that is called.  Answers may go back on the connection that the peer
+   made, so that a process that only answers opens none.
    A frame to this host itself is delivered through the event loop without a
    socket.  Queues are bounded: when a peer's queue is full, new frames to it
    are dropped and counted.  */
@@ -39,6 +38,12 @@
 int ab_peer_task_send (struct ab_peer_task *task, struct ab_chunk host,
                        enum ab_frame_type type, struct ab_chunk body);
 
+/* The same on the connection that HOST made, if a frame came on it a moment
+   ago.  For answers to many peers; the order with frames that are sent
+   otherwise is not kept.  */
+int ab_peer_task_answer (struct ab_peer_task *task, struct ab_chunk host,
+                         enum ab_frame_type type, struct ab_chunk body);
+
 /* Sends to an address whose host is not known yet (a seed).  */
 int ab_peer_task_send_address (struct ab_peer_task *task, const char *address,
                                enum ab_frame_type type, struct ab_chunk body);
--- a/src/schedule_hosts.c
+++ b/src/schedule_hosts.c
@@ -109,9 +109,11 @@
 }
 
 static bool
-is_in_area (const struct ab_schedule_hosts *hosts,
-            const struct ab_fleet_host *host, const struct ab_area *area)
+may_schedule (const struct ab_schedule_hosts *hosts,
+              const struct ab_fleet_host *host, const struct ab_area *area)
 {
+  if (!host->schedules)
+    return false;
   if (area->failure_domain[0])
     return strcmp (host->failure_domain, area->failure_domain) == 0;
   return strcmp (ab_fleet_region (hosts->settings, host->failure_domain),
@@ -128,7 +130,7 @@
   uint64_t widest = 0;
 
   for (size_t i = 0; i < count; i++)
-    if (list[i].link_mbps > widest && is_in_area (hosts, &list[i], area)
+    if (list[i].link_mbps > widest && may_schedule (hosts, &list[i], area)
         && !is_silent (hosts, list[i].peer, now_ms))
       widest = list[i].link_mbps;
   return widest;
@@ -149,7 +151,7 @@
     {
       uint64_t score;
       if (list[i].link_mbps * NARROW_PART < widest
-          || !is_in_area (hosts, &list[i], area)
+          || !may_schedule (hosts, &list[i], area)
           || is_silent (hosts, list[i].peer, now_ms))
         continue;
       score = ab_rendezvous_score (
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -489,8 +489,8 @@
 
   ab_sched_pack_reply (&body, reply);
   if (!body.error)
-    ab_peer_task_send (task->daemon->peer, ab_chunk_str (ask->host),
-                       AB_FRAME_SCHED_REPLY, ab_buf_chunk (&body));
+    ab_peer_task_answer (task->daemon->peer, ab_chunk_str (ask->host),
+                         AB_FRAME_SCHED_REPLY, ab_buf_chunk (&body));
   ab_buf_free (&body);
 }
 
--- a/tests/test_fleet_state.c
+++ b/tests/test_fleet_state.c
@@ -60,7 +60,8 @@
   struct ab_fleet_target t = target (id, address, born, sequence, of);
   struct ab_buf data = AB_BUF_INIT;
 
-  ab_fleet_pack_target_change (&data, &t);
+  ab_fleet_pack_target_changes (&data, 1);
+  ab_fleet_pack_target (&data, &t);
   return apply (&data);
 }
 
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -373,8 +373,8 @@
   ck_assert_int_eq (send_to_two ("question"), 0);
   for (int i = 0; i < STEPS_MAX && two.received == 0; i++)
     run_loop ();
-  ck_assert_int_eq (ab_peer_task_send (two.daemon.peer, AB_CHUNK ("one"),
-                                       AB_FRAME_PING, AB_CHUNK ("answer")),
+  ck_assert_int_eq (ab_peer_task_answer (two.daemon.peer, AB_CHUNK ("one"),
+                                         AB_FRAME_PING, AB_CHUNK ("answer")),
                     0);
   for (int i = 0; i < STEPS_MAX && one.received == 0; i++)
     run_loop ();
@@ -399,8 +399,8 @@
                             ab_peer_task_address (one.daemon.peer));
   for (int i = 0; i < STEPS_MAX && one.received == 0; i++)
     {
-      ab_peer_task_send (two.daemon.peer, AB_CHUNK ("one"), AB_FRAME_PING,
-                         AB_CHUNK ("again"));
+      ab_peer_task_answer (two.daemon.peer, AB_CHUNK ("one"), AB_FRAME_PING,
+                           AB_CHUNK ("again"));
       run_loop ();
     }
   ck_assert_str_eq (one.last, "again");
