Send one view at a time, compressed

Cause: on a link of 2 Mbit/s a view of 1,080 targets takes longer than the time between two watch messages. Each of these had the same view sent again, so that a gateway that fell behind never caught up: 11 of 447 gateways had their links filled for good, kept an old bundle (CONFIG) and took every scheduler for silent. Others changed to control hosts of other regions and were sent all of it from there: 33 MB between regions in 16 s.

Ruled out: processor time (0.035 of 0.1 cores at most); requests between regions (1 of 11,965).

Change: a control host answers a regular watch message only when no news are on their way, for a time that grows with their size. A gateway that sees a gap says so and is answered at once. Lists over 1 KB are compressed.

--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -15,6 +15,7 @@
 
 #define CONTROLS_MAX 64
 #define TARGETS_MAX 131072
+#define LISTS_BYTES_MAX (16 * 1024 * 1024)
 /* A control host that has not answered for this long is left for another.  */
 #define SILENT_MS (2 * AB_FLEET_WATCH_MS + 200)
 /* While the followed control host is in another failure domain, others are
@@ -111,13 +112,22 @@
     }
 }
 
+/* Why a watch message is sent.  */
+enum watch_reason
+{
+  WATCH_REGULAR,
+  WATCH_ACK,   /* A view was taken.  */
+  WATCH_MISSED /* A view begins after what is known.  */
+};
+
 static void
 send_watch (struct ab_fleet_view *view, const struct control *control,
-            bool ack)
+            enum watch_reason reason)
 {
   struct ab_fleet_watch_frame watch
       = { .follow = control == &view->controls[view->followed],
-          .ack = ack,
+          .ack = reason == WATCH_ACK,
+          .missed = reason == WATCH_MISSED,
           .listed = view->duty != AB_FLEET_STOPPING,
           .index = view->index,
           .hosts_version = view->hosts_version };
@@ -200,7 +210,7 @@
               && usable (&view->controls[view->followed], now_ms ())
               && nearness (view, control) < 2))
         continue;
-      send_watch (view, control, false);
+      send_watch (view, control, WATCH_REGULAR);
       return;
     }
 }
@@ -247,7 +257,7 @@
     send_watch (
         view,
         &view->controls[(view->look + view->searches++) % view->control_count],
-        false);
+        WATCH_REGULAR);
   return !view->found;
 }
 
@@ -294,7 +304,7 @@
   choose_control (view, now);
   followed = &view->controls[view->followed];
   if (view->control_count > 0)
-    send_watch (view, followed, false);
+    send_watch (view, followed, WATCH_REGULAR);
   if (!usable (followed, now))
     for (int i = 0; i < LOOKS; i++)
       look_around (view);
@@ -412,50 +422,102 @@
   ab_reader_leave (reader);
 }
 
+/* Takes the lists of FRAME; returns whether there was anything in them.  */
+static bool
+take_lists (struct ab_fleet_view *view, struct ab_reader *reader,
+            const struct ab_fleet_view_frame *frame)
+{
+  uint64_t bundle_index;
+  struct ab_chunk bundle;
+  bool news;
+
+  ab_reader_enter (reader, 5);
+  bundle_index = ab_reader_u64 (reader);
+  bundle = ab_reader_bytes (reader, AB_FLEET_PACKED_BYTES);
+  if (ab_reader_error (reader) < 0)
+    return false;
+  take_bundle (view, bundle_index, bundle);
+  news = take_targets (view, reader) > 0 || bundle.len > 0 || frame->has_hosts;
+  take_hosts (view, reader, frame);
+  take_controls (view, reader);
+  return news;
+}
+
+/* The same for lists that may be compressed.  */
+static int
+unpack_lists (struct ab_fleet_view *view, struct ab_chunk lists,
+              const struct ab_fleet_view_frame *frame, bool *news)
+{
+  struct ab_buf text = AB_BUF_INIT;
+  struct ab_reader reader;
+  int rc = 0;
+
+  if (frame->compressed)
+    {
+      rc = ab_decompress (lists, LISTS_BYTES_MAX, &text);
+      lists = ab_buf_chunk (&text);
+    }
+  if (rc == 0)
+    rc = ab_reader_init (&reader, lists);
+  if (rc < 0)
+    goto out;
+  *news = take_lists (view, &reader, frame);
+  rc = ab_reader_error (&reader);
+  ab_reader_free (&reader);
+out:
+  ab_buf_free (&text);
+  return rc;
+}
+
+/* Notes how far the view reaches after all lists of FRAME were taken.  */
 static void
+advance (struct ab_fleet_view *view, const struct ab_fleet_view_frame *frame,
+         uint64_t now)
+{
+  if (frame->upto > view->index)
+    view->index = frame->upto;
+  if (frame->upto >= view->index && frame->age_ms < now
+      && now - frame->age_ms > view->confirmed_ms)
+    view->confirmed_ms = now - frame->age_ms;
+}
+
+static int
 take_view (struct ab_fleet_view *view, struct ab_reader *reader,
            struct control *control)
 {
   struct ab_fleet_view_frame frame = { 0 };
   uint64_t now = now_ms ();
-  uint64_t bundle_index;
-  struct ab_chunk bundle;
+  struct ab_chunk lists;
   bool look;
-  bool news;
+  bool news = false;
+  int rc;
 
-  ab_reader_enter (reader, 6);
+  ab_reader_enter (reader, 2);
   ab_fleet_read_view (reader, &frame);
-  bundle_index = ab_reader_u64 (reader);
-  bundle = ab_reader_bytes (reader, AB_FLEET_PACKED_BYTES);
-  if (ab_reader_error (reader) < 0)
-    return;
+  lists = ab_reader_bytes (reader, LISTS_BYTES_MAX);
+  rc = ab_reader_error (reader);
+  if (rc < 0)
+    return rc;
   memcpy (control->failure_domain, frame.failure_domain,
           sizeof control->failure_domain);
   control->heard_ms = now;
   control->age_ms = frame.age_ms;
   look = frame.from == UINT64_MAX;
-  /* A gap: the next watch message asks for what is between.  */
   if (frame.from > view->index && !look)
     {
-      send_watch (view, control, false);
-      return;
+      send_watch (view, control, WATCH_MISSED);
+      return 0;
     }
-  take_bundle (view, bundle_index, bundle);
-  news = take_targets (view, reader) > 0 || bundle.len > 0 || frame.has_hosts;
-  take_hosts (view, reader, &frame);
-  take_controls (view, reader);
-  if (ab_reader_error (reader) < 0 || look)
-    return;
-  if (frame.upto > view->index)
-    view->index = frame.upto;
+  rc = unpack_lists (view, lists, &frame, &news);
+  if (rc < 0 || look)
+    return rc;
+  advance (view, &frame, now);
   if (news)
     {
-      send_watch (view, control, true);
+      send_watch (view, control, WATCH_ACK);
       view->ops->taken (view->ctx);
     }
-  if (frame.upto >= view->index && frame.age_ms < now
-      && now - frame.age_ms > view->confirmed_ms)
-    view->confirmed_ms = now - frame.age_ms;
+  return 0;
 }
 
 static void
@@ -469,8 +531,7 @@
     return;
   if (ab_reader_init (&reader, frame->body) < 0)
     return;
-  take_view (view, &reader, control);
-  if (ab_reader_error (&reader) < 0)
+  if (take_view (view, &reader, control) < 0)
     AB_LOG (AB_LOG_WARN, "view_unusable",
             ab_log_str ("control", control->address));
   ab_reader_free (&reader);
@@ -528,7 +589,7 @@
     return;
   view->duty = duty;
   if (view->followed < view->control_count)
-    send_watch (view, &view->controls[view->followed], false);
+    send_watch (view, &view->controls[view->followed], WATCH_REGULAR);
 }
 
 struct ab_route_table *
--- a/src/fleet_watch.c
+++ b/src/fleet_watch.c
@@ -3,8 +3,8 @@
 #include "error.h"
 #include "rendezvous.h"
 
-#define WATCH_FIELDS 6
-#define VIEW_FIELDS 6
+#define WATCH_FIELDS 7
+#define VIEW_FIELDS 7
 #define HOST_FIELDS 6
 
 void
@@ -41,6 +41,7 @@
   ab_fleet_pack_host (out, &watch->host);
   ab_pack_bool (out, watch->follow);
   ab_pack_bool (out, watch->ack);
+  ab_pack_bool (out, watch->missed);
   ab_pack_bool (out, watch->listed);
   ab_pack_u64 (out, watch->index);
   ab_pack_u64 (out, watch->hosts_version);
@@ -58,6 +59,7 @@
   ab_fleet_read_host (&reader, &watch->host);
   watch->follow = ab_reader_bool (&reader);
   watch->ack = ab_reader_bool (&reader);
+  watch->missed = ab_reader_bool (&reader);
   watch->listed = ab_reader_bool (&reader);
   watch->index = ab_reader_u64 (&reader);
   watch->hosts_version = ab_reader_u64 (&reader);
@@ -76,6 +78,7 @@
   ab_pack_u64 (out, view->age_ms);
   ab_pack_u64 (out, view->hosts_version);
   ab_pack_bool (out, view->has_hosts);
+  ab_pack_bool (out, view->compressed);
 }
 
 void
@@ -88,6 +91,7 @@
   view->age_ms = ab_reader_u64 (reader);
   view->hosts_version = ab_reader_u64 (reader);
   view->has_hosts = ab_reader_bool (reader);
+  view->compressed = ab_reader_bool (reader);
   ab_reader_leave (reader);
 }
 
--- a/src/fleet_watch.h
+++ b/src/fleet_watch.h
@@ -31,6 +31,7 @@
   struct ab_fleet_host host;
   bool follow; /* False: only asks how the control host is.  */
   bool ack;    /* Follows a view at once; false: one of the regular ones.  */
+  bool missed; /* Views were lost on the way: all after INDEX is asked for.  */
   bool listed; /* False when it stops.  */
   uint64_t index; /* All changes up to this log index are known.  */
   uint64_t hosts_version;
@@ -47,6 +48,7 @@
   uint64_t age_ms; /* How long ago the control host was known current.  */
   uint64_t hosts_version;
   bool has_hosts;
+  bool compressed; /* The lists that follow are.  */
 };
 
 void ab_fleet_pack_host (struct ab_buf *out, const struct ab_fleet_host *host);
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "compress.h"
 #include "fleet_directory.h"
 #include "fleet_watch.h"
 #include "pack.h"
@@ -19,9 +20,14 @@
    those that are well have found another control host.  */
 #define HOSTS_LOST_MS 3500
 #define PEERS_MAX 64
-/* An entry host is sent one view at a time, as its link may be slow; one that
-   is not acknowledged counts as lost after this.  */
+/* An entry host is sent one view with news at a time, as its link may be slow:
+   views that are sent again while the first is on its way would fill the link
+   for good.  One that is not acknowledged counts as lost after VIEW_LOST_MS,
+   and later where it is large.  */
 #define VIEW_LOST_MS 1200
+#define LINK_BYTES_PER_MS 100
+/* Lists of this size are compressed.  */
+#define COMPRESS_BYTES 1024
 /* News are gathered for this long after a view was pushed: many targets and
    hosts change at once when a fleet starts.  */
 #define PUSH_GATHER_MS 60
@@ -34,6 +40,7 @@
   uint64_t sent;    /* That was sent since.  */
   uint64_t sent_ms; /* When news were sent that are not acknowledged; 0: all
                        are.  */
+  uint64_t lost_ms; /* When those count as lost.  */
   bool behind;      /* There are more news.  */
   uint64_t hosts_version;
   uint64_t heard_ms;
@@ -62,6 +69,13 @@
   bool news; /* There is anything in its lists.  */
 };
 
+/* Whether news are on their way to WATCHER.  */
+static bool
+is_under_way (const struct watcher *watcher, uint64_t now)
+{
+  return watcher->sent_ms && now < watcher->lost_ms;
+}
+
 struct ab_fleet_watch
 {
   struct ab_fleet_control *control;
@@ -204,18 +218,32 @@
   return bundle.len > 0 || targets > 0 || view->has_hosts;
 }
 
+/* Packs VIEW and the lists that follow it, compressed where that is worth the
+   time.  */
 static void
 pack_view (struct view_body *body, const struct ab_fleet_watch *watch,
-           const struct ab_fleet_view_frame *view, const char *domain)
+           struct ab_fleet_view_frame *view, const char *domain)
 {
+  struct ab_buf lists = AB_BUF_INIT;
+  struct ab_buf packed = AB_BUF_INIT;
+
   body->from = view->from;
   body->has_hosts = view->has_hosts;
   ab_chunk_copy (ab_chunk_str (domain), body->failure_domain,
                  sizeof body->failure_domain);
+  ab_pack_array (&lists, 5);
+  body->news = pack_lists (&lists, watch, view, domain);
+  view->compressed = lists.len >= COMPRESS_BYTES
+                     && ab_compress (ab_buf_chunk (&lists), &packed) == 0;
   ab_buf_clear (&body->bytes);
-  ab_pack_array (&body->bytes, 6);
+  ab_pack_array (&body->bytes, 2);
   ab_fleet_pack_view (&body->bytes, view);
-  body->news = pack_lists (&body->bytes, watch, view, domain);
+  ab_pack_bytes (&body->bytes,
+                 ab_buf_chunk (view->compressed ? &packed : &lists));
+  if (lists.error)
+    body->bytes.error = lists.error;
+  ab_buf_free (&lists);
+  ab_buf_free (&packed);
 }
 
 /* Sends a view to WATCHER.  BODY holds the last one that was packed; it is
@@ -248,6 +276,7 @@
                          AB_FRAME_FLEET_VIEW, ab_buf_chunk (&body->bytes));
   watcher->sent = view.upto;
   watcher->sent_ms = body->news ? now : 0;
+  watcher->lost_ms = now + VIEW_LOST_MS + body->bytes.len / LINK_BYTES_PER_MS;
   watcher->behind = false;
   watcher->hosts_version = view.hosts_version;
 }
@@ -270,7 +299,7 @@
 
   watch->pushed_ms = now;
   for (struct watcher *w = watch->watchers; w; w = w->hh.next)
-    if (w->sent_ms && now - w->sent_ms < VIEW_LOST_MS)
+    if (is_under_way (w, now))
       w->behind = true;
     else
       send_view (watch, w, &body, now);
@@ -380,11 +409,16 @@
     watch->stale = true;
   watcher->host = said.host;
   watcher->listed = said.listed;
+  watcher->heard_ms = now;
+  if (!said.ack && !said.missed && is_under_way (watcher, now))
+    {
+      watcher->behind = true;
+      return;
+    }
   watcher->index = said.index;
   watcher->sent = 0;
   watcher->sent_ms = 0;
   watcher->hosts_version = said.hosts_version;
-  watcher->heard_ms = now;
   if (!said.ack || watcher->behind
       || said.hosts_version != hosts_version (watch, watcher))
     answer_with_view (watch, watcher, now);
