--- /dev/null
+++ b/tests/test_fleet_watch.c
@@ -0,0 +1,425 @@
+/* Views that a control host sends to gateways over narrow links.  The peer
+   sockets and the consensus group are fakes: frames to a gateway pass a queue
+   of its link's speed.  */
+
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "clock.h"
+#include "fleet_control_parts.h"
+#include "fleet_view_task.h"
+#include "rng.h"
+#include "suite_lib.h"
+
+#define GATEWAYS 20
+#define LINK_BYTES_PER_MS 250 /* 2 Mbit/s.  */
+#define TARGETS 12000
+#define CONTROL_ADDRESS "10.1.0.1:7000"
+/* The users' bound for a change to be in force.  */
+#define IN_FORCE_MS 3000
+#define STEP_MS 10
+
+struct ab_peer_task
+{
+  char address[AB_ADDRESS_BYTES];
+  struct
+  {
+    ab_peer_handler handle;
+    void *ctx;
+  } handlers[AB_FRAME_TYPE_COUNT];
+  uint64_t free_ms; /* When the link to it has sent all.  */
+  uint64_t bytes;
+};
+
+/* A frame on its way.  */
+struct transit
+{
+  struct ab_peer_task *to;
+  struct event *timer;
+  enum ab_frame_type type;
+  char sender[AB_ADDRESS_BYTES];
+  struct ab_buf body;
+};
+
+struct gateway
+{
+  struct ab_peer_task peer;
+  struct ab_daemon daemon;
+  struct ab_fleet_settings settings;
+  struct ab_fleet_view *view;
+};
+
+static struct event_base *base;
+static struct ab_peer_task control_peer;
+static struct ab_daemon control_daemon;
+static struct ab_fleet_settings control_settings;
+static struct ab_domain domains[] = { { "d1", "r" } };
+static char seeds[][AB_ADDRESS_BYTES] = { CONTROL_ADDRESS };
+static struct ab_fleet_control control;
+static struct gateway gateways[GATEWAYS];
+static uint64_t index_now;
+static struct ab_rng rng;
+
+static uint64_t
+now_ms (void)
+{
+  return ab_clock_monotonic_ms (ab_clock_system ());
+}
+
+/* Fakes.  */
+
+void
+ab_peer_task_handle (struct ab_peer_task *task, enum ab_frame_type type,
+                     ab_peer_handler handler, void *ctx)
+{
+  task->handlers[type].handle = handler;
+  task->handlers[type].ctx = ctx;
+}
+
+int
+ab_peer_task_set_address (struct ab_peer_task *task, struct ab_chunk host,
+                          const char *address)
+{
+  (void)task;
+  (void)host;
+  (void)address;
+  return 0;
+}
+
+static void
+on_arrival (evutil_socket_t fd, short events, void *ctx)
+{
+  struct transit *transit = ctx;
+  struct ab_frame frame = { .type = transit->type,
+                            .sender = ab_chunk_str (transit->sender),
+                            .body = ab_buf_chunk (&transit->body) };
+
+  (void)fd;
+  (void)events;
+  if (transit->to->handlers[frame.type].handle)
+    transit->to->handlers[frame.type].handle (
+        transit->to->handlers[frame.type].ctx, &frame);
+  event_free (transit->timer);
+  ab_buf_free (&transit->body);
+  free (transit);
+}
+
+static struct ab_peer_task *
+find_peer (struct ab_chunk host)
+{
+  if (ab_chunk_equal (host, AB_CHUNK (CONTROL_ADDRESS)))
+    return &control_peer;
+  for (int i = 0; i < GATEWAYS; i++)
+    if (ab_chunk_equal (host, ab_chunk_str (gateways[i].peer.address)))
+      return &gateways[i].peer;
+  return NULL;
+}
+
+int
+ab_peer_task_send (struct ab_peer_task *task, struct ab_chunk host,
+                   enum ab_frame_type type, struct ab_chunk body)
+{
+  struct ab_peer_task *to = find_peer (host);
+  struct transit *transit = calloc (1, sizeof *transit);
+  uint64_t now = now_ms ();
+  uint64_t after;
+  struct timeval tv;
+
+  ck_assert_ptr_nonnull (to);
+  transit->to = to;
+  transit->type = type;
+  ab_chunk_copy (ab_chunk_str (task->address), transit->sender,
+                 sizeof transit->sender);
+  ab_buf_append_chunk (&transit->body, body);
+  if (to->free_ms < now)
+    to->free_ms = now;
+  to->free_ms += body.len / LINK_BYTES_PER_MS;
+  to->bytes += body.len;
+  after = to->free_ms - now + 1;
+  tv.tv_sec = (time_t)(after / 1000);
+  tv.tv_usec = (suseconds_t)(after % 1000 * 1000);
+  transit->timer = evtimer_new (base, on_arrival, transit);
+  evtimer_add (transit->timer, &tv);
+  return 0;
+}
+
+int
+ab_peer_task_answer (struct ab_peer_task *task, struct ab_chunk host,
+                     enum ab_frame_type type, struct ab_chunk body)
+{
+  return ab_peer_task_send (task, host, type, body);
+}
+
+void
+ab_group_status (const struct ab_group_task *task,
+                 struct ab_raft_status *status)
+{
+  (void)task;
+  memset (status, 0, sizeof *status);
+  status->applied_index = index_now;
+}
+
+size_t
+ab_group_members (const struct ab_group_task *task,
+                  const struct ab_raft_member **members)
+{
+  (void)task;
+  *members = NULL;
+  return 0;
+}
+
+size_t
+ab_group_hosts (const struct ab_group_task *task,
+                const char *hosts[AB_GROUP_HOSTS_MAX])
+{
+  (void)task;
+  hosts[0] = CONTROL_ADDRESS;
+  return 1;
+}
+
+const char *
+ab_group_domain (const struct ab_group_task *task, const char *address)
+{
+  (void)task;
+  (void)address;
+  return "d1";
+}
+
+uint64_t
+ab_group_age_ms (const struct ab_group_task *task)
+{
+  (void)task;
+  return 0;
+}
+
+/* Gateways.  */
+
+static void
+on_target (void *ctx, const struct ab_fleet_target *target)
+{
+  (void)ctx;
+  (void)target;
+}
+
+static void
+on_bundle (void *ctx, struct ab_route_table *table)
+{
+  (void)ctx;
+  (void)table;
+}
+
+static void
+on_news (void *ctx)
+{
+  (void)ctx;
+}
+
+static const struct ab_fleet_view_ops view_ops = {
+  .target = on_target, .bundle = on_bundle, .hosts = on_news, .taken = on_news
+};
+
+static void
+fill_settings (struct ab_fleet_settings *settings, const char *address)
+{
+  ab_chunk_copy (ab_chunk_str (address), settings->base.host,
+                 sizeof settings->base.host);
+  ab_chunk_copy (AB_CHUNK ("d1"), settings->base.failure_domain,
+                 sizeof settings->base.failure_domain);
+  ab_chunk_copy (AB_CHUNK ("r"), settings->base.region,
+                 sizeof settings->base.region);
+  settings->domains = domains;
+  settings->domain_count = 1;
+  settings->seeds = seeds;
+  settings->seed_count = 1;
+  settings->control_port = 7000;
+}
+
+static void
+start_control (void)
+{
+  memset (&control, 0, sizeof control);
+  memset (&control_peer, 0, sizeof control_peer);
+  ab_chunk_copy (AB_CHUNK (CONTROL_ADDRESS), control_peer.address,
+                 sizeof control_peer.address);
+  fill_settings (&control_settings, CONTROL_ADDRESS);
+  control_daemon = (struct ab_daemon){ .settings = &control_settings.base,
+                                       .base = base,
+                                       .peer = &control_peer };
+  control.daemon = &control_daemon;
+  control.settings = &control_settings;
+  control.state = ab_fleet_state_new ();
+  ck_assert_int_eq (ab_fleet_watch_new (&control, &control.watch), 0);
+}
+
+static void
+start_gateway (struct gateway *gateway, int n)
+{
+  memset (gateway, 0, sizeof *gateway);
+  snprintf (gateway->peer.address, sizeof gateway->peer.address,
+            "10.1.1.%d:7001", n);
+  fill_settings (&gateway->settings, gateway->peer.address);
+  gateway->daemon = (struct ab_daemon){ .settings = &gateway->settings.base,
+                                        .base = base,
+                                        .peer = &gateway->peer };
+  ck_assert_int_eq (ab_fleet_view_new (&gateway->daemon, &gateway->settings,
+                                       &view_ops, NULL, &gateway->view),
+                    0);
+}
+
+static void
+setup (void)
+{
+  base = event_base_new ();
+  index_now = 0;
+  ab_rng_init_seeded (&rng, 7);
+  start_control ();
+}
+
+static void
+start_gateways (void)
+{
+  for (int i = 0; i < GATEWAYS; i++)
+    start_gateway (&gateways[i], i + 1);
+}
+
+static void
+run_ms (uint64_t ms)
+{
+  uint64_t end = now_ms () + ms;
+  const struct timeval step = { .tv_usec = STEP_MS * 1000 };
+
+  while (now_ms () < end)
+    {
+      event_base_loopexit (base, &step);
+      event_base_dispatch (base);
+    }
+}
+
+static void
+teardown (void)
+{
+  for (int i = 0; i < GATEWAYS; i++)
+    ab_fleet_view_free (gateways[i].view);
+  ab_fleet_watch_free (control.watch);
+  ab_fleet_state_free (control.state);
+}
+
+/* Applies a change of COUNT new targets with ids that do not compress.  */
+static void
+add_targets (size_t count)
+{
+  enum ab_fleet_result result;
+  struct ab_buf data = AB_BUF_INIT;
+
+  ab_fleet_pack_target_changes (&data, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct ab_fleet_target target = { .state = AB_FLEET_TARGET_READY,
+                                        .service = "s",
+                                        .failure_domain = "d1",
+                                        .slots = 2,
+                                        .born = ab_rng_next (&rng) >> 1 };
+      snprintf (target.id, sizeof target.id, "%016llx%016llx",
+                (unsigned long long)ab_rng_next (&rng),
+                (unsigned long long)ab_rng_next (&rng));
+      snprintf (target.address, sizeof target.address, "10.2.%u.%u:%u",
+                (unsigned)ab_rng_below (&rng, 250),
+                (unsigned)ab_rng_below (&rng, 250),
+                1024 + (unsigned)ab_rng_below (&rng, 60000));
+      ab_fleet_pack_target (&data, &target);
+    }
+  ck_assert_int_eq (ab_fleet_state_apply (control.state, ++index_now,
+                                          ab_buf_chunk (&data), &result),
+                    0);
+  ck_assert_int_eq (result, AB_FLEET_ACCEPTED);
+  ab_buf_free (&data);
+  ab_fleet_watch_push (control.watch);
+}
+
+static bool
+all_know (uint64_t index)
+{
+  for (int i = 0; i < GATEWAYS; i++)
+    if (ab_fleet_view_index (gateways[i].view) < index)
+      return false;
+  return true;
+}
+
+/* Waits until every gateway knows all changes; fails after IN_FORCE_MS.  */
+static void
+assert_known_in_time (void)
+{
+  uint64_t end = now_ms () + IN_FORCE_MS;
+
+  while (!all_know (index_now) && now_ms () < end)
+    run_ms (STEP_MS);
+  ck_assert (all_know (index_now));
+}
+
+static uint64_t
+bytes_sent (void)
+{
+  uint64_t bytes = 0;
+
+  for (int i = 0; i < GATEWAYS; i++)
+    bytes += gateways[i].peer.bytes;
+  return bytes;
+}
+
+/* Replays a restart of all gateways beside many targets.  Guards against a
+   view that is sent again while it is on its way, which fills a narrow link:
+   it takes longer than the time between two regular messages.  */
+START_TEST (narrow_links_catch_up)
+{
+  uint64_t bytes;
+
+  for (size_t added = 0; added < TARGETS; added += AB_FLEET_BATCH_MAX)
+    add_targets (AB_FLEET_BATCH_MAX);
+  start_gateways ();
+  run_ms (1000);
+  add_targets (1);
+  assert_known_in_time ();
+  run_ms (500);
+  /* Nothing but confirmations after that.  */
+  bytes = bytes_sent ();
+  run_ms (1000);
+  ck_assert_uint_lt (bytes_sent () - bytes, GATEWAYS * 4 * 512);
+}
+END_TEST
+
+/* Guards against a change that costs each gateway more than itself.  */
+START_TEST (changes_travel_alone)
+{
+  uint64_t bytes;
+
+  start_gateways ();
+  add_targets (AB_FLEET_BATCH_MAX);
+  run_ms (500);
+  assert_known_in_time ();
+  run_ms (500);
+  bytes = bytes_sent ();
+  add_targets (1);
+  assert_known_in_time ();
+  ck_assert_uint_lt (bytes_sent () - bytes, GATEWAYS * 2048);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("fleet_watch");
+  TCase *tcase = tcase_create ("fleet_watch");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_set_timeout (tcase, 60);
+  tcase_add_test (tcase, narrow_links_catch_up);
+  tcase_add_test (tcase, changes_travel_alone);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
