Bound the memory of responses under way

Cause: a target that sends without end fills the gateway's memory until the route's timeout. evhttp does not bound a body without a length, and bounds each other body alone; sixteen such responses took 1,710 MB.

Ruled out: a smaller bound for each response; several at a time still add up.

Change: while responses are under way their bytes are added up every 20 ms; the largest ends as too large when it is over the bound of one response or all are over 48 MB together.

Measured: fleet_endless (bodies, chunks and heads without end, fast and slow, 16 callers): 1,710 MB and 249 MB of memory before, below 160 MB after; every caller gets a failure in time.

--- a/src/upstream_pool_task.c
+++ b/src/upstream_pool_task.c
@@ -344,6 +344,12 @@
   free (pools);
 }
 
+const char *
+ab_connection_address (const struct ab_connection *connection)
+{
+  return connection->pool->address;
+}
+
 json_t *
 ab_pools_state (const struct ab_pools *pools)
 {
--- a/src/upstream_pool_task.h
+++ b/src/upstream_pool_task.h
@@ -51,6 +51,9 @@
    evhttp callbacks.  */
 void ab_connection_close (struct ab_connection *connection);
 
+/* The address that the connection goes to.  */
+const char *ab_connection_address (const struct ab_connection *connection);
+
 json_t *ab_pools_state (const struct ab_pools *pools);
 
 #endif
--- a/src/upstream_task.c
+++ b/src/upstream_task.c
@@ -12,17 +12,22 @@
 #include "clock.h"
 #include "error.h"
 #include "http_rules.h"
+#include "log.h"
 #include "upstream_pool_task.h"
 
 #define HTTP_MISDIRECTED 421
 /* Longest value of a header that a response must echo.  */
 #define AB_ECHO_BYTES 256
+/* The memory of responses is looked at this often while there are any.  */
+#define SWEEP_MS 20
 
 struct ab_upstream
 {
   struct ab_daemon *daemon;
   struct ab_pools *pools;
   struct ab_upstream_call *calls;
+  uint64_t body_bytes;
+  struct event *sweep;
 };
 
 struct ab_upstream_call
@@ -31,6 +36,7 @@
   struct ab_upstream_call *next;
   struct ab_upstream *upstream;
   struct ab_connection *connection; /* Null when none was to be had.  */
+  struct evhttp_request *req;       /* evhttp's, while it is under way.  */
   struct event *timer; /* The deadline, or an end without sending.  */
   ab_upstream_callback callback;
   void *ctx;
@@ -227,6 +233,7 @@
       return;
     }
   note_traffic (call);
+  call->req = NULL;
   if (!req)
     call->attempt.end = failure_end (call);
   else if (evhttp_request_get_response_code (req) == 0)
@@ -276,6 +283,78 @@
   end_call (call, NULL);
 }
 
+/* Bytes of the call's response so far.  */
+static uint64_t
+response_bytes (const struct ab_upstream_call *call)
+{
+  if (!call->connection || !call->req)
+    return 0;
+  return evbuffer_get_length (evhttp_request_get_input_buffer (call->req))
+         + evbuffer_get_length (bufferevent_get_input (call->connection->bev));
+}
+
+static void
+end_too_large (struct ab_upstream_call *call, uint64_t bytes)
+{
+  AB_LOG (AB_LOG_WARN, "response_too_large",
+          ab_log_str ("target", ab_connection_address (call->connection)),
+          ab_log_int ("bytes", (int64_t)bytes));
+  note_traffic (call);
+  call->attempt.end = AB_ATTEMPT_TOO_LARGE;
+  ab_connection_close (call->connection);
+  end_call (call, NULL);
+}
+
+/* Ends the largest response when it, or all together, are too large.  Returns
+   whether one was ended.  */
+static bool
+end_largest (struct ab_upstream *upstream)
+{
+  struct ab_upstream_call *largest = NULL;
+  uint64_t largest_bytes = 0;
+  uint64_t total = 0;
+
+  for (struct ab_upstream_call *c = upstream->calls; c; c = c->next)
+    {
+      uint64_t bytes = response_bytes (c);
+      total += bytes;
+      if (bytes > largest_bytes)
+        {
+          largest = c;
+          largest_bytes = bytes;
+        }
+    }
+  if (!largest
+      || (largest_bytes <= upstream->body_bytes
+          && total <= AB_UPSTREAM_MEMORY_BYTES))
+    return false;
+  end_too_large (largest, largest_bytes);
+  return true;
+}
+
+static void
+arm_sweep (struct ab_upstream *upstream)
+{
+  const struct timeval tv = { .tv_usec = SWEEP_MS * 1000 };
+
+  if (!event_pending (upstream->sweep, EV_TIMEOUT, NULL))
+    event_add (upstream->sweep, &tv);
+}
+
+/* evhttp bounds neither a body without a length nor all bodies together.  */
+static void
+on_sweep (evutil_socket_t fd, short what, void *ctx)
+{
+  struct ab_upstream *upstream = ctx;
+
+  (void)fd;
+  (void)what;
+  while (end_largest (upstream))
+    continue;
+  if (upstream->calls)
+    arm_sweep (upstream);
+}
+
 static int
 make_request (struct ab_upstream_call *call,
               const struct ab_upstream_request *request)
@@ -302,6 +381,7 @@
       evbuffer_add (evhttp_request_get_output_buffer (req), request->body.data,
                     request->body.len);
     }
+  call->req = req;
   return evhttp_make_request (call->connection->evcon, req, request->type,
                               request->uri)
                  < 0
@@ -391,6 +471,7 @@
   call->head = request->type == EVHTTP_REQ_HEAD;
   call->begin_us = ab_clock_monotonic_us ();
   DL_APPEND (upstream->calls, call);
+  arm_sweep (upstream);
   call->echo_name = request->echo_name;
   if (!ab_chunk_copy (ab_chunk_str (request->echo_value), call->echo_value,
                       sizeof call->echo_value))
@@ -450,9 +531,13 @@
   if (!result)
     return AB_ERR_MEMORY;
   result->daemon = daemon;
-  rc = ab_pools_new (daemon, body_bytes, header_bytes, &result->pools);
+  result->body_bytes = body_bytes;
+  result->sweep = evtimer_new (daemon->base, on_sweep, result);
+  rc = result->sweep
+           ? ab_pools_new (daemon, body_bytes, header_bytes, &result->pools)
+           : AB_ERR_MEMORY;
   if (rc < 0)
-    free (result);
+    ab_upstream_free (result);
   else
     *upstream = result;
   return rc;
@@ -469,6 +554,8 @@
   DL_FOREACH_SAFE (upstream->calls, call, next)
   ab_upstream_cancel (call);
   ab_pools_free (upstream->pools);
+  if (upstream->sweep)
+    event_free (upstream->sweep);
   free (upstream);
 }
 
--- a/src/upstream_task.h
+++ b/src/upstream_task.h
@@ -22,6 +22,11 @@
    request that meets the close may have run.  */
 #define AB_UPSTREAM_FRESH_MS 1000
 
+/* All responses under way together hold at most about this much; the largest
+   ends as too large when there is more.  A target may send without end, and
+   several at a time must not use up the process's memory.  */
+#define AB_UPSTREAM_MEMORY_BYTES (48ULL * 1024 * 1024)
+
 struct ab_upstream;
 struct ab_upstream_call;
 
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -2,6 +2,7 @@
 
 #include <check.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -273,6 +274,82 @@
   evtimer_add (slow->timer, &tv);
 }
 
+/* A response without end.  */
+struct endless_reply
+{
+  struct bufferevent *bev;
+  const char *piece;
+  struct event *pause; /* Null: as fast as the connection takes it.  */
+};
+
+#define ENDLESS_PIECES 2048
+#define ENDLESS_PAUSE_MS 20
+
+static void
+on_endless_pause (evutil_socket_t fd, short events, void *ctx)
+{
+  const struct endless_reply *endless = ctx;
+  const struct timeval tv = { .tv_usec = ENDLESS_PAUSE_MS * 1000 };
+
+  (void)fd;
+  (void)events;
+  bufferevent_write (endless->bev, endless->piece, strlen (endless->piece));
+  evtimer_add (endless->pause, &tv);
+}
+
+static void
+on_endless_write (struct bufferevent *bev, void *ctx)
+{
+  const struct endless_reply *endless = ctx;
+
+  for (int i = 0; i < ENDLESS_PIECES; i++)
+    bufferevent_write (bev, endless->piece, strlen (endless->piece));
+}
+
+static void
+on_endless_end (struct bufferevent *bev, short events, void *ctx)
+{
+  struct endless_reply *endless = ctx;
+
+  (void)bev;
+  (void)events;
+  if (endless->pause)
+    event_free (endless->pause);
+  endless->pause = NULL;
+  bufferevent_setcb (bev, NULL, NULL, NULL, NULL);
+  bufferevent_disable (bev, EV_READ | EV_WRITE);
+  evutil_closesocket (bufferevent_getfd (bev));
+  bufferevent_setfd (bev, -1);
+}
+
+static void
+reply_without_end (struct target *target, struct evhttp_request *req)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (
+      evhttp_request_get_connection (req));
+  struct endless_reply *endless = calloc (1, sizeof *endless);
+  const char *uri = evhttp_request_get_uri (req);
+  bool chunks = strstr (uri, "chunk");
+
+  endless->piece = "0123456789012345678901234567890123456789012345678901234\n";
+  if (strstr (uri, "head"))
+    endless->piece
+        = "X-More: 01234567890123456789012345678901234567890123\r\n";
+  else if (chunks)
+    endless->piece = "10\r\n0123456789012345\r\n";
+  endless->bev = bev;
+  if (strstr (uri, "slow"))
+    endless->pause = evtimer_new (target->base, on_endless_pause, endless);
+  if (endless->pause)
+    event_active (endless->pause, EV_TIMEOUT, 0);
+  bufferevent_setcb (bev, NULL, endless->pause ? NULL : on_endless_write,
+                     on_endless_end, endless);
+  evbuffer_add_printf (bufferevent_get_output (bev), "HTTP/1.1 200 OK\r\n%s%s",
+                       chunks ? "Transfer-Encoding: chunked\r\n" : "",
+                       strstr (uri, "head") ? "" : "\r\n");
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+}
+
 static void
 on_target_request (struct evhttp_request *req, void *ctx)
 {
@@ -289,6 +366,8 @@
   fflush (target->runs);
   if (target->fault == GF_RESETS)
     evhttp_connection_free (evhttp_request_get_connection (req));
+  else if (target->fault == GF_ENDLESS)
+    reply_without_end (target, req);
   else if (target->fault == GF_FAILING)
     reply (target, req, 500);
   else if (strstr (evhttp_request_get_uri (req), "/slow"))
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -21,7 +21,10 @@
   GF_SOUND,
   GF_FAILING, /* Answers 500.  */
   GF_RESETS,  /* Closes the connection after it ran the request.  */
-  GF_SHEDS    /* Answers that it did not run it.  */
+  GF_SHEDS,   /* Answers that it did not run it.  */
+  GF_ENDLESS  /* Sends bytes until the connection is closed: header lines for
+                 a path with "head", chunks with "chunk", a body without length
+                 otherwise.  A path with "slow" gets a few at a time.  */
 };
 
 #define GF_SLOW_MS 1500
