Cache views, tell fewer hosts, share the extra repeats by schedulers

Cause: after a loss of power of all hosts the large site's bundle was in force everywhere only 3.5 s after the leader was elected: each control host packed and compressed the same 1,080 targets for each of its gateways. One control host ended over its memory limit: connections of hosts that lost power were never closed on the listening side.

Ruled out: slow gateways (the most used 0.065 of 0.1 cores).

Change: the lists of a view are kept while they are current, and compressed fast. Control hosts tell each other, of their own failure domain, only hosts that may schedule. A connection whose heartbeats stop for 2.4 s is closed by the listening side as well; unused ones after 12 s. The extra repeats are divided by the number of schedulers of the service; a host that decides as a last resort has none.

Measured: test_scheduler extra_repeats_are_shared fails before.

--- a/src/compress.c
+++ b/src/compress.c
@@ -8,8 +8,8 @@
 /* Bytes decompressed at a time.  */
 #define STEP_BYTES 16384
 
-int
-ab_compress (struct ab_chunk data, struct ab_buf *out)
+static int
+compress_at (struct ab_chunk data, int level, struct ab_buf *out)
 {
   uLongf len = compressBound ((uLong)data.len);
   int rc;
@@ -20,7 +20,7 @@
   if (rc < 0)
     return rc;
   if (compress2 ((Bytef *)out->data + out->len, &len, (const Bytef *)data.data,
-                 (uLong)data.len, Z_BEST_COMPRESSION)
+                 (uLong)data.len, level)
       != Z_OK)
     return AB_ERR_MEMORY;
   out->len += len;
@@ -28,6 +28,18 @@
   return 0;
 }
 
+int
+ab_compress (struct ab_chunk data, struct ab_buf *out)
+{
+  return compress_at (data, Z_BEST_COMPRESSION, out);
+}
+
+int
+ab_compress_fast (struct ab_chunk data, struct ab_buf *out)
+{
+  return compress_at (data, Z_BEST_SPEED, out);
+}
+
 static int
 inflate_all (z_stream *stream, size_t max, struct ab_buf *out)
 {
--- a/src/compress.h
+++ b/src/compress.h
@@ -7,6 +7,8 @@
 
 /* Appends DATA, compressed, to OUT.  AB_ERR_MEMORY, AB_ERR_TOO_LARGE.  */
 int ab_compress (struct ab_chunk data, struct ab_buf *out);
+/* The same in a part of the time, for what is sent a few times only.  */
+int ab_compress_fast (struct ab_chunk data, struct ab_buf *out);
 
 /* Appends what DATA was made from, at most MAX bytes, to OUT.  AB_ERR_CORRUPT,
    AB_ERR_TOO_LARGE, AB_ERR_MEMORY.  */
--- a/src/fleet_directory.c
+++ b/src/fleet_directory.c
@@ -138,6 +138,15 @@
   return directory->version != before;
 }
 
+bool
+ab_directory_schedules (const struct ab_directory *directory, const char *peer)
+{
+  for (size_t i = 0; i < directory->count; i++)
+    if (strcmp (directory->entries[i].host.peer, peer) == 0)
+      return directory->entries[i].host.schedules;
+  return false;
+}
+
 size_t
 ab_directory_count (const struct ab_directory *directory)
 {
--- a/src/fleet_directory.h
+++ b/src/fleet_directory.h
@@ -31,6 +31,9 @@
 /* Returns whether any list has changed.  */
 bool ab_directory_end (struct ab_directory *directory);
 
+/* Whether the host PEER may schedule.  */
+bool ab_directory_schedules (const struct ab_directory *directory,
+                             const char *peer);
 size_t ab_directory_count (const struct ab_directory *directory);
 
 /* Names the content of the list for FAILURE_DOMAIN.  */
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -58,15 +58,18 @@
   uint64_t heard_ms;
 };
 
-/* The body of a view, which all entry hosts of a failure domain that know the
-   same are sent.  */
-struct view_body
+/* The lists of a view.  All entry hosts of a failure domain that know the same
+   get the same ones, and many ask one after the other when a fleet starts.  */
+struct view_lists
 {
   uint64_t from;
+  uint64_t upto;
+  uint64_t hosts_version;
   bool has_hosts;
   char failure_domain[AB_NAME_BYTES];
   struct ab_buf bytes;
-  bool news; /* There is anything in its lists.  */
+  bool compressed;
+  bool news; /* There is anything in them.  */
 };
 
 /* Whether news are on their way to WATCHER.  */
@@ -85,10 +88,11 @@
   struct watcher *watchers;
   struct peer peers[PEERS_MAX];
   size_t peer_count;
+  struct view_lists lists;        /* That were sent last.  */
   struct ab_directory *directory; /* Of all entry hosts.  */
   bool stale;                     /* The directory is.  */
   size_t live_peers;
-  uint64_t own_version; /* Of the entry hosts heard here.  */
+  uint64_t own_version; /* Of the entry hosts that others are told of.  */
   uint64_t told_version;
   uint64_t told_ms;
   uint64_t alive_ms; /* When the peers heard of this one last.  */
@@ -96,17 +100,6 @@
 
 /* Entry hosts.  */
 
-static uint64_t
-own_version (const struct ab_fleet_watch *watch)
-{
-  uint64_t version = 1;
-
-  for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
-    if (w->listed)
-      version += ab_fleet_host_hash (&w->host);
-  return version;
-}
-
 static bool
 heard_here (const struct ab_fleet_watch *watch, const char *peer)
 {
@@ -218,44 +211,55 @@
   return bundle.len > 0 || targets > 0 || view->has_hosts;
 }
 
-/* Packs VIEW and the lists that follow it, compressed where that is worth the
-   time.  */
+/* Packs the lists of VIEW for hosts of DOMAIN, compressed where that is worth
+   the time.  */
 static void
-pack_view (struct view_body *body, const struct ab_fleet_watch *watch,
-           struct ab_fleet_view_frame *view, const char *domain)
+fill_lists (struct ab_fleet_watch *watch,
+            const struct ab_fleet_view_frame *view, const char *domain)
 {
-  struct ab_buf lists = AB_BUF_INIT;
+  struct view_lists *lists = &watch->lists;
   struct ab_buf packed = AB_BUF_INIT;
 
-  body->from = view->from;
-  body->has_hosts = view->has_hosts;
-  ab_chunk_copy (ab_chunk_str (domain), body->failure_domain,
-                 sizeof body->failure_domain);
-  ab_pack_array (&lists, 5);
-  body->news = pack_lists (&lists, watch, view, domain);
-  view->compressed = lists.len >= COMPRESS_BYTES
-                     && ab_compress (ab_buf_chunk (&lists), &packed) == 0;
-  ab_buf_clear (&body->bytes);
-  ab_pack_array (&body->bytes, 2);
-  ab_fleet_pack_view (&body->bytes, view);
-  ab_pack_bytes (&body->bytes,
-                 ab_buf_chunk (view->compressed ? &packed : &lists));
-  if (lists.error)
-    body->bytes.error = lists.error;
-  ab_buf_free (&lists);
-  ab_buf_free (&packed);
-}
-
-/* Sends a view to WATCHER.  BODY holds the last one that was packed; it is
-   sent again where it fits.  */
+  lists->from = view->from;
+  lists->upto = view->upto;
+  lists->hosts_version = view->hosts_version;
+  lists->has_hosts = view->has_hosts;
+  ab_chunk_copy (ab_chunk_str (domain), lists->failure_domain,
+                 sizeof lists->failure_domain);
+  ab_buf_clear (&lists->bytes);
+  ab_pack_array (&lists->bytes, 5);
+  lists->news = pack_lists (&lists->bytes, watch, view, domain);
+  lists->compressed
+      = lists->bytes.len >= COMPRESS_BYTES
+        && ab_compress_fast (ab_buf_chunk (&lists->bytes), &packed) == 0;
+  if (lists->compressed)
+    {
+      ab_buf_free (&lists->bytes);
+      lists->bytes = packed;
+    }
+  else
+    ab_buf_free (&packed);
+}
+
+static bool
+lists_fit (const struct view_lists *lists,
+           const struct ab_fleet_view_frame *view, const char *domain)
+{
+  return lists->bytes.len > 0 && !lists->bytes.error
+         && lists->from == view->from && lists->upto == view->upto
+         && lists->hosts_version == view->hosts_version
+         && lists->has_hosts == view->has_hosts
+         && strcmp (lists->failure_domain, domain) == 0;
+}
+
 static void
-send_view (struct ab_fleet_watch *watch, struct watcher *watcher,
-           struct view_body *body, uint64_t now)
+send_view (struct ab_fleet_watch *watch, struct watcher *watcher, uint64_t now)
 {
   struct ab_fleet_control *control = watch->control;
   const char *domain = watcher->host.failure_domain;
   struct ab_raft_status status;
   struct ab_fleet_view_frame view = { 0 };
+  struct ab_buf body = AB_BUF_INIT;
 
   ab_group_status (control->group, &status);
   memcpy (view.failure_domain, control->settings->base.failure_domain,
@@ -266,44 +270,33 @@
   view.hosts_version = hosts_version (watch, watcher);
   view.has_hosts = watcher->index != UINT64_MAX
                    && watcher->hosts_version != view.hosts_version;
-  if (body->bytes.len == 0 || body->bytes.error || body->from != view.from
-      || body->has_hosts != view.has_hosts
-      || strcmp (body->failure_domain, domain) != 0)
-    pack_view (body, watch, &view, domain);
-  if (!body->bytes.error)
+  if (!lists_fit (&watch->lists, &view, domain))
+    fill_lists (watch, &view, domain);
+  view.compressed = watch->lists.compressed;
+  ab_pack_array (&body, 2);
+  ab_fleet_pack_view (&body, &view);
+  ab_pack_bytes (&body, ab_buf_chunk (&watch->lists.bytes));
+  if (!body.error && !watch->lists.bytes.error)
     ab_peer_task_answer (control->daemon->peer,
                          ab_chunk_str (watcher->host.peer),
-                         AB_FRAME_FLEET_VIEW, ab_buf_chunk (&body->bytes));
+                         AB_FRAME_FLEET_VIEW, ab_buf_chunk (&body));
   watcher->sent = view.upto;
-  watcher->sent_ms = body->news ? now : 0;
-  watcher->lost_ms = now + VIEW_LOST_MS + body->bytes.len / LINK_BYTES_PER_MS;
+  watcher->sent_ms = watch->lists.news ? now : 0;
+  watcher->lost_ms = now + VIEW_LOST_MS + body.len / LINK_BYTES_PER_MS;
   watcher->behind = false;
   watcher->hosts_version = view.hosts_version;
-}
-
-/* Sends a view to WATCHER alone.  */
-static void
-answer_with_view (struct ab_fleet_watch *watch, struct watcher *watcher,
-                  uint64_t now)
-{
-  struct view_body body = { 0 };
-
-  send_view (watch, watcher, &body, now);
-  ab_buf_free (&body.bytes);
+  ab_buf_free (&body);
 }
 
 static void
 push_views (struct ab_fleet_watch *watch, uint64_t now)
 {
-  struct view_body body = { 0 };
-
   watch->pushed_ms = now;
   for (struct watcher *w = watch->watchers; w; w = w->hh.next)
     if (is_under_way (w, now))
       w->behind = true;
     else
-      send_view (watch, w, &body, now);
-  ab_buf_free (&body.bytes);
+      send_view (watch, w, now);
 }
 
 static void
@@ -342,19 +335,44 @@
   return live;
 }
 
+/* Whether other control hosts are told of the host of WATCHER: of the own
+   failure domain they need to know those that may schedule.  */
+static bool
+is_told (const struct ab_fleet_watch *watch, const struct watcher *watcher)
+{
+  const char *own = watch->control->settings->base.failure_domain;
+
+  return watcher->listed
+         && (strcmp (watcher->host.failure_domain, own) != 0
+             || ab_directory_schedules (watch->directory, watcher->host.peer));
+}
+
+static uint64_t
+own_version (const struct ab_fleet_watch *watch)
+{
+  uint64_t version = 1;
+
+  for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
+    if (is_told (watch, w))
+      version += ab_fleet_host_hash (&w->host);
+  return version;
+}
+
 static void
 update_directory (struct ab_fleet_watch *watch, uint64_t now)
 {
+  bool changed;
   size_t live = count_live (watch, now);
 
   if (!watch->stale && live == watch->live_peers)
     return;
   watch->stale = false;
   watch->live_peers = live;
-  watch->own_version = own_version (watch);
   ab_directory_begin (watch->directory);
   fill_directory (watch, now);
-  if (ab_directory_end (watch->directory))
+  changed = ab_directory_end (watch->directory);
+  watch->own_version = own_version (watch);
+  if (changed)
     ab_fleet_watch_push (watch);
 }
 
@@ -384,7 +402,7 @@
       struct watcher asker = { .host = said.host, .index = UINT64_MAX };
       if (watcher)
         drop_watcher (watch, watcher);
-      answer_with_view (watch, &asker, now);
+      send_view (watch, &asker, now);
       return;
     }
   if (!watcher)
@@ -421,7 +439,7 @@
   watcher->hosts_version = said.hosts_version;
   if (!said.ack || watcher->behind
       || said.hosts_version != hosts_version (watch, watcher))
-    answer_with_view (watch, watcher, now);
+    send_view (watch, watcher, now);
 }
 
 /* Other control hosts.  */
@@ -518,13 +536,13 @@
   watch->told_ms = now;
   watch->alive_ms = now;
   for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
-    hosts += w->listed;
+    hosts += is_told (watch, w);
   ab_pack_array (&body, 3);
   ab_pack_bytes (&body, ab_chunk_str (control->settings->base.failure_domain));
   ab_pack_bytes (&body, ab_chunk_str (control->settings->listen.admin));
   ab_pack_array (&body, hosts);
   for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
-    if (w->listed)
+    if (is_told (watch, w))
       ab_fleet_pack_host (&body, &w->host);
   if (!body.error)
     send_to_peers (watch, AB_FRAME_FLEET_HOSTS, ab_buf_chunk (&body));
@@ -632,6 +650,7 @@
   if (watch->push)
     event_free (watch->push);
   ab_directory_free (watch->directory);
+  ab_buf_free (&watch->lists.bytes);
   free (watch);
 }
 
--- a/src/peer_link_task.c
+++ b/src/peer_link_task.c
@@ -20,6 +20,9 @@
    frames; missing heartbeats close it.  */
 #define HEARTBEAT_MS 600
 #define HEARTBEAT_TIMEOUT_MS 1200
+/* The other side closes the connection after this time without a heartbeat: a
+   host that loses power leaves connections that nothing else ends.  */
+#define HEARTBEAT_TTL_MS 2400
 #define HANDSHAKE_MS 1000
 #define LINGER_MS 200
 #define MONITOR_BYTES 48
@@ -221,6 +224,7 @@
                   { ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS },
                   { ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS },
                   { ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS },
+                  { ZMQ_HEARTBEAT_TTL, HEARTBEAT_TTL_MS },
                   { ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS },
                   { ZMQ_CONNECT_TIMEOUT, CONNECT_MS },
                   { ZMQ_TCP_MAXRT, HEARTBEAT_TIMEOUT_MS },
--- a/src/peer_link_task.h
+++ b/src/peer_link_task.h
@@ -27,7 +27,7 @@
 #define AB_PEER_WAIT_BYTES (1024 * 1024)
 #define AB_PEER_WAIT_MS 500
 /* A socket that has carried no frame for this long is closed.  */
-#define AB_PEER_IDLE_MS 30000
+#define AB_PEER_IDLE_MS 12000
 
 struct event_base;
 struct ab_peer_links;
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -494,7 +494,37 @@
   ab_buf_free (&body);
 }
 
-static const struct ab_scheduler_ops scheduler_ops = { .decide = on_decision };
+/* Each area of a service has a scheduler.  */
+static size_t
+count_schedulers (void *ctx, const char *service)
+{
+  const struct ab_schedule_task *task = ctx;
+  struct ab_area areas[AB_AREAS_MAX];
+
+  return ab_areas_list (task->areas, service,
+                        task->settings->base.failure_domain, areas,
+                        AB_AREAS_MAX);
+}
+
+static const struct ab_scheduler_ops scheduler_ops
+    = { .decide = on_decision, .sharers = count_schedulers };
+
+/* Whether ASK comes from this host and another one schedules its area.  */
+static bool
+is_last_resort (const struct ab_schedule_task *task,
+                const struct ab_sched_ask *ask)
+{
+  const char *own = task->daemon->settings->host;
+  struct ab_area area = { 0 };
+  const char *host;
+
+  if (strcmp (ask->host, own) != 0)
+    return false;
+  memcpy (area.region, task->settings->base.region, sizeof area.region);
+  memcpy (area.failure_domain, ask->area, sizeof area.failure_domain);
+  host = scheduler_host (task, &area, ask->service);
+  return !host || strcmp (host, own) != 0;
+}
 
 static void
 on_ask (void *ctx, const struct ab_frame *frame)
@@ -509,6 +539,7 @@
   if (strcmp (ask.host, task->daemon->settings->host) != 0)
     ab_peer_task_set_address (task->daemon->peer, ab_chunk_str (ask.host),
                               ask.host);
+  ask.last_resort = is_last_resort (task, &ask);
   ab_scheduler_ask (task->scheduler, &ask, now_ms ());
 }
 
@@ -560,25 +591,6 @@
   task->view = view;
 }
 
-/* Regions of the fleet, which share the budget of repeats.  */
-static size_t
-count_regions (const struct ab_fleet_settings *settings)
-{
-  size_t count = 0;
-
-  for (size_t i = 0; i < settings->domain_count; i++)
-    {
-      bool known = false;
-      for (size_t j = 0; j < i; j++)
-        known = known
-                || strcmp (settings->domains[j].region,
-                           settings->domains[i].region)
-                       == 0;
-      count += !known;
-    }
-  return count > 0 ? count : 1;
-}
-
 static int
 make_parts (struct ab_schedule_task *task)
 {
@@ -586,8 +598,7 @@
   const struct timeval interval = { .tv_usec = AB_SCHED_TICK_MS * 1000 };
   struct ab_scheduler_config config
       = { .repeat_fraction = settings->repeat_fraction,
-          .repeat_extra
-          = (double)settings->repeat_extra / (double)count_regions (settings),
+          .repeat_extra = (double)settings->repeat_extra,
           .repeat_window_ms = settings->repeat_window_ms };
 
   task->areas = ab_areas_new (settings);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -46,8 +46,11 @@
   bool repeat;   /* An earlier attempt arrived at a target.  */
   bool may_wait; /* False: only a free slot is of use.  */
   bool may_move; /* Another region may be asked instead of waiting long.  */
-  bool bulky;    /* Its body makes another failure domain expensive.  */
-  uint64_t priority;     /* 0 first.  */
+  /* This host decides only because the area's scheduler does not answer.  Not
+     part of a message.  */
+  bool last_resort;
+  bool bulky;        /* Its body makes another failure domain expensive.  */
+  uint64_t priority; /* 0 first.  */
   uint64_t objective_ms; /* Left until the response is worth less.  */
   uint64_t time_ms;      /* Left until it is worth nothing.  */
   char tried[AB_SCHED_TRIED_MAX][AB_NAME_BYTES]; /* Ids of targets.  */
@@ -80,12 +83,15 @@
 {
   void (*decide) (void *ctx, const struct ab_sched_ask *ask,
                   const struct ab_sched_reply *reply);
+  /* How many schedulers share the requests of SERVICE.  Null: this one has
+     all.  */
+  size_t (*sharers) (void *ctx, const char *service);
 };
 
 struct ab_scheduler_config
 {
   double repeat_fraction; /* Of the requests of the window.  */
-  double repeat_extra;    /* Added to it.  */
+  double repeat_extra;    /* Added to it, for all that share a service.  */
   uint64_t repeat_window_ms;
 };
 
--- a/src/scheduler_budget.c
+++ b/src/scheduler_budget.c
@@ -31,6 +31,19 @@
   bucket_at (service, now_ms)->first++;
 }
 
+/* This scheduler's part of the extra repeats.  A host that is a last resort
+   has none: when schedulers are lost, all hosts may be.  */
+static double
+extra_share (const struct ab_scheduler *s, const struct ab_sched_ask *ask)
+{
+  size_t sharers
+      = s->ops->sharers ? s->ops->sharers (s->ctx, ask->service) : 1;
+
+  if (ask->last_resort)
+    return 0;
+  return s->config.repeat_extra / (double)(sharers > 0 ? sharers : 1);
+}
+
 bool
 ab_sched_take_repeat (const struct ab_scheduler *s,
                       struct ab_sched_service *service,
@@ -50,7 +63,7 @@
       }
   if (repeats + 1
       > BUDGET_USE * budget_of_rank[ab_sched_rank (ask)]
-            * (s->config.repeat_fraction * first + s->config.repeat_extra))
+            * (s->config.repeat_fraction * first + extra_share (s, ask)))
     return false;
   bucket_at (service, now_ms)->repeats++;
   return true;
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -162,6 +162,71 @@
 }
 END_TEST
 
+#define SHARERS 9
+#define SHARED_EXTRA 180
+
+static size_t
+count_sharers (void *ctx, const char *service)
+{
+  (void)ctx;
+  (void)service;
+  return SHARERS;
+}
+
+static void
+ignore_decision (void *ctx, const struct ab_sched_ask *ask,
+                 const struct ab_sched_reply *reply)
+{
+  (void)ask;
+  *(unsigned *)ctx += reply->kind == AB_SCHED_GRANTED;
+}
+
+/* Repeats that one of SHARERS schedulers grants where none is earned by first
+   attempts.  */
+static unsigned
+count_extra_repeats (bool last_resort)
+{
+  static const struct ab_scheduler_ops sharing
+      = { .decide = ignore_decision, .sharers = count_sharers };
+  const struct ab_scheduler_config config
+      = { .repeat_extra = SHARED_EXTRA, .repeat_window_ms = 10000 };
+  struct ab_fleet_target target = { .id = "1",
+                                    .service = "s",
+                                    .address = "10.0.0.1:80",
+                                    .failure_domain = "d",
+                                    .born = 1,
+                                    .slots = 100,
+                                    .state = AB_FLEET_TARGET_READY };
+  unsigned granted = 0;
+  struct ab_scheduler *scheduler
+      = ab_scheduler_new (&config, &sharing, &granted);
+
+  ab_scheduler_set_target (scheduler, &target, "", 100000);
+  for (uint64_t id = 1; id <= SHARED_EXTRA; id++)
+    {
+      struct ab_sched_ask ask = replay_make_ask (id, true);
+      ask.repeat = true;
+      ask.last_resort = last_resort;
+      ab_scheduler_ask (scheduler, &ask, 100001);
+      ab_scheduler_outcome (scheduler, id, AB_TARGET_OK, 10, 100001);
+    }
+  ab_scheduler_free (scheduler);
+  return granted;
+}
+
+/* After a loss of power many schedulers start at once, and hosts that find
+   none decide alone.  Guards against a budget of repeats that each of them has
+   whole.  */
+START_TEST (extra_repeats_are_shared)
+{
+  unsigned granted = count_extra_repeats (false);
+
+  ck_assert_uint_gt (granted, 0);
+  ck_assert_uint_le (granted * SHARERS, SHARED_EXTRA);
+  ck_assert_uint_eq (count_extra_repeats (true), 0);
+}
+END_TEST
+
 /* All targets shed a part of their requests: the repeats that are left go to
    the urgent ones, and targets stay in use.  */
 START_TEST (sheds_everywhere_favour_urgent_repeats)
@@ -353,7 +418,7 @@
 SUITE_MAIN ("scheduler", 30, waiting_goes_by_priority,
             overload_serves_urgent_and_refuses_early,
             short_burst_is_served_whole, repeats_stay_within_budget,
-            sheds_everywhere_favour_urgent_repeats, trouble_spreads_orders,
-            broken_path_counts_for_one_host, repeated_ask_takes_one_slot,
-            follows_the_view, prefers_own_domain, bulky_waits_for_a_near_slot,
-            refuses_at_once_without_targets)
+            extra_repeats_are_shared, sheds_everywhere_favour_urgent_repeats,
+            trouble_spreads_orders, broken_path_counts_for_one_host,
+            repeated_ask_takes_one_slot, follows_the_view, prefers_own_domain,
+            bulky_waits_for_a_near_slot, refuses_at_once_without_targets)
