--- a/src/caller_conns_task.c
+++ b/src/caller_conns_task.c
@@ -369,3 +369,14 @@
       count++;
   return count;
 }
+
+uint64_t
+ab_caller_conns_unsent (const struct ab_caller_conns *conns)
+{
+  uint64_t bytes = 0;
+
+  for (const struct conn *conn = conns->conns; conn; conn = conn->hh.next)
+    if (!released (conn))
+      bytes += evbuffer_get_length (bufferevent_get_output (conn->bev));
+  return bytes;
+}
--- a/src/caller_conns_task.h
+++ b/src/caller_conns_task.h
@@ -41,5 +41,7 @@
 size_t ab_caller_conns_count (const struct ab_caller_conns *conns);
 /* Connections with a reply that has not been written out.  */
 size_t ab_caller_conns_writing (const struct ab_caller_conns *conns);
+/* Bytes of replies that have not been written out.  */
+uint64_t ab_caller_conns_unsent (const struct ab_caller_conns *conns);
 
 #endif
--- a/tests/fleet_endless.c
+++ b/tests/fleet_endless.c
@@ -1,13 +1,19 @@
-/* Targets that send without end, and gateways that must live with it.  */
+/* Responses without end and large ones, and gateways that must live with
+   them.  */
 
 #include <signal.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "clock.h"
+#include "conf.h"
+#include "fleet_lib.h"
 #include "fleet_process.h"
 #include "gateway_fleet_lib.h"
 #include "suite_lib.h"
@@ -113,5 +119,85 @@
 START_TEST (endless_slow_head) { assert_bounded ("/look/slow-head"); }
 END_TEST
 
+#define SLOW_READERS 250
+#define SLOW_READ_MS 10
+#define SMALL_REQUESTS 40
+#define SMALL_MS 500
+#define RECEIVE_BYTES 4096
+
+/* A connection to the gateway that asks for a large response and does not
+   read; its socket.  */
+static int
+ask_large (struct gf_fleet *fleet)
+{
+  static const char request[] = "GET /large/1 HTTP/1.1\r\nHost: x.example\r\n"
+                                "X-Request-Id: slow\r\n\r\n";
+  const int size = RECEIVE_BYTES;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in at = { .sin_family = AF_INET };
+  char host[64];
+  uint16_t port;
+
+  ck_assert_int_ge (fd, 0);
+  ck_assert_int_eq (
+      ab_address_split (gf_callers (fleet, 1), host, sizeof host, &port), 0);
+  at.sin_port = htons (port);
+  inet_pton (AF_INET, host, &at.sin_addr);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&at, sizeof at), 0);
+  ck_assert_int_eq (write (fd, request, sizeof request - 1),
+                    (int)sizeof request - 1);
+  return fd;
+}
+
+/* Reads the whole response of FD; whether it is a whole large one.  */
+static bool
+read_large (int fd)
+{
+  static char data[2 * GF_LARGE_BYTES];
+  size_t len = 0;
+  ssize_t got;
+
+  while (len < GF_LARGE_BYTES
+         && (got = read (fd, data + len, sizeof data - len)) > 0)
+    len += (size_t)got;
+  return len >= GF_LARGE_BYTES && strncmp (data, "HTTP/1.1 200", 12) == 0;
+}
+
+/* Guards against memory that grows with callers that read slowly, against
+   small requests that suffer from them, and against a large response that is
+   cut because its caller was slow.  */
+START_TEST (slow_readers)
+{
+  struct gf_fleet fleet;
+  int readers[SLOW_READERS];
+  uint64_t begin;
+
+  gf_start (&fleet, "gf_slow_readers", 3, 1);
+  for (int n = 1; n <= TARGETS; n++)
+    gf_start_target (&fleet, n, GF_LARGE);
+  ck_assert (gf_wait_status (&fleet, 1, "/large/1", 200, READY_MS));
+  for (int i = 0; i < SLOW_READERS; i++)
+    {
+      readers[i] = ask_large (&fleet);
+      fleet_sleep_ms (SLOW_READ_MS);
+    }
+  for (int i = 0; i < SMALL_REQUESTS; i++)
+    {
+      begin = ab_clock_monotonic_ms (ab_clock_system ());
+      ck_assert_int_eq (
+          gf_request (&fleet, 1, "GET", "/look/1", "small", NULL), 200);
+      ck_assert_uint_lt (ab_clock_monotonic_ms (ab_clock_system ()) - begin,
+                         SMALL_MS);
+    }
+  ck_assert_int_lt (peak_kb (fleet.gateway_pids[1]), HOST_KB);
+  ck_assert (read_large (readers[0]));
+  for (int i = 0; i < SLOW_READERS; i++)
+    close (readers[i]);
+  ck_assert (gf_wait_status (&fleet, 1, "/large/1", 200, READY_MS));
+  gf_stop (&fleet);
+}
+END_TEST
+
 SUITE_MAIN ("fleet_endless", TEST_S, endless_body, endless_chunks,
-            endless_head, endless_slow_body, endless_slow_head)
+            endless_head, endless_slow_body, endless_slow_head, slow_readers)
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -232,6 +232,8 @@
   struct event *timer;
 };
 
+static const char large_body[GF_LARGE_BYTES];
+
 static void
 reply (const struct target *target, struct evhttp_request *req, int status)
 {
@@ -245,6 +247,9 @@
   if (target->fault == GF_SHEDS)
     evhttp_add_header (out, "Almond-Shed", "1");
   evbuffer_add_printf (body, "target %d", target->number);
+  if (target->fault == GF_LARGE
+      && strstr (evhttp_request_get_uri (req), "large"))
+    evbuffer_add_reference (body, large_body, sizeof large_body, NULL, NULL);
   evhttp_send_reply (req, status, NULL, body);
   evbuffer_free (body);
 }
@@ -566,7 +571,9 @@
       "\"service\":\"shop\",\"attempts\":2},{\"name\":\"look\",\"prefix\":"
       "\"/look%s/\",\"kind\":\"idempotent\",\"timeout_ms\":3000,"
       "\"objective_ms\":1000,\"priority\":1,\"service\":\"shop\","
-      "\"attempts\":2}]}]}",
+      "\"attempts\":2},{\"name\":\"large\",\"prefix\":\"/large/\",\"kind\":"
+      "\"download\",\"timeout_ms\":3000,\"priority\":2,\"service\":\"shop\"}"
+      "]}]}",
       version, base, extra);
   return fleet_http (gf_admin (fleet, control), "POST", "/v1/bundle",
                      "Content-Type: application/json\n", body, NULL);
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -22,12 +22,14 @@
   GF_FAILING, /* Answers 500.  */
   GF_RESETS,  /* Closes the connection after it ran the request.  */
   GF_SHEDS,   /* Answers that it did not run it.  */
+  GF_LARGE,   /* Answers GF_LARGE_BYTES to paths with "large".  */
   GF_ENDLESS  /* Sends bytes until the connection is closed: header lines for
                  a path with "head", chunks with "chunk", a body without length
                  otherwise.  A path with "slow" gets a few at a time.  */
 };
 
 #define GF_SLOW_MS 1500
+#define GF_LARGE_BYTES 4000000
 
 struct gf_fleet
 {
@@ -76,7 +78,8 @@
 const char *gf_callers (struct gf_fleet *fleet, int gateway);
 
 /* Puts a bundle of VERSION made from BASE; EXTRA is added to the prefix of its
-   second route.  The status.  */
+   second route, "/look".  A third one, "/large/", is of downloads.  The
+   status.  */
 int gf_put_bundle (struct gf_fleet *fleet, int control, int version, int base,
                    const char *extra);
 /* Waits until the bundle can be read at CONTROL and has VERSION.  */
