Close the listener of a gateway that accepts no more

Cause: after the time in which a stopping gateway takes new connections its listener was only disabled. Callers still connected into the listen queue and got nothing until the process ended, up to a third of the stop time later.

Ruled out: accepting until the end; a request that arrives then may not end in time.

Change: the listening socket is closed, so that callers are refused at once and try another host.

--- a/src/caller_conns_task.c
+++ b/src/caller_conns_task.c
@@ -36,7 +36,8 @@
 struct ab_caller_conns
 {
   struct ab_daemon *daemon;
-  struct evhttp_bound_socket *bound;
+  struct evhttp *http;
+  struct evhttp_bound_socket *bound; /* Null once it is closed.  */
   struct event *sweep;
   struct conn *conns;
   SSL_CTX *tls;
@@ -180,12 +181,12 @@
 update_listener (struct ab_caller_conns *conns)
 {
   struct evconnlistener *listener
-      = evhttp_bound_socket_get_listener (conns->bound);
+      = conns->bound ? evhttp_bound_socket_get_listener (conns->bound) : NULL;
   size_t count = HASH_COUNT (conns->conns);
   bool full = count >= conns->daemon->settings->http.connections;
 
   *conns->gauge = count;
-  if (full == conns->full)
+  if (full == conns->full || !listener)
     return;
   conns->full = full;
   if (full)
@@ -271,6 +272,7 @@
   if (!result)
     return AB_ERR_MEMORY;
   result->daemon = daemon;
+  result->http = http;
   result->bound = bound;
   result->gauge = ab_counter (daemon->counters, "ab_caller_connections");
   result->slow = ab_counter (daemon->counters, "ab_caller_slow_total");
@@ -380,3 +382,11 @@
       bytes += evbuffer_get_length (bufferevent_get_output (conn->bev));
   return bytes;
 }
+
+void
+ab_caller_conns_close_listener (struct ab_caller_conns *conns)
+{
+  if (conns->bound)
+    evhttp_del_accept_socket (conns->http, conns->bound);
+  conns->bound = NULL;
+}
--- a/src/caller_conns_task.h
+++ b/src/caller_conns_task.h
@@ -38,6 +38,10 @@
 /* From now on closes connections that have been idle for a second.  */
 void ab_caller_conns_drain (struct ab_caller_conns *conns, bool draining);
 
+/* Takes no new connections.  Callers that try are refused at once; those whose
+   connection waits to be accepted learn that it was not read.  */
+void ab_caller_conns_close_listener (struct ab_caller_conns *conns);
+
 size_t ab_caller_conns_count (const struct ab_caller_conns *conns);
 /* Connections with a reply that has not been written out.  */
 size_t ab_caller_conns_writing (const struct ab_caller_conns *conns);
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -373,8 +373,7 @@
   if (gateway->listening
       && (double)stopping_ms > STOP_ACCEPT_SHARE * (double)limit)
     {
-      evconnlistener_disable (
-          evhttp_bound_socket_get_listener (gateway->bound));
+      ab_caller_conns_close_listener (gateway->env.conns);
       gateway->listening = false;
     }
   if ((double)stopping_ms > STOP_REFUSE_SHARE * (double)limit)
--- a/tests/fleet_gateway.c
+++ b/tests/fleet_gateway.c
@@ -346,6 +346,46 @@
 }
 END_TEST
 
+#define LONG_STOP_MS 4000
+#define REFUSED_MS 300
+
+/* Guards against callers whose connection waits in the listen queue of a host
+   that accepts no more: they got nothing until its process ended.  */
+START_TEST (planned_stop_refuses_late_callers)
+{
+  struct gf_fleet fleet;
+  uint64_t begin;
+  int status;
+  pid_t caller;
+
+  gf_start (&fleet, "gf_late", 3, 1);
+  gf_kill (&fleet.gateway_pids[1]);
+  fleet.stop_ms = LONG_STOP_MS;
+  gf_start_gateway (&fleet, 1);
+  gf_start_target (&fleet, 1, GF_SOUND);
+  ck_assert (gf_wait_status (&fleet, 1, "/look/1", 200, READY_MS));
+  kill (fleet.gateway_pids[1], SIGTERM);
+  fleet_sleep_ms (LONG_STOP_MS * 45 / 100);
+  caller = fork ();
+  if (caller == 0)
+    _exit (gf_request (&fleet, 1, "POST", "/shop/slow", "slow", NULL) == 200
+               ? 0
+               : 1);
+  fleet_sleep_ms (LONG_STOP_MS * 20 / 100);
+  /* The process still runs, for the slow request.  */
+  ck_assert_int_eq (kill (fleet.gateway_pids[1], 0), 0);
+  begin = ab_clock_monotonic_ms (ab_clock_system ());
+  ck_assert_int_le (gf_request (&fleet, 1, "GET", "/look/1", "late", NULL), 0);
+  ck_assert_uint_lt (ab_clock_monotonic_ms (ab_clock_system ()) - begin,
+                     REFUSED_MS);
+  ck_assert_int_eq (waitpid (caller, &status, 0), caller);
+  ck_assert_int_eq (status, 0);
+  ck_assert_int_eq (fleet_wait_process (fleet.gateway_pids[1], 6000), 0);
+  fleet.gateway_pids[1] = 0;
+  gf_stop (&fleet);
+}
+END_TEST
+
 /* Runs almondctl explain log on the gateway's and the control hosts' files;
    its exit status.  */
 static int
@@ -401,4 +441,5 @@
             acknowledged_drain_binds, group_heals_alone,
             unread_log_delays_nothing, requests_wait_for_the_first_bundle,
             no_bundle_is_told_in_time, planned_stop_cuts_nothing,
-            planned_stop_answers_those_that_wait, logs_explain_failures)
+            planned_stop_answers_those_that_wait,
+            planned_stop_refuses_late_callers, logs_explain_failures)
