Refuse a large response that the link cannot pass in time

Ruled out: the listener (the connection was open before); the target.

Change: a gateway knows how many large responses are under way, their mean size and what is still to be written. A request whose response could not pass the link before its deadline or the end of a stop is refused before it is sent on (503 link-full, not run). A stop ends at 0.95 of its time instead of 0.9.

--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -81,13 +81,16 @@
             sizeof ask->tried[0]);
 }
 
+/* Takes note of the end of an attempt with BODY_BYTES of a response.  */
 static void
 note_attempt (struct ab_gateway_flow *flow, const struct ab_attempt *attempt,
-              uint64_t latency_us)
+              uint64_t latency_us, uint64_t body_bytes)
 {
   enum ab_target_event event = event_of (attempt);
 
   flow->attempt = NULL;
+  if (flow->route->large)
+    ab_link_load_end (&flow->env->link, body_bytes);
   flow->verdict
       = ab_verdict_join (flow->verdict, ab_attempt_verdict (attempt));
   flow->ran += ab_attempt_verdict (attempt) != AB_VERDICT_NOT_RUN;
@@ -118,7 +121,8 @@
   bool response = attempt->end == AB_ATTEMPT_RESPONSE && !attempt->shed;
   struct ab_failure failure;
 
-  note_attempt (flow, attempt, result->latency_us);
+  note_attempt (flow, attempt, result->latency_us,
+                response ? evbuffer_get_length (result->body) : 0);
   if (response && (attempt->status < 500 || !may_repeat (flow, attempt)))
     {
       ab_gateway_reply_deliver (flow, result);
@@ -189,6 +193,24 @@
   return ab_upstream_send (flow->env->upstream, &request, on_result, flow);
 }
 
+/* Whether a large response could not pass this host's link before the
+   deadline, or before the process ends.  */
+static bool
+is_link_full (const struct ab_gateway_flow *flow)
+{
+  const struct ab_gateway_env *env = flow->env;
+  uint64_t end_ms = flow->deadline_ms;
+
+  if (!flow->route->large)
+    return false;
+  if (env->end_ms && env->end_ms < end_ms)
+    end_ms = env->end_ms;
+  return now_ms ()
+             + ab_link_load_wait_ms (&env->link,
+                                     ab_caller_conns_unsent (env->conns))
+         > end_ms;
+}
+
 static void
 send_request (struct ab_gateway_flow *flow)
 {
@@ -199,7 +221,11 @@
     flow->attempt = start_attempt (flow, ab_buf_chunk (&lines));
   ab_buf_free (&lines);
   if (flow->attempt)
-    return;
+    {
+      if (flow->route->large)
+        ab_link_load_begin (&flow->env->link);
+      return;
+    }
   ab_schedule_outcome (flow->env->schedule, &flow->grant, AB_TARGET_UNUSED, 0);
   ab_gateway_reply_unserved (flow, 503, "memory", AB_GATEWAY_RETRY_MS);
 }
@@ -219,6 +245,12 @@
       return;
     }
   flow->grant = *grant;
+  if (is_link_full (flow))
+    {
+      ab_schedule_outcome (flow->env->schedule, grant, AB_TARGET_UNUSED, 0);
+      ab_gateway_reply_unserved (flow, 503, "link-full", AB_GATEWAY_RETRY_MS);
+      return;
+    }
   send_request (flow);
 }
 
@@ -248,5 +280,5 @@
   if (!flow->attempt)
     return;
   attempt = ab_upstream_cancel (flow->attempt);
-  note_attempt (flow, &attempt, 0);
+  note_attempt (flow, &attempt, 0, 0);
 }
--- a/src/gateway_flow_task.h
+++ b/src/gateway_flow_task.h
@@ -14,6 +14,7 @@
 #include "daemon.h"
 #include "fleet_settings.h"
 #include "fleet_view_task.h"
+#include "link_load.h"
 #include "rng.h"
 #include "schedule_task.h"
 #include "upstream_task.h"
@@ -32,7 +33,9 @@
   struct ab_rng rng;
   struct ab_gateway_flow *flows;
   size_t flow_count;
+  struct ab_link_load link;
   uint64_t started_ms; /* Of the process.  */
+  uint64_t end_ms;     /* When it will end; 0: it does not stop.  */
   bool stopping;       /* Replies close their connections.  */
 };
 
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -32,7 +32,7 @@
    leaves time for the last replies.  */
 #define STOP_ACCEPT_SHARE 0.55
 #define STOP_REFUSE_SHARE 0.7
-#define STOP_END_SHARE 0.9
+#define STOP_END_SHARE 0.95
 
 struct ab_gateway
 {
@@ -330,6 +330,7 @@
   gateway->env.daemon = daemon;
   gateway->env.settings = settings;
   gateway->env.started_ms = ab_clock_monotonic_ms (ab_clock_system ());
+  ab_link_load_init (&gateway->env.link, settings->link_mbps);
   ab_rng_init_system (&gateway->env.rng);
   rc = make_parts (gateway, error);
   if (rc < 0)
@@ -367,6 +368,8 @@
     {
       gateway->stop_ms = ab_clock_monotonic_ms (ab_clock_system ());
       gateway->env.stopping = true;
+      gateway->env.end_ms
+          = gateway->stop_ms + (uint64_t)(STOP_END_SHARE * (double)limit);
       ab_fleet_view_set_duty (gateway->env.view, AB_FLEET_STOPPING);
       ab_caller_conns_drain (gateway->env.conns, true);
     }
--- /dev/null
+++ b/src/link_load.c
@@ -0,0 +1,37 @@
+#include "link_load.h"
+
+/* Bytes a millisecond at 1 Mbit/s.  */
+#define BYTES_PER_MS 125.0
+/* Before any was seen.  */
+#define FIRST_BYTES (64.0 * 1024)
+#define MEAN_WEIGHT 0.1
+
+void
+ab_link_load_init (struct ab_link_load *load, double mbps)
+{
+  *load = (struct ab_link_load){ .mbps = mbps, .mean_bytes = FIRST_BYTES };
+}
+
+void
+ab_link_load_begin (struct ab_link_load *load)
+{
+  load->under_way++;
+}
+
+void
+ab_link_load_end (struct ab_link_load *load, uint64_t bytes)
+{
+  load->under_way--;
+  if (bytes > 0)
+    load->mean_bytes += MEAN_WEIGHT * ((double)bytes - load->mean_bytes);
+}
+
+uint64_t
+ab_link_load_wait_ms (const struct ab_link_load *load, uint64_t unsent_bytes)
+{
+  if (load->mbps <= 0)
+    return 0;
+  return (uint64_t)(((double)unsent_bytes
+                     + (load->under_way + 1) * load->mean_bytes)
+                    / (load->mbps * BYTES_PER_MS));
+}
