Look for the own control host sooner; move calls to a batch one by one

Cause: after a loss of power gateways of the large site followed a control host 0.4 to 1.4 s after they started.

Change: the first search is repeated after 120 ms, later ones after at most 500 ms. fill_batch takes calls from the head of the list.

--- a/src/fleet_api_task.c
+++ b/src/fleet_api_task.c
@@ -200,22 +200,19 @@
 fill_batch (struct ab_fleet_api *api, struct batch *batch, struct ab_buf *data)
 {
   struct call *call;
-  struct call *next;
   size_t count = 0;
 
   DL_COUNT (api->gathered, call, count);
   if (count > AB_FLEET_BATCH_MAX)
     count = AB_FLEET_BATCH_MAX;
   ab_fleet_pack_target_changes (data, count);
-  DL_FOREACH_SAFE (api->gathered, call, next)
-  {
-    if (count == 0)
-      return;
-    count--;
-    ab_fleet_pack_target (data, &call->target);
-    DL_DELETE (api->gathered, call);
-    DL_APPEND (batch->calls, call);
-  }
+  for (; count > 0 && api->gathered; count--)
+    {
+      call = api->gathered;
+      ab_fleet_pack_target (data, &call->target);
+      DL_DELETE (api->gathered, call);
+      DL_APPEND (batch->calls, call);
+    }
 }
 
 /* Sends a batch of the changes that are gathered.  */
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -29,8 +29,8 @@
    hosts have an election to hold meanwhile: each asks one control host at a
    time, another one each time, first after SEARCH_MS, then ever less often,
    and no two at the same moments.  */
-#define SEARCH_MS 250
-#define SEARCH_MAX_MS 1000
+#define SEARCH_MS 120
+#define SEARCH_MAX_MS 500
 #define SEARCH_END_MS 1500
 
 struct control
