--- a/Makefile
+++ b/Makefile
@@ -13,13 +13,13 @@
 all: $(BUILD)/Makefile
 	cmake --build $(BUILD) -j $(JOBS)
 
-$(BUILD)/Makefile: CMakeLists.txt
+$(BUILD)/Makefile: CMakeLists.txt | deps
 	cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo
 
-$(ASAN_BUILD)/Makefile: CMakeLists.txt
+$(ASAN_BUILD)/Makefile: CMakeLists.txt | deps
 	cmake -S . -B $(ASAN_BUILD) -DCMAKE_BUILD_TYPE=Debug -DAB_SANITIZE=ON
 
-$(FUZZ_BUILD)/Makefile: CMakeLists.txt
+$(FUZZ_BUILD)/Makefile: CMakeLists.txt | deps
 	cmake -S . -B $(FUZZ_BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo \
 	  -DCMAKE_C_COMPILER=clang -DAB_FUZZ=ON
 
@@ -43,7 +43,7 @@
 	cmake --build $(FUZZ_BUILD) -j $(JOBS)
 	fuzz/run $(FUZZ_BUILD)
 
-demo: deps
+demo:
 	$(MAKE) all
 	$(BUILD)/standins/demo --build $(BUILD)
 
