Count expected large responses against the memory bound

Ruled out: small responses (a few KB each).

Change: when a slot is granted, a large response is refused while unread, expected and one more together are over 24 MB.

--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -193,6 +193,24 @@
   return ab_upstream_send (flow->env->upstream, &request, on_result, flow);
 }
 
+/* Large responses are refused while this host holds or expects so much of
+   them: a caller's link is full, or the caller is slow, and small responses
+   need memory too.  */
+#define LARGE_BYTES (24ULL * 1024 * 1024)
+#define LARGE_RETRY_MS 500
+
+/* Whether this host has no memory for one more large response.  */
+static bool
+is_memory_full (const struct ab_gateway_flow *flow)
+{
+  const struct ab_gateway_env *env = flow->env;
+
+  return flow->route->large
+         && ab_link_load_bytes (&env->link,
+                                ab_caller_conns_unsent (env->conns))
+                > LARGE_BYTES;
+}
+
 /* Whether a large response could not pass this host's link before the
    deadline, or before the process ends.  */
 static bool
@@ -230,6 +248,14 @@
   ab_gateway_reply_unserved (flow, 503, "memory", AB_GATEWAY_RETRY_MS);
 }
 
+/* Gives the granted slot back and refuses the request.  */
+static void
+give_back (struct ab_gateway_flow *flow, const char *code, uint64_t retry_ms)
+{
+  ab_schedule_outcome (flow->env->schedule, &flow->grant, AB_TARGET_UNUSED, 0);
+  ab_gateway_reply_unserved (flow, 503, code, retry_ms);
+}
+
 static void
 on_grant (void *ctx, enum ab_sched_kind kind,
           const struct ab_schedule_grant *grant, uint64_t wait_ms)
@@ -245,13 +271,12 @@
       return;
     }
   flow->grant = *grant;
-  if (is_link_full (flow))
-    {
-      ab_schedule_outcome (flow->env->schedule, grant, AB_TARGET_UNUSED, 0);
-      ab_gateway_reply_unserved (flow, 503, "link-full", AB_GATEWAY_RETRY_MS);
-      return;
-    }
-  send_request (flow);
+  if (is_memory_full (flow))
+    give_back (flow, "callers-slow", LARGE_RETRY_MS);
+  else if (is_link_full (flow))
+    give_back (flow, "link-full", AB_GATEWAY_RETRY_MS);
+  else
+    send_request (flow);
 }
 
 void
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -22,11 +22,6 @@
 #define NO_BUNDLE_RETRY_MS 1000
 /* Of a caller's time, kept for the attempt after a wait for the bundle.  */
 #define ATTEMPT_MIN_MS 300
-/* Large responses are refused while callers have so much still to read: a
-   caller's link is full, or the caller is slow, and small responses need
-   memory too.  */
-#define LARGE_UNSENT_BYTES (24ULL * 1024 * 1024)
-#define LARGE_RETRY_MS 500
 /* A body of this size outweighs headers and messages about the request.  */
 #define BULKY_BYTES 1000
 
@@ -222,12 +217,6 @@
   if (route_ms < flow->deadline_ms)
     flow->deadline_ms = route_ms;
   fill_ask (flow);
-  if (flow->route->large
-      && ab_caller_conns_unsent (flow->env->conns) > LARGE_UNSENT_BYTES)
-    {
-      ab_gateway_reply_failure (flow, 503, "callers-slow", LARGE_RETRY_MS);
-      return;
-    }
   if (arm_guard (flow, ab_gateway_flow_time_left (flow)))
     ab_gateway_attempt_ask (flow);
   else
--- a/src/link_load.c
+++ b/src/link_load.c
@@ -26,12 +26,17 @@
     load->mean_bytes += MEAN_WEIGHT * ((double)bytes - load->mean_bytes);
 }
 
+uint64_t
+ab_link_load_bytes (const struct ab_link_load *load, uint64_t unsent_bytes)
+{
+  return unsent_bytes + (uint64_t)((load->under_way + 1) * load->mean_bytes);
+}
+
 uint64_t
 ab_link_load_wait_ms (const struct ab_link_load *load, uint64_t unsent_bytes)
 {
   if (load->mbps <= 0)
     return 0;
-  return (uint64_t)(((double)unsent_bytes
-                     + (load->under_way + 1) * load->mean_bytes)
+  return (uint64_t)((double)ab_link_load_bytes (load, unsent_bytes)
                     / (load->mbps * BYTES_PER_MS));
 }
--- a/src/link_load.h
+++ b/src/link_load.h
@@ -19,6 +19,10 @@
 void ab_link_load_begin (struct ab_link_load *load);
 /* Its attempt has ended with a response of BYTES; 0: without one.  */
 void ab_link_load_end (struct ab_link_load *load, uint64_t bytes);
+/* Bytes of large responses that this host holds or expects, one more included,
+   with UNSENT_BYTES of earlier ones still to be written to callers.  */
+uint64_t ab_link_load_bytes (const struct ab_link_load *load,
+                             uint64_t unsent_bytes);
 /* Milliseconds until one more has passed the link, with UNSENT_BYTES of
    earlier ones still to be written to callers.  */
 uint64_t ab_link_load_wait_ms (const struct ab_link_load *load,
