--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -912,7 +912,32 @@
 
 /* Set-up.  */
 
-/* Chooses a free block of addresses.  */
+static bool
+is_free (int host, int port)
+{
+  int fd = listen_at (host, port);
+
+  if (fd >= 0)
+    close (fd);
+  return fd >= 0;
+}
+
+static bool
+is_block_free (void)
+{
+  static const int ports[]
+      = { CONTROL_PORT,         FRONT_PORT,           READY_PORT,
+          DIRECTORY_PORT,       CONTROL_PEER_PORT,    GATEWAY_PEER_PORT,
+          CONTROL_METRICS_PORT, GATEWAY_METRICS_PORT, SERVER_PORT };
+
+  for (int host = 1; host <= 3; host++)
+    for (size_t i = 0; i < sizeof ports / sizeof ports[0]; i++)
+      if (!is_free (host, ports[i]))
+        return false;
+  return true;
+}
+
+/* Chooses a block of addresses whose ports are free.  */
 static void
 choose_block (void)
 {
@@ -920,15 +945,10 @@
 
   for (int i = 0; i < 200; i++)
     {
-      int fd;
       block[0] = 64 + (seed / 250 + i) % 180;
       block[1] = 1 + seed % 250;
-      fd = listen_at (1, FRONT_PORT);
-      if (fd >= 0)
-        {
-          close (fd);
-          return;
-        }
+      if (is_block_free ())
+        return;
     }
   rig_fail ("no free block of loopback addresses");
 }
