--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -69,6 +69,7 @@
 static int server_count;
 static struct run runs[RUNS_MAX];
 static int run_count;
+static int spoilt_count;
 static pthread_mutex_t runs_lock = PTHREAD_MUTEX_INITIALIZER;
 static volatile bool ending;
 
@@ -271,8 +272,8 @@
   return (size_t)used;
 }
 
-static const char *
-find_header (const char *head, const char *name, char *value, size_t size)
+const char *
+rig_find_header (const char *head, const char *name, char *value, size_t size)
 {
   size_t len = strlen (name);
 
@@ -323,12 +324,12 @@
           head_bytes = (size_t)(end - text) + 4;
           snprintf (answer->head, sizeof answer->head, "%.*s",
                     (int)head_bytes - 2, text);
-          if (find_header (answer->head, "Content-Length", value,
-                           sizeof value))
+          if (rig_find_header (answer->head, "Content-Length", value,
+                               sizeof value))
             length = strtoul (value, NULL, 10);
-          answer->close
-              = find_header (answer->head, "Connection", value, sizeof value)
-                && strcasecmp (value, "close") == 0;
+          answer->close = rig_find_header (answer->head, "Connection", value,
+                                           sizeof value)
+                          && strcasecmp (value, "close") == 0;
         }
       if (used >= head_bytes + length)
         break;
@@ -357,7 +358,7 @@
   char stamp[256];
   char wanted[64];
   const char *at
-      = find_header (answer->head, "Upstream-Stamp", stamp, sizeof stamp);
+      = rig_find_header (answer->head, "Upstream-Stamp", stamp, sizeof stamp);
   size_t size;
   uint32_t hash;
 
@@ -417,6 +418,17 @@
   return count;
 }
 
+int
+rig_spoilt_answers (void)
+{
+  int count;
+
+  pthread_mutex_lock (&runs_lock);
+  count = spoilt_count;
+  pthread_mutex_unlock (&runs_lock);
+  return count;
+}
+
 int
 rig_changed_runs (const char *id, size_t size, uint32_t hash)
 {
@@ -489,6 +501,37 @@
   return rig_send (fd, text, (size_t)used);
 }
 
+/* Replaces one byte of the head of SIZE bytes, the answer to ID, by another
+   one when it is the turn of SERVER to hand out wrong bytes.  */
+static void
+spoil_head (const struct rig_server *server, char *head, size_t size,
+            const char *id)
+{
+  static unsigned seed = 1;
+  char whole[1024];
+  size_t at;
+  int byte;
+
+  pthread_mutex_lock (&runs_lock);
+  if (rand_r (&seed) % 1000 >= server->spoilt_per_thousand)
+    {
+      pthread_mutex_unlock (&runs_lock);
+      return;
+    }
+  at = (size_t)rand_r (&seed) % size;
+  do
+    byte = rand_r (&seed) / 7 % 256;
+  while ((char)byte == head[at]);
+  spoilt_count++;
+  pthread_mutex_unlock (&runs_lock);
+  snprintf (whole, sizeof whole, "%.*s", (int)strcspn (head + at, "\r"),
+            head + at);
+  rig_note ("server %s sends byte %d instead of %d, before \"%.24s\", in the "
+            "head of the answer to %s",
+            server->id, byte, (unsigned char)head[at], whole + 1, id);
+  head[at] = (char)byte;
+}
+
 /* Sends the answer to a request that has run.  Returns whether the connection
    stays open.  */
 static bool
@@ -513,6 +556,7 @@
                    "Upstream-Stamp: %s.%s.%zu.%x\r\n%s\r\n",
                    id, server->id, id, size, rig_hash (body, size), length);
   memcpy (text + head, body, size);
+  spoil_head (server, text, (size_t)head, id);
   sent = rig_send (fd, text,
                    (size_t)head + (strcmp (method, "HEAD") == 0 ? 0 : size));
   free (text);
@@ -561,8 +605,8 @@
   bool open;
 
   sscanf (text, "%15s %511s", method, path);
-  find_header (text, "Request-Id", id, sizeof id);
-  if (find_header (text, "Content-Length", value, sizeof value))
+  rig_find_header (text, "Request-Id", id, sizeof id);
+  if (rig_find_header (text, "Content-Length", value, sizeof value))
     length = strtoul (value, NULL, 10);
   if (extra_bytes > length)
     extra_bytes = length;
@@ -576,7 +620,7 @@
       snprintf (value, sizeof value, "Instance-Id: %s\r\n", server->id);
       open = answer_unrun (fd, server->draining ? 503 : 200, value, id);
     }
-  else if (find_header (text, "Expected-Instance", value, sizeof value)
+  else if (rig_find_header (text, "Expected-Instance", value, sizeof value)
            && strcmp (value, server->id) != 0)
     open = answer_unrun (fd, 421, "Not-Executed: 1\r\n", id);
   else if (!id[0])
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -34,6 +34,8 @@
   int slots;
   int answer_bytes; /* Size of the body of its answers; 0: the request's id. */
   bool unframed;    /* Answers without a length, and closes.  */
+  /* Answers in a thousand in which one byte of the head is a wrong one.  */
+  volatile int spoilt_per_thousand;
   volatile bool draining;
   volatile bool stopped; /* Sends no heartbeats any more.  */
 };
@@ -70,6 +72,8 @@
    milliseconds as the last number in its path says, answers with status 200
    and drops a request whose connection closes.  */
 struct rig_server *rig_add_server (const char *service);
+/* Number of answers that servers have spoilt.  */
+int rig_spoilt_answers (void);
 /* Number of runs that servers began of the request ID, and of all
    requests.  */
 int rig_runs (const char *id);
@@ -109,6 +113,9 @@
 };
 /* Reads one answer.  */
 void rig_read_answer (int fd, int timeout_ms, struct rig_answer *answer);
+/* Returns the value of the header NAME in HEAD, copied to VALUE, or null.  */
+const char *rig_find_header (const char *head, const char *name, char *value,
+                             size_t size);
 /* Whether ANSWER has the stamp of a server for the request ID, and the whole
    body that the stamp names.  */
 bool rig_is_genuine (const struct rig_answer *answer, const char *id);
