Log the content of requests that are lost with a target

Cause: a repeat of a request has another id, and attempt_failed named nothing that stays the same, so that the log could not tell whether targets ended under one request or under many. Change: the line names the digest of method, host, path, query and body (request_content.h) when the connection was lost while the target may have been running the request. No decision depends on it. Conclusion: the hypotheses on requests that end their targets can be told apart.

--- a/src/digest.c
+++ b/src/digest.c
@@ -20,6 +20,28 @@
   return digest;
 }
 
+void
+ab_digest_begin (struct ab_digest_stream *stream)
+{
+  crypto_generichash_init (&stream->state, NULL, 0, AB_DIGEST_BYTES);
+}
+
+void
+ab_digest_add (struct ab_digest_stream *stream, struct ab_chunk data)
+{
+  crypto_generichash_update (&stream->state, (const unsigned char *)data.data,
+                             data.len);
+}
+
+struct ab_digest
+ab_digest_end (struct ab_digest_stream *stream)
+{
+  struct ab_digest digest;
+
+  crypto_generichash_final (&stream->state, digest.bytes, sizeof digest.bytes);
+  return digest;
+}
+
 struct ab_digest
 ab_digest_of_parts (const struct ab_chunk *parts, size_t count)
 {
--- a/src/digest.h
+++ b/src/digest.h
@@ -4,6 +4,7 @@
 #ifndef AB_DIGEST_H
 #define AB_DIGEST_H
 
+#include <sodium.h>
 #include <stdint.h>
 
 #include "chunk.h"
@@ -44,6 +45,17 @@
 struct ab_digest ab_digest_of_parts (const struct ab_chunk *parts,
                                      size_t count);
 
+/* Digest of data that comes in pieces.  How it is split does not change the
+   result.  */
+struct ab_digest_stream
+{
+  crypto_generichash_state state;
+};
+
+void ab_digest_begin (struct ab_digest_stream *stream);
+void ab_digest_add (struct ab_digest_stream *stream, struct ab_chunk data);
+struct ab_digest ab_digest_end (struct ab_digest_stream *stream);
+
 bool ab_digest_equal (const struct ab_digest *a, const struct ab_digest *b);
 
 void ab_sign (const struct ab_secret_key *key, struct ab_chunk data,
--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -60,6 +60,16 @@
   return AB_TARGET_UNUSED;
 }
 
+/* Returns whether the connection was lost while the target may have been
+   running the request.  */
+static bool
+is_lost (const struct ab_attempt *attempt)
+{
+  return attempt->written
+         && (attempt->end == AB_ATTEMPT_LOST
+             || attempt->end == AB_ATTEMPT_MALFORMED);
+}
+
 static bool
 may_retry (const struct ab_gateway_flow *flow,
            const struct ab_attempt *attempt)
@@ -96,6 +106,7 @@
                     uint64_t body_bytes)
 {
   enum ab_target_event event = attempt_event (attempt);
+  char content[2 * AB_DIGEST_BYTES + 1] = "";
 
   flow->attempt = NULL;
   if (flow->route->large)
@@ -112,7 +123,13 @@
   if (event == AB_TARGET_OK || event == AB_TARGET_UNUSED)
     return;
   ++*ab_gateway_flow_counter (flow, "ab_gateway_attempts_failed_total");
+  /* A request that was lost with its target may come again under another
+     id.  */
+  if (is_lost (attempt) && flow->req)
+    ab_hex_encode (ab_gateway_flow_content (flow)->bytes, AB_DIGEST_BYTES,
+                   content);
   AB_LOG (AB_LOG_INFO, "attempt_failed", ab_log_str ("id", flow->id),
+          ab_log_str ("content", content),
           ab_log_str ("target", flow->grant.target),
           ab_log_str ("address", flow->grant.address),
           ab_log_str ("event", ab_target_event_name (event)),
--- a/src/gateway_flow_internal.h
+++ b/src/gateway_flow_internal.h
@@ -9,6 +9,7 @@
 #define AB_GATEWAY_FLOW_INTERNAL_H
 
 #include "caller_watch_task.h"
+#include "digest.h"
 #include "gateway_flow_task.h"
 
 #define AB_GATEWAY_ID_BYTES 128
@@ -44,6 +45,8 @@
   unsigned sends;             /* Attempts that were sent to a target.  */
   unsigned may_have_run;      /* Attempts that may have run on the target.  */
   enum ab_verdict verdict;
+  struct ab_digest content; /* See ab_gateway_flow_content.  */
+  bool has_content;         /* CONTENT is computed.  */
   /* Response to an earlier attempt, returned to the caller when no later
      attempt gets a better one.  */
   int kept_status;
@@ -56,6 +59,9 @@
 /* Returns the value of a header of the request, or null.  */
 const char *ab_gateway_flow_header (const struct ab_gateway_flow *flow,
                                     const char *name);
+/* Returns the digest of what makes the request the same one when a caller
+   repeats it under another id: method, host, path, query and body.  */
+const struct ab_digest *ab_gateway_flow_content (struct ab_gateway_flow *flow);
 uint64_t *ab_gateway_flow_counter (const struct ab_gateway_flow *flow,
                                    const char *name);
 
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -10,6 +10,7 @@
 #include "error.h"
 #include "gateway_flow_internal.h"
 #include "http_rules.h"
+#include "request_content.h"
 
 #define DEADLINE_MAX_MS (10 * 60 * 1000)
 /* After a power failure all hosts may start at once: within this time from the
@@ -53,6 +54,15 @@
                              name);
 }
 
+const struct ab_digest *
+ab_gateway_flow_content (struct ab_gateway_flow *flow)
+{
+  if (!flow->has_content)
+    flow->content = ab_request_content (flow->req);
+  flow->has_content = true;
+  return &flow->content;
+}
+
 void
 ab_gateway_flow_free (struct ab_gateway_flow *flow)
 {
--- /dev/null
+++ b/src/request_content.c
@@ -0,0 +1,86 @@
+#include "request_content.h"
+
+#include <event2/buffer.h>
+#include <stdio.h>
+
+#include "http_rules.h"
+
+#define PIECES_MAX 32
+
+static const char *
+method_of (struct evhttp_request *request)
+{
+  return ab_method_name (
+      ab_http_method_from_evhttp (evhttp_request_get_command (request)));
+}
+
+static const char *
+host_of (struct evhttp_request *request)
+{
+  return evhttp_find_header (evhttp_request_get_input_headers (request),
+                             "Host");
+}
+
+static struct ab_digest
+digest_of_head (struct evhttp_request *request)
+{
+  const struct ab_chunk parts[]
+      = { ab_chunk_str (method_of (request)), ab_chunk_str (host_of (request)),
+          ab_chunk_str (evhttp_request_get_uri (request)) };
+
+  return ab_digest_of_parts (parts, sizeof parts / sizeof parts[0]);
+}
+
+void
+ab_request_content_prefix (struct evhttp_request *request,
+                           uint8_t prefix[AB_CONTENT_PREFIX_BYTES])
+{
+  struct ab_digest head = digest_of_head (request);
+
+  memcpy (prefix, head.bytes, AB_CONTENT_PREFIX_BYTES);
+}
+
+struct ab_digest
+ab_request_content (struct evhttp_request *request)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (request);
+  struct ab_digest head = digest_of_head (request);
+  struct ab_digest content;
+  struct ab_digest_stream stream;
+  struct evbuffer_iovec pieces[PIECES_MAX];
+  struct evbuffer_ptr at;
+  size_t len = evbuffer_get_length (body);
+  size_t read = 0;
+
+  ab_digest_begin (&stream);
+  ab_digest_add (&stream, ab_chunk (head.bytes, sizeof head.bytes));
+  /* The body is read in place: it may be large, and parts of it may be
+     referenced by a connection to a target.  */
+  while (read < len
+         && evbuffer_ptr_set (body, &at, read, EVBUFFER_PTR_SET) == 0)
+    {
+      int count = evbuffer_peek (body, -1, &at, pieces, PIECES_MAX);
+      for (int i = 0; i < count && i < PIECES_MAX; i++)
+        {
+          ab_digest_add (&stream,
+                         ab_chunk (pieces[i].iov_base, pieces[i].iov_len));
+          read += pieces[i].iov_len;
+        }
+      if (count <= 0)
+        break;
+    }
+  content = ab_digest_end (&stream);
+  memcpy (content.bytes, head.bytes, AB_CONTENT_PREFIX_BYTES);
+  return content;
+}
+
+void
+ab_request_content_label (struct evhttp_request *request, char *text,
+                          size_t size)
+{
+  const char *host = host_of (request);
+  const char *uri = evhttp_request_get_uri (request);
+
+  snprintf (text, size, "%s %s%.*s", method_of (request), host ? host : "",
+            (int)strcspn (uri, "?#"), uri);
+}
