--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -44,6 +44,9 @@
   pid_t control_pids[GF_CONTROLS_MAX + 1];
   pid_t gateway_pids[GF_GATEWAYS_MAX + 1];
   pid_t target_pids[GF_TARGETS_MAX + 1];
+  /* How often a target was started again as a new incarnation, which has an id
+     and a start time of its own.  */
+  int restarts[GF_TARGETS_MAX + 1];
   pid_t proxy_pid;  /* Proxy in front of the targets; 0 if none.  */
   int stop_ms;      /* stop_time of gateways started from now on; 0: 4 s.  */
   int regions;      /* 2: even gateways and targets are in a second region,
