Clear a quarantine when its content is answered, and test lost hosts

Callers saw: content that was in flight when two targets ended, each for a reason of its own, was rejected for 10 minutes although it had been answered in between.

Cause: a gateway reported a successful response behind the early return for attempts that ended well, that is never. Change: the report comes first. fleet_crashing_requests plays five more situations: restarts of all gateways and control hosts, a frozen gateway, hosts that are killed and frozen while the repeats come; targets that are replaced, frozen or killed in turn under a slow order that is sent again and again; an operator's release; a gateway without the control group. A null check in fleet_reports_task.c satisfies the analyser.

Conclusion: only a success tells an innocent request from the crashing one, so that this path needs a test of its own.

--- a/src/fleet_reports_task.c
+++ b/src/fleet_reports_task.c
@@ -128,7 +128,7 @@
                      : AB_FLEET_REPORTS_MAX;
 
   ab_fleet_pack_reports (data, wall_ms (), count);
-  for (; count > 0; count--)
+  for (; count > 0 && reports->waiting; count--)
     {
       struct pending_report *pending = reports->waiting;
       ab_fleet_pack_report (data, &pending->report);
--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -129,6 +129,7 @@
   char content[2 * AB_DIGEST_BYTES + 1] = "";
 
   flow->attempt = NULL;
+  report_crash (flow, attempt);
   if (flow->route->large)
     ab_link_load_end (&flow->env->link, body_bytes);
   flow->verdict
@@ -143,7 +144,6 @@
   if (event == AB_TARGET_OK || event == AB_TARGET_UNUSED)
     return;
   ++*ab_gateway_flow_counter (flow, "ab_gateway_attempts_failed_total");
-  report_crash (flow, attempt);
   /* A request that was lost with its target may come again under another
      id.  */
   if (is_lost (attempt) && flow->req)
--- a/tests/fleet_crashing_requests.c
+++ b/tests/fleet_crashing_requests.c
@@ -420,6 +420,310 @@
 }
 END_TEST
 
+/* Sends the crashing order to GATEWAY with an id of its own.  */
+static struct reply
+send_crashing (const struct rig *rig, int gateway)
+{
+  static int number;
+  char id[RAW_ID_BYTES];
+
+  snprintf (id, sizeof id, "p-%d", number++);
+  return send_one (&rig->fleet, gateway, "POST /shop/1", id, POISON);
+}
+
+#define TRIES 30
+
+/* Sends the crashing order to all gateways in turn until each rejects it.  */
+static void
+wait_quarantined (const struct rig *rig)
+{
+  int rejecting = 0;
+
+  for (int i = 0; rejecting < GATEWAYS; i++)
+    {
+      ck_assert_int_lt (i, TRIES);
+      rejecting = send_crashing (rig, 1 + i % GATEWAYS).quarantined
+                      ? rejecting + 1
+                      : 0;
+      fleet_sleep_ms (REPEAT_PAUSE_MS);
+    }
+}
+
+/* Checks that each gateway rejects the crashing order, as soon as it serves
+   other requests.  */
+static void
+check_quarantined (struct rig *rig)
+{
+  for (int i = 1; i <= GATEWAYS; i++)
+    {
+      ck_assert (gf_wait_status (&rig->fleet, i, "/look/1", 200, READY_MS));
+      ck_assert (send_crashing (rig, i).quarantined);
+    }
+}
+
+static void
+restart_gateways (struct rig *rig)
+{
+  for (int i = 1; i <= GATEWAYS; i++)
+    gf_kill (&rig->fleet.gateway_pids[i]);
+  for (int i = 1; i <= GATEWAYS; i++)
+    gf_start_gateway (&rig->fleet, i);
+}
+
+static void
+restart_controls (struct rig *rig)
+{
+  for (int i = 1; i <= CONTROLS; i++)
+    gf_kill (&rig->fleet.control_pids[i]);
+  for (int i = 1; i <= CONTROLS; i++)
+    gf_start_control (&rig->fleet, i, false);
+}
+
+/* Ends the processes without checking what callers got.  */
+static void
+abandon_rig (struct rig *rig)
+{
+  rig->stopping = true;
+  for (int i = 0; i < CALLERS; i++)
+    pthread_join (rig->callers[i].thread, NULL);
+  rig->keeper.stopping = true;
+  pthread_join (rig->keeper.thread, NULL);
+  gf_stop (&rig->fleet);
+}
+
+/* Guards against hosts that forget a quarantine with a restart, or that miss
+   it while they are frozen.  */
+START_TEST (quarantine_survives_restarts)
+{
+  static struct rig rig;
+  int ended;
+
+  start_rig (&rig, "gf_crash4");
+  wait_quarantined (&rig);
+  ended = rig.keeper.ended;
+  restart_gateways (&rig);
+  check_quarantined (&rig);
+  restart_controls (&rig);
+  restart_gateways (&rig);
+  check_quarantined (&rig);
+  kill (rig.fleet.gateway_pids[2], SIGSTOP);
+  fleet_sleep_ms (2000);
+  kill (rig.fleet.gateway_pids[2], SIGCONT);
+  check_quarantined (&rig);
+  ck_assert_int_eq (rig.keeper.ended, ended);
+  abandon_rig (&rig);
+}
+END_TEST
+
+#define DISTURBED_SHARE 0.5
+#define DISTURBANCES 6
+
+/* Kills, freezes and restarts one host after the other.  */
+static void *
+disturb_hosts (void *arg)
+{
+  struct rig *rig = arg;
+  struct gf_fleet *fleet = &rig->fleet;
+
+  for (int i = 0; i < DISTURBANCES; i++)
+    {
+      int control = 1 + i % CONTROLS;
+      int gateway = 1 + i % GATEWAYS;
+      gf_kill (&fleet->gateway_pids[gateway]);
+      kill (fleet->control_pids[control], SIGSTOP);
+      fleet_sleep_ms (700);
+      kill (fleet->control_pids[control], SIGCONT);
+      gf_start_gateway (fleet, gateway);
+      gf_kill (&fleet->control_pids[control]);
+      fleet_sleep_ms (300);
+      gf_start_control (fleet, control, false);
+      fleet_sleep_ms (500);
+    }
+  return NULL;
+}
+
+/* Guards against reports that are lost with the host that has them.  */
+START_TEST (hosts_lost_meanwhile)
+{
+  static struct rig rig;
+  struct repeater repeater = {
+    .fleet = &rig.fleet, .line = "POST /shop/1", .prefix = "p", .body = POISON
+  };
+  pthread_t disturber;
+  int sent = 0;
+  int served = 0;
+
+  start_rig (&rig, "gf_crash5");
+  ck_assert_int_eq (pthread_create (&disturber, NULL, disturb_hosts, &rig), 0);
+  run_repeater (&repeater);
+  pthread_join (disturber, NULL);
+  check_arrivals (&rig.fleet, "p");
+  ck_assert_int_eq (repeater.untrue, 0);
+  ck_assert_int_eq (repeater.ran, 0);
+  rig.stopping = true;
+  for (int i = 0; i < CALLERS; i++)
+    {
+      ck_assert_int_eq (rig.callers[i].quarantined, 0);
+      sent += rig.callers[i].sent;
+      served += rig.callers[i].served;
+    }
+  fprintf (stderr, "other requests: %d sent, %d served\n", sent, served);
+  ck_assert (served >= DISTURBED_SHARE * sent);
+  abandon_rig (&rig);
+}
+END_TEST
+
+/* Sends the same slow order again and again.  */
+static void *
+repeat_slow (void *arg)
+{
+  struct caller *caller = arg;
+
+  while (!*caller->stopping)
+    {
+      char id[RAW_ID_BYTES];
+      struct reply reply;
+      snprintf (id, sizeof id, "s%d-%d", caller->number, caller->sent);
+      reply = send_one (caller->fleet, 1 + caller->sent % GATEWAYS,
+                        "POST /shop/slow", id, "same");
+      caller->sent++;
+      caller->served += reply.status == 200;
+      caller->quarantined += reply.quarantined;
+    }
+  return NULL;
+}
+
+static bool
+any_logged (const struct gf_fleet *fleet, const char *event)
+{
+  for (int i = 1; i <= GATEWAYS; i++)
+    if (gf_logged (fleet, i, event, "", ""))
+      return true;
+  return false;
+}
+
+/* Guards against taking a target that is replaced, restarted or frozen for
+   one that a request ended.  */
+START_TEST (restarts_and_deploys_quarantine_nothing)
+{
+  static struct rig rig;
+  struct caller slow = { .fleet = &rig.fleet, .stopping = &rig.stopping };
+
+  start_rig (&rig, "gf_crash6");
+  ck_assert_int_eq (pthread_create (&slow.thread, NULL, repeat_slow, &slow),
+                    0);
+  for (int i = 1; i <= TARGETS; i++)
+    {
+      ck_assert_int_eq (gf_announce (&rig.fleet, 1, i, "draining", 1000000),
+                        200);
+      fleet_sleep_ms (300);
+      kill (rig.fleet.target_pids[i], SIGKILL);
+      fleet_sleep_ms (700);
+    }
+  for (int i = 1; i <= TARGETS; i++)
+    {
+      kill (rig.fleet.target_pids[i], SIGSTOP);
+      fleet_sleep_ms (500);
+      kill (rig.fleet.target_pids[i], SIGCONT);
+    }
+  ck_assert (!any_logged (&rig.fleet, "request_crashed_target"));
+  for (int i = 1; i <= TARGETS; i++)
+    {
+      kill (rig.fleet.target_pids[i], SIGKILL);
+      fleet_sleep_ms (2 * SLOW_MS);
+    }
+  ck_assert (!any_logged (&rig.fleet, "request_quarantined"));
+  rig.stopping = true;
+  pthread_join (slow.thread, NULL);
+  fprintf (stderr, "same slow order: %d sent, %d served\n", slow.sent,
+           slow.served);
+  ck_assert_int_eq (slow.quarantined, 0);
+  end_rig (&rig);
+}
+END_TEST
+
+/* Copies to DIGEST the content that CONTROL lists as blocked.  */
+static void
+read_blocked (struct gf_fleet *fleet, int control, char digest[65])
+{
+  char *body = NULL;
+  const char *content;
+
+  ck_assert_int_eq (fleet_http (gf_admin (fleet, control), "GET",
+                                "/v1/quarantine", NULL, NULL, &body),
+                    200);
+  ck_assert (strstr (body, "\"blocked\":true"));
+  ck_assert (strstr (body, "POST x.example/shop/1"));
+  content = strstr (body, "\"content\":\"");
+  ck_assert_ptr_nonnull (content);
+  ck_assert_int_eq (sscanf (content, "\"content\":\"%64s", digest), 1);
+  free (body);
+}
+
+static int
+release (struct gf_fleet *fleet, int control, const char *digest)
+{
+  char path[128];
+
+  snprintf (path, sizeof path, "/v1/quarantine/release?content=%s", digest);
+  return fleet_http (gf_admin (fleet, control), "POST", path, NULL, "", NULL);
+}
+
+/* Guards against a quarantine that an operator cannot see or end.  */
+START_TEST (operator_sees_and_releases)
+{
+  static struct rig rig;
+  char digest[65];
+
+  start_rig (&rig, "gf_crash7");
+  wait_quarantined (&rig);
+  for (int i = 1; i <= TARGETS; i++)
+    raw_set_flag (&rig.fleet, i, "repaired", true);
+  check_quarantined (&rig);
+  read_blocked (&rig.fleet, 2, digest);
+  ck_assert_int_eq (release (&rig.fleet, 3, "12"), 400);
+  ck_assert_int_eq (release (&rig.fleet, 3, digest), 200);
+  fleet_sleep_ms (1000);
+  for (int i = 1; i <= GATEWAYS; i++)
+    ck_assert_int_eq (send_crashing (&rig, i).status, 200);
+  end_rig (&rig);
+}
+END_TEST
+
+#define LEARN_MS 5000
+
+/* Guards against a gateway that needs the control group to protect targets,
+   and against forgetting meanwhile what it saw.  */
+START_TEST (gateway_decides_alone)
+{
+  static struct rig rig;
+  int ended;
+  bool learnt = false;
+
+  start_rig (&rig, "gf_crash8");
+  for (int i = 1; i <= CONTROLS; i++)
+    kill (rig.fleet.control_pids[i], SIGSTOP);
+  for (int i = 0; !send_crashing (&rig, 1).quarantined; i++)
+    ck_assert_int_lt (i, 3);
+  ck_assert_int_le (rig.keeper.ended, 3);
+  for (int i = 1; i <= CONTROLS; i++)
+    kill (rig.fleet.control_pids[i], SIGCONT);
+  for (int waited = 0; !learnt && waited < LEARN_MS; waited += 50)
+    {
+      fleet_sleep_ms (50);
+      learnt = gf_logged (&rig.fleet, 2, "request_quarantined", "", "");
+    }
+  ck_assert (learnt);
+  ended = rig.keeper.ended;
+  check_quarantined (&rig);
+  ck_assert_int_eq (rig.keeper.ended, ended);
+  abandon_rig (&rig);
+}
+END_TEST
+
 SUITE_MAIN ("fleet_crashing_requests", TEST_S, crashing_order_is_quarantined,
             crashing_lookup_is_quarantined,
-            several_crashing_requests_are_quarantined)
+            several_crashing_requests_are_quarantined,
+            quarantine_survives_restarts, hosts_lost_meanwhile,
+            restarts_and_deploys_quarantine_nothing,
+            operator_sees_and_releases, gateway_decides_alone)
