Tell the crashing request from others that were lost in the same crashes

Callers could see: a request that was in flight, by chance, at the same two targets as one that crashes them was rejected for 10 minutes with it.

Cause: two crashes do not tell which of the requests that were lost in both is the cause. Change: content with exactly the same two crashes needs a third, which the cause alone will have; a block that was based on these two is lifted. A host takes the group's decision once the group knows the same crashes.

Conclusion: one more target ends in this case, which the promise on retries allows.

--- a/src/crash_member_task.c
+++ b/src/crash_member_task.c
@@ -46,6 +46,14 @@
   publish (ctx, &record->content, "", service, duration_ms);
 }
 
+static void
+on_lifted (void *ctx, const struct ab_quarantine_record *record)
+{
+  struct ab_crash_member *member = ctx;
+
+  ab_member_task_release_quarantine (member->daemon->member, &record->content);
+}
+
 /* Applies a crash that another host detected, or a release by an operator.  */
 static void
 on_quarantine (void *ctx, const struct ab_quarantine_view *item)
@@ -95,6 +103,7 @@
   static const struct ab_crash_watch_ops ops
       = { .crashed = on_crashed,
           .blocked = on_blocked,
+          .lifted = on_lifted,
           .probe_ms = AB_QUARANTINE_CONFIRM_MS };
   struct ab_crash_member *result = calloc (1, sizeof *result);
 
--- a/src/crash_watch_task.c
+++ b/src/crash_watch_task.c
@@ -133,6 +133,18 @@
                          duration_ms);
 }
 
+static void
+on_lift (void *ctx, const struct ab_quarantine_record *record)
+{
+  struct ab_crash_watch *watch = ctx;
+  char hex[2 * AB_DIGEST_BYTES + 1];
+
+  ab_hex_encode (record->content.bytes, sizeof record->content.bytes, hex);
+  AB_LOG (AB_LOG_INFO, "request_cleared", ab_log_str ("content", hex));
+  if (watch->ops->lifted)
+    watch->ops->lifted (watch->ctx, record);
+}
+
 void
 ab_crash_watch_set_target (struct ab_crash_watch *watch,
                            const struct ab_crash_target *target)
@@ -218,7 +230,7 @@
                     struct ab_crash_watch **watch)
 {
   static const struct ab_quarantine_ops quarantine_ops
-      = { .mark = on_mark, .block = on_block };
+      = { .mark = on_mark, .block = on_block, .lift = on_lift };
   struct ab_crash_watch *result = calloc (1, sizeof *result);
   struct timeval tv = { .tv_usec = PROBE_INTERVAL_MS * 1000 };
 
--- a/src/crash_watch_task.h
+++ b/src/crash_watch_task.h
@@ -26,6 +26,7 @@
                    const char *service);
   void (*blocked) (void *ctx, const struct ab_quarantine_record *record,
                    const char *service, uint64_t duration_ms);
+  void (*lifted) (void *ctx, const struct ab_quarantine_record *record);
   /* How long a target is probed after a connection to it was lost.  */
   uint64_t probe_ms;
 };
--- a/src/gateway_crash_task.c
+++ b/src/gateway_crash_task.c
@@ -276,19 +276,21 @@
   struct ab_quarantine_record local = *record;
   uint64_t now = now_ms ();
   char hex[2 * AB_DIGEST_BYTES + 1];
+  bool was_blocked;
+  bool blocked;
 
   local.since_ms = to_monotonic (record->since_ms);
   if (record->blocked_until_ms)
     local.blocked_until_ms = to_monotonic (record->blocked_until_ms);
-  if (record->cleared
-      && ab_quarantine_blocked_ms (quarantine_of (crashes), &record->content,
-                                   now)
-             > 0)
+  was_blocked = ab_gateway_crashes_blocked_ms (crashes, &record->content) > 0;
+  blocked = ab_quarantine_merge (quarantine_of (crashes), &local, now);
+  if (was_blocked
+      && ab_gateway_crashes_blocked_ms (crashes, &record->content) == 0)
     {
       ab_hex_encode (record->content.bytes, AB_DIGEST_BYTES, hex);
       AB_LOG (AB_LOG_INFO, "request_cleared", ab_log_str ("content", hex));
     }
-  if (!ab_quarantine_merge (quarantine_of (crashes), &local, now))
+  if (!blocked)
     return;
   ab_crash_watch_log_block (
       crashes->watch, &local,
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -246,13 +246,53 @@
 }
 
 static bool
-is_blocking (const struct ab_quarantine *quarantine,
+has_same_crashes (const struct ab_quarantine_record *a,
+                  const struct ab_quarantine_record *b)
+{
+  if (a->crash_count != b->crash_count)
+    return false;
+  for (size_t i = 0; i < a->crash_count; i++)
+    if (!ab_quarantine_has_crash (b, &a->crashes[i]))
+      return false;
+  return true;
+}
+
+/* Returns whether other content was lost in the same crashes as RECORD's, and
+   lifts a block that was based on these alone.  */
+static bool
+lift_same_crashes (struct ab_quarantine *quarantine,
+                   const struct ab_quarantine_record *record, uint64_t now_ms)
+{
+  bool found = false;
+
+  for (struct entry *e = quarantine->entries; e; e = e->hh.next)
+    {
+      struct ab_quarantine_record *other = &e->record;
+      if (other == record || !has_same_crashes (other, record))
+        continue;
+      found = true;
+      if (other->blocks != 1 || now_ms >= other->blocked_until_ms)
+        continue;
+      other->blocks = 0;
+      other->blocked_until_ms = 0;
+      touch (quarantine, other, now_ms);
+      if (quarantine->ops->lift)
+        quarantine->ops->lift (quarantine->ctx, other);
+    }
+  return found;
+}
+
+/* Returns whether RECORD's content, which has a new crash, is to be blocked.
+ */
+static bool
+is_blocking (struct ab_quarantine *quarantine,
              const struct ab_quarantine_record *record, uint64_t now_ms)
 {
   if (record->blocks > 0 || record->crash_count >= BLOCKING_CRASHES)
     return true;
   return count_targets (record) >= BLOCKING_TARGETS
-         && !others_crash (quarantine, record, now_ms);
+         && !others_crash (quarantine, record, now_ms)
+         && !lift_same_crashes (quarantine, record, now_ms);
 }
 
 static void
@@ -499,11 +539,15 @@
     if (record->crash_count < AB_QUARANTINE_CRASHES_MAX
         && !ab_quarantine_has_crash (record, &other->crashes[i]))
       record->crashes[record->crash_count++] = other->crashes[i];
-  if (other->blocks > record->blocks)
-    record->blocks = other->blocks;
-  if (other->blocked_until_ms > record->blocked_until_ms)
-    record->blocked_until_ms = other->blocked_until_ms;
-  touch (quarantine, record, now_ms);
+  /* With the same crashes, the decision of the other host counts, which may
+     know more records.  */
+  if (record->crash_count <= other->crash_count
+      || other->blocked_until_ms > record->blocked_until_ms)
+    {
+      record->blocks = other->blocks;
+      record->blocked_until_ms = other->blocked_until_ms;
+    }
+  record->since_ms = now_ms;
   return !was_blocked && now_ms < record->blocked_until_ms;
 }
 
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -9,8 +9,9 @@
    (ab_quarantine_reported), so that two that are seen by two hosts are
    combined.
 
-   While other targets crash without the content, two crashes may be a
-   coincidence, and a third is needed.
+   Two crashes may be a coincidence while other targets crash without the
+   content, or when other content was lost in the same two.  A third is needed
+   then, which the content that causes the crashes will have alone.
 
    Content that gets a complete successful response is cleared: a request that
    crashes targets never gets one, but a request that was in flight at the same
@@ -81,6 +82,9 @@
      that crashed last.  */
   void (*block) (void *ctx, const struct ab_quarantine_record *record,
                  const char *crashed, uint64_t duration_ms);
+  /* RECORD's content, which was blocked, is not to be rejected any more: other
+     content was lost in the same crashes.  */
+  void (*lift) (void *ctx, const struct ab_quarantine_record *record);
 };
 
 struct ab_quarantine *ab_quarantine_new (const struct ab_quarantine_ops *ops,
--- a/tests/proxy_fakes.h
+++ b/tests/proxy_fakes.h
@@ -278,6 +278,15 @@
   return fake.quarantined;
 }
 
+void
+ab_member_task_release_quarantine (struct ab_member_task *task,
+                                   const struct ab_digest *content)
+{
+  (void)task;
+  (void)content;
+  fake.quarantined = false;
+}
+
 void
 ab_member_task_visit_targets (const struct ab_member_task *task,
                               ab_target_visitor visit, void *ctx)
