Replace a leader whose disk is full

Operators saw: while the disk of the leading control host was full, every change was refused or stayed without an answer, although all other control hosts had room, and nothing was logged.

Cause: a proposal that found no room was rejected, but the leader kept sending heartbeats and so kept the lead. Class: a member's ability to hear and to answer taken for its ability to do its work.

Change: a leader that cannot write, and a candidate that cannot store its vote, steps down and starts no campaign for three election timeouts. Events group_disk_full and group_disk_room, and disk_full in the state dump. A limit on file sizes counts as a full disk (EFBIG; SIGXFSZ is handled), which also lets a test fill a disk.

--- a/src/daemon_run.c
+++ b/src/daemon_run.c
@@ -27,7 +27,7 @@
 #define READY_WITHOUT_TARGETS_MS 5000
 
 static const int handled_signals[]
-    = { SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGPIPE };
+    = { SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGPIPE, SIGXFSZ };
 
 #define HANDLED_SIGNALS (sizeof handled_signals / sizeof handled_signals[0])
 
--- a/src/file_ops.c
+++ b/src/file_ops.c
@@ -18,6 +18,7 @@
     {
     case ENOSPC:
     case EDQUOT:
+    case EFBIG: /* The limit on file sizes is reached.  */
       return AB_ERR_FULL;
     case ENOENT:
       return AB_ERR_NOT_FOUND;
--- a/src/fleet_run.c
+++ b/src/fleet_run.c
@@ -19,7 +19,7 @@
 #define STOP_POLL_MS 50
 
 static const int handled_signals[]
-    = { SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGPIPE };
+    = { SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGPIPE, SIGXFSZ };
 
 #define HANDLED_SIGNALS (sizeof handled_signals / sizeof handled_signals[0])
 
--- a/src/group_task.c
+++ b/src/group_task.c
@@ -658,11 +658,12 @@
     json_array_append_new (list,
                            json_pack ("{s:s, s:b}", "host", members[i].host,
                                       "learner", members[i].learner));
-  return json_pack (
-      "{s:I, s:I, s:I, s:I, s:b, s:b, s:s, s:I, s:o}", "term",
-      (json_int_t)status.term, "commit", (json_int_t)status.commit_index,
-      "applied", (json_int_t)status.applied_index, "last",
-      (json_int_t)status.last_index, "leader", status.leader, "votes",
-      status.can_vote, "leader_host", status.leader_host, "age_ms",
-      (json_int_t)ab_group_staleness_ms (task), "members", list);
+  return json_pack ("{s:I, s:I, s:I, s:I, s:b, s:b, s:b, s:s, s:I, s:o}",
+                    "term", (json_int_t)status.term, "commit",
+                    (json_int_t)status.commit_index, "applied",
+                    (json_int_t)status.applied_index, "last",
+                    (json_int_t)status.last_index, "leader", status.leader,
+                    "disk_full", status.disk_full, "votes", status.can_vote,
+                    "leader_host", status.leader_host, "age_ms",
+                    (json_int_t)ab_group_staleness_ms (task), "members", list);
 }
--- a/src/raft.c
+++ b/src/raft.c
@@ -80,6 +80,7 @@
   ab_chunk_copy (ab_chunk_str (voted_for), state.voted_for,
                  sizeof state.voted_for);
   rc = raft->io->ops->save_vote (raft->io, &state);
+  raft->disk_full = rc == AB_ERR_FULL;
   if (rc == AB_ERR_FULL)
     return rc;
   if (rc < 0)
@@ -95,6 +96,7 @@
   bool config = false;
   int rc = raft->io->ops->append (raft->io, entries, count);
 
+  raft->disk_full = rc == AB_ERR_FULL;
   if (rc == AB_ERR_FULL)
     return rc;
   if (rc < 0)
@@ -245,7 +247,7 @@
     }
   if (now_ms < raft->election_deadline_ms)
     return;
-  if (ab_raft_self_can_vote (raft))
+  if (ab_raft_self_can_vote (raft) && now_ms >= raft->no_campaign_until_ms)
     ab_raft_campaign (raft, now_ms, true);
   else
     ab_raft_reset_election_timer (raft, now_ms);
@@ -301,14 +303,18 @@
 ab_raft_propose (struct ab_raft *raft, uint64_t now_ms, struct ab_chunk data,
                  uint64_t *index)
 {
-  (void)now_ms;
+  int rc;
+
   if (raft->failed)
     return raft->failed;
   if (raft->role != AB_RAFT_LEADER)
     return AB_ERR_NOT_LEADER;
   if (data.len > AB_RAFT_ENTRY_BYTES_MAX)
     return AB_ERR_TOO_LARGE;
-  return ab_raft_append_new (raft, AB_RAFT_ENTRY_COMMAND, data, index);
+  rc = ab_raft_append_new (raft, AB_RAFT_ENTRY_COMMAND, data, index);
+  if (rc == AB_ERR_FULL)
+    ab_raft_resign_full (raft, now_ms);
+  return rc;
 }
 
 int
@@ -453,6 +459,7 @@
   status->last_index = ab_raft_log_last_index (&raft->log);
   status->first_index = raft->log.base_index + 1;
   status->leader = raft->role == AB_RAFT_LEADER;
+  status->disk_full = raft->disk_full;
   status->can_vote = ab_raft_self_can_vote (raft);
   memcpy (status->leader_host, raft->leader_host, sizeof status->leader_host);
   if (status->leader)
--- a/src/raft.h
+++ b/src/raft.h
@@ -16,7 +16,10 @@
    Pre-vote keeps an isolated member from disturbing the group when it returns;
    a leader that has had no contact with a majority for one election timeout
    steps down; reads are confirmed by a round of heartbeats to a quorum, so
-   that no assumption about clocks is made.  */
+   that no assumption about clocks is made.
+
+   A leader whose disk is full steps down and does not campaign for a while, so
+   that a member that can write takes over.  */
 
 #ifndef AB_RAFT_H
 #define AB_RAFT_H
@@ -154,7 +157,8 @@
   uint64_t last_index;
   uint64_t first_index;
   bool leader;
-  bool can_vote; /* False for a learner, or when the disk was replaced.  */
+  bool disk_full; /* The last write was refused for lack of room.  */
+  bool can_vote;  /* False for a learner, or when the disk was replaced.  */
   char leader_host[AB_NAME_BYTES]; /* Empty when the leader is not known.  */
   /* Leader only: time of the last contact with a majority.  */
   uint64_t quorum_heard_ms;
--- a/src/raft_election.c
+++ b/src/raft_election.c
@@ -6,6 +6,9 @@
    is retried after 1 to 2 times the quotient.  */
 #define PRE_VOTE_TIMEOUT_DIVISOR 6
 #define VOTE_TIMEOUT_DIVISOR 3
+/* Election timeouts without a campaign after a write that a full disk refused:
+   enough for another member to win an election.  */
+#define FULL_DISK_TIMEOUTS 3
 
 void
 ab_raft_become_follower (struct ab_raft *raft, uint64_t now_ms,
@@ -91,6 +94,13 @@
       = now_ms + delay_min + ab_rng_below (raft->rng, delay_min + 1);
 }
 
+void
+ab_raft_resign_full (struct ab_raft *raft, uint64_t now_ms)
+{
+  raft->no_campaign_until_ms = now_ms + FULL_DISK_TIMEOUTS * raft->election_ms;
+  ab_raft_become_follower (raft, now_ms, "");
+}
+
 void
 ab_raft_campaign (struct ab_raft *raft, uint64_t now_ms, bool pre)
 {
@@ -104,7 +114,10 @@
   set_campaign_deadline (raft, now_ms, pre);
   raft->leader_host[0] = '\0';
   if (!pre && ab_raft_save_hard_state (raft, msg.term, raft->host) < 0)
-    return;
+    {
+      ab_raft_resign_full (raft, now_ms);
+      return;
+    }
   raft->role = pre ? AB_RAFT_PRE_CANDIDATE : AB_RAFT_CANDIDATE;
   for (size_t i = 0; i < raft->peer_count; i++)
     raft->peers[i].granted = false;
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -110,7 +110,11 @@
   enum ab_raft_role role;
   struct ab_raft_hard_state hard_state;
   char leader_host[AB_NAME_BYTES];
-  int failed; /* Error that stopped this member; 0 while it runs.  */
+  int failed;     /* Error that stopped this member; 0 while it runs.  */
+  bool disk_full; /* The last write was refused for lack of room.  */
+  /* No campaign before this time: a leader that cannot write stops the
+     group.  */
+  uint64_t no_campaign_until_ms;
   /* The leader's configuration has another disk for this host.  */
   bool disk_replaced;
 
@@ -225,6 +229,9 @@
    one.  */
 int ab_raft_adopt_term (struct ab_raft *raft, uint64_t now_ms, uint64_t term);
 /* Starts a pre-vote if PRE, otherwise an election in a new term.  */
+/* Gives up leadership or a campaign because the disk is full, and starts none
+   for some time.  */
+void ab_raft_resign_full (struct ab_raft *raft, uint64_t now_ms);
 void ab_raft_campaign (struct ab_raft *raft, uint64_t now_ms, bool pre);
 void ab_raft_handle_vote (struct ab_raft *raft, uint64_t now_ms,
                           const char *from, const struct ab_raft_msg *msg);
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -60,7 +60,7 @@
   else
     rc = ab_raft_record_voter_disks (raft);
   if (rc < 0)
-    ab_raft_become_follower (raft, now_ms, "");
+    ab_raft_resign_full (raft, now_ms);
 }
 
 static void
--- a/src/raft_task.c
+++ b/src/raft_task.c
@@ -36,6 +36,7 @@
   /* No snapshot is written before this time.  */
   uint64_t snapshot_retry_ms;
   bool leader;
+  bool disk_full;
   bool applied;
   uint64_t term; /* Term in the last group_term log line.  */
 };
@@ -237,7 +238,7 @@
   evtimer_add (task->timer, &after);
 }
 
-/* Logs changes of term and role; returns whether leadership was won or
+/* Logs changes of term, disk and role; returns whether leadership was won or
    lost.  */
 static bool
 update_role (struct ab_raft_task *task)
@@ -251,6 +252,12 @@
             ab_log_int ("last_index", (int64_t)status.last_index),
             ab_log_str ("leader_host", status.leader_host));
   task->term = status.term;
+  if (status.disk_full != task->disk_full)
+    AB_LOG (status.disk_full ? AB_LOG_ERROR : AB_LOG_INFO,
+            status.disk_full ? "group_disk_full" : "group_disk_room",
+            ab_log_int ("last_index", (int64_t)status.last_index),
+            ab_log_int ("leader", task->leader));
+  task->disk_full = status.disk_full;
   if (status.leader == task->leader)
     return false;
   task->leader = status.leader;
