Call the state of a control host with a full disk stale

Callers could see: a route that had been changed was served by its old version for as long as the disk of the control host that their gateway follows was full.

Cause: a member was taken for current while it heard its leader, although it refused the leader's entries. Change: it counts as current up to the first entry that it refused, so that its gateways follow another control host.

--- a/src/raft.c
+++ b/src/raft.c
@@ -495,8 +495,12 @@
 uint64_t
 ab_raft_leader_heard_ms (const struct ab_raft *raft)
 {
-  return raft->role == AB_RAFT_LEADER ? raft->quorum_heard_ms
-                                      : raft->leader_heard_ms;
+  if (raft->role == AB_RAFT_LEADER)
+    return raft->quorum_heard_ms;
+  /* Entries that found no room are missing here, whatever the leader sends. */
+  if (raft->disk_full && raft->full_since_ms < raft->leader_heard_ms)
+    return raft->full_since_ms;
+  return raft->leader_heard_ms;
 }
 
 int
--- a/src/raft_follower.c
+++ b/src/raft_follower.c
@@ -108,6 +108,7 @@
                                .round = msg->round,
                                .ok = true,
                                .index = msg->index + msg->entry_count };
+  bool was_full = raft->disk_full;
   int rc;
 
   if (!ab_raft_accept_leader (raft, now_ms, from, msg))
@@ -122,6 +123,8 @@
     {
       reply.index = msg->index;
       reply.full = true;
+      if (!was_full)
+        raft->full_since_ms = now_ms;
     }
   else if (rc < 0)
     return;
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -112,6 +112,7 @@
   char leader_host[AB_NAME_BYTES];
   int failed;     /* Error that stopped this member; 0 while it runs.  */
   bool disk_full; /* The last write was refused for lack of room.  */
+  uint64_t full_since_ms; /* Since when entries of the leader are refused.  */
   /* No campaign before this time: a leader that cannot write stops the
      group.  */
   uint64_t no_campaign_until_ms;
--- a/tests/fleet_full_disk.c
+++ b/tests/fleet_full_disk.c
@@ -21,6 +21,8 @@
 #define ACK_MS 4000
 #define FULL_MS 3000
 #define CATCH_UP_MS 4000
+/* The stated bound for a bundle to be in force.  */
+#define IN_FORCE_MS 2500
 
 static uint64_t
 now_ms (void)
@@ -164,5 +166,49 @@
 }
 END_TEST
 
+/* Guards against a gateway that takes the view of a control host with a full
+   disk for the newest.  */
+START_TEST (gateway_leaves_full_control_host)
+{
+  struct gf_fleet fleet;
+  int follower;
+
+  gf_start (&fleet, "gf_full3", CONTROLS, 1);
+  gf_start_target (&fleet, 1, GF_HEALTHY);
+  ck_assert (gf_wait_status (&fleet, 1, "/look/1", 200, READY_MS));
+  follower = 0;
+  for (int i = 1; i <= CONTROLS; i++)
+    {
+      json_t *state = read_state (&fleet, i);
+      if (json_array_size (json_object_get (state, "watchers")) > 0)
+        follower = i;
+      json_decref (state);
+    }
+  ck_assert_int_gt (follower, 0);
+  set_full (&fleet, follower, true);
+  ck_assert_uint_le (put_bundle (&fleet, 3, 2), ACK_MS);
+  fleet_sleep_ms (200);
+  for (int version = 4; version <= 6; version++)
+    {
+      uint64_t begin;
+      char extra[16];
+      char path[32];
+      int status = 0;
+      snprintf (extra, sizeof extra, "%d", version);
+      snprintf (path, sizeof path, "/look%d/1", version);
+      for (int i = 1; status != 200 && i <= 3 * CONTROLS; i++)
+        status = gf_put_bundle (&fleet, 1 + i % CONTROLS, version, version - 1,
+                                extra);
+      ck_assert_int_eq (status, 200);
+      begin = now_ms ();
+      ck_assert (gf_wait_status (&fleet, 1, path, 200, READY_MS));
+      fprintf (stderr, "version %d in force after %llu ms\n", version,
+               (unsigned long long)(now_ms () - begin));
+      ck_assert_uint_le (now_ms () - begin, IN_FORCE_MS);
+    }
+  gf_stop (&fleet);
+}
+END_TEST
+
 SUITE_MAIN ("fleet_full_disk", TEST_S, full_leader_is_replaced,
-            full_disks_in_turn)
+            full_disks_in_turn, gateway_leaves_full_control_host)
