Keep the crashes of a request when a target fails it

Targets of entry hosts saw: a request that crashes them was let through to more than two when a gray target answered it with 500 in between.

Cause: any complete response cleared the content. A target that fails, or that rejects by itself, has not shown that it can run the request. Change: only a successful response clears it.

--- a/src/request_account_task.c
+++ b/src/request_account_task.c
@@ -4,6 +4,8 @@
 #include "counter.h"
 #include "request_flow_task.h"
 
+#define STATUS_SUCCESS_END 300
+
 static uint64_t *
 counter (const struct ab_flow *flow, const char *name)
 {
@@ -70,7 +72,8 @@
   switch (attempt->end)
     {
     case AB_ATTEMPT_RESPONSE:
-      if (!attempt->shed)
+      /* A target that fails may not have run the request.  */
+      if (!attempt->shed && attempt->status < STATUS_SUCCESS_END)
         ab_quarantine_answered (ab_crash_watch_quarantine (watch),
                                 &flow->content);
       break;
--- a/tests/test_request_flow.c
+++ b/tests/test_request_flow.c
@@ -347,6 +347,41 @@
 }
 END_TEST
 
+/* Guards against a failure of a target that does not run the request, which
+   makes the crashes before it count for nothing.  */
+START_TEST (failure_does_not_clear_crashes)
+{
+  static const struct harness_reply lost = { .close = true, .delay_ms = 50 };
+  static const struct harness_reply failure
+      = { .raw = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n" };
+  struct harness_caller caller;
+
+  fake.target_count = 2;
+  harness_target_script (&fake.targets[0], lost);
+  harness_target_script (&fake.targets[1], failure);
+  harness_target_script (&fake.targets[1], lost);
+  for (size_t i = 0; i < 3; i++)
+    {
+      struct harness_target *target = &fake.targets[i > 0];
+      harness_caller_start (&caller, fake.base, fake.settings.listen.callers);
+      harness_caller_send (&caller, PUT);
+      if (i == 1)
+        harness_run_ms (fake.base, 100);
+      else
+        {
+          harness_run (fake.base, target_has_request, target);
+          harness_run_ms (fake.base, 10);
+          harness_target_refuse (target);
+          harness_run_closed (&caller);
+        }
+      harness_caller_stop (&caller);
+    }
+  harness_run_ms (fake.base, 200);
+  ck_assert_uint_eq (fake.targets[1].requests, 2);
+  expect (PUT, 403, WANT ("\"quarantined\""));
+}
+END_TEST
+
 PROXY_SUITE ("request_flow", headers_are_forwarded, conflicting_lengths,
              chunked_request, rejections, claim_results, keyed_truncated,
              unframed_response, conflicting_response,
@@ -354,4 +389,4 @@
              keyed_not_run_releases_claim, idempotent_lost_twice,
              no_silent_resend, excess_bytes, late_response,
              keyed_caller_disconnects, idempotent_caller_disconnects,
-             crash_is_quarantined)
+             crash_is_quarantined, failure_does_not_clear_crashes)
