Wake a host seldom while no target has been lost

Cause: the crash watch woke each host ten times a second, and a lost request with a large body held the event loop for the digest of all of it. Change: once a second without suspects; the digest covers the first MiB and the length.

--- a/src/crash_watch_task.c
+++ b/src/crash_watch_task.c
@@ -11,8 +11,10 @@
 #include "log.h"
 #include "target_probe_task.h"
 
-/* Interval of the probes of a target whose connection was lost.  */
+/* Interval of the probes of a target whose connection was lost, and of the
+   deletion of expired records while there are no suspects.  */
 #define PROBE_INTERVAL_MS 100
+#define IDLE_INTERVAL_MS 1000
 /* How long a target that has left is remembered.  */
 #define LEFT_MS 60000
 
@@ -206,6 +208,18 @@
     ab_quarantine_refused (watch->quarantine, address, now_ms ());
 }
 
+static int
+arm_timer (const struct ab_crash_watch *watch)
+{
+  uint64_t ms = ab_quarantine_suspects (watch->quarantine) > 0
+                    ? PROBE_INTERVAL_MS
+                    : IDLE_INTERVAL_MS;
+  const struct timeval tv = { .tv_sec = (time_t)(ms / 1000),
+                              .tv_usec = (suseconds_t)(ms % 1000 * 1000) };
+
+  return event_add (watch->timer, &tv);
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -217,6 +231,7 @@
   (void)what;
   ab_quarantine_tick (watch->quarantine, now);
   delete_left_targets (watch, now);
+  arm_timer (watch);
   if (ab_quarantine_suspects (watch->quarantine) == 0)
     return;
   for (known = watch->targets; known; known = known->hh.next)
@@ -232,7 +247,6 @@
   static const struct ab_quarantine_ops quarantine_ops
       = { .mark = on_mark, .block = on_block, .lift = on_lift };
   struct ab_crash_watch *result = calloc (1, sizeof *result);
-  struct timeval tv = { .tv_usec = PROBE_INTERVAL_MS * 1000 };
 
   *watch = NULL;
   if (!result)
@@ -245,10 +259,10 @@
       = ab_counter (daemon->counters, "ab_quarantined_total");
   result->crashed_total
       = ab_counter (daemon->counters, "ab_requests_crashed_target_total");
-  result->timer = event_new (daemon->base, -1, EV_PERSIST, on_timer, result);
+  result->timer = evtimer_new (daemon->base, on_timer, result);
   if (!result->quarantine || !result->timer
       || ab_prober_new (daemon, on_probed, result, &result->prober) < 0
-      || event_add (result->timer, &tv) < 0)
+      || arm_timer (result) < 0)
     {
       ab_crash_watch_free (result);
       return AB_ERR_MEMORY;
@@ -304,6 +318,7 @@
 {
   struct known_target *known = add_target (watch, address);
   uint64_t now = now_ms ();
+  bool idle = ab_quarantine_suspects (watch->quarantine) == 0;
 
   if (known && known->leaving_ms && incarnation == known->incarnation)
     return;
@@ -323,6 +338,8 @@
   if (now >= known->probe_until_ms)
     ab_prober_probe (watch->prober, address);
   known->probe_until_ms = now + watch->ops->probe_ms;
+  if (idle)
+    arm_timer (watch);
 }
 
 void
--- a/src/request_content.c
+++ b/src/request_content.c
@@ -6,6 +6,9 @@
 #include "http_rules.h"
 
 #define PIECES_MAX 32
+/* Bytes of a body that count, besides its length: the event loop waits for the
+   digest.  */
+#define BODY_BYTES_MAX ((size_t)1024 * 1024)
 
 static const char *
 method_of (struct evhttp_request *request)
@@ -49,11 +52,13 @@
   struct ab_digest_stream stream;
   struct evbuffer_iovec pieces[PIECES_MAX];
   struct evbuffer_ptr at;
-  size_t len = evbuffer_get_length (body);
+  const uint64_t body_bytes = evbuffer_get_length (body);
+  size_t len = body_bytes < BODY_BYTES_MAX ? body_bytes : BODY_BYTES_MAX;
   size_t read = 0;
 
   ab_digest_begin (&stream);
   ab_digest_add (&stream, ab_chunk (head.bytes, sizeof head.bytes));
+  ab_digest_add (&stream, ab_chunk (&body_bytes, sizeof body_bytes));
   /* The body is read in place: it may be large, and parts of it may be
      referenced by a connection to a target.  */
   while (read < len
@@ -62,9 +67,10 @@
       int count = evbuffer_peek (body, -1, &at, pieces, PIECES_MAX);
       for (int i = 0; i < count && i < PIECES_MAX; i++)
         {
-          ab_digest_add (&stream,
-                         ab_chunk (pieces[i].iov_base, pieces[i].iov_len));
-          read += pieces[i].iov_len;
+          size_t part = pieces[i].iov_len < len - read ? pieces[i].iov_len
+                                                       : len - read;
+          ab_digest_add (&stream, ab_chunk (pieces[i].iov_base, part));
+          read += part;
         }
       if (count <= 0)
         break;
--- a/src/request_content.h
+++ b/src/request_content.h
@@ -16,7 +16,7 @@
 void ab_request_content_prefix (struct evhttp_request *request,
                                 uint8_t prefix[AB_CONTENT_PREFIX_BYTES]);
 
-/* Returns REQUEST's content, with its body.  */
+/* Returns REQUEST's content, with its body: the length and the first MiB.  */
 struct ab_digest ab_request_content (struct evhttp_request *request);
 
 /* Writes the method, host and path of REQUEST to TEXT, a buffer of SIZE bytes,
