Recognise requests under which targets fall silent

Cause: a target that ends without closing its connections lets a request time out, and one whose host is silent refuses nothing; only a lost connection and a refusal soon after counted. Change: a request that is not answered in time, or whose caller leaves first, is suspect as well, and the announcement of a new incarnation confirms it within 10 s. A target that drained or deregistered before has ended by plan.

Conclusion: the promise does not depend on how a target ends, as long as it returns.

--- a/src/crash_watch_task.c
+++ b/src/crash_watch_task.c
@@ -12,11 +12,14 @@
 #include "target_probe_task.h"
 
 /* Interval of the probes of a target whose connection was lost, and of the
-   deletion of expired records while there are no suspects.  */
+   deletion of expired records while no target is probed.  */
 #define PROBE_INTERVAL_MS 100
 #define IDLE_INTERVAL_MS 1000
 /* How long a target that has left is remembered.  */
 #define LEFT_MS 60000
+/* A target that is recorded as gone this long or less before the next one at
+   its address was replaced by it.  */
+#define REPLACED_MS 1000
 
 /* A target according to its latest announcement.  */
 struct known_target
@@ -39,6 +42,7 @@
   struct ab_quarantine *quarantine;
   struct event *timer;
   struct known_target *targets;
+  uint64_t probe_until_ms; /* Some target is probed until this time.  */
   uint64_t *quarantined_total;
   uint64_t *crashed_total;
 };
@@ -147,6 +151,14 @@
     watch->ops->lifted (watch->ctx, record);
 }
 
+/* Returns whether KNOWN has left by plan.  A target that crashed is recorded
+   as gone when the next one announces itself at its address.  */
+static bool
+has_left (const struct known_target *known)
+{
+  return known->leaving_ms && now_ms () - known->leaving_ms > REPLACED_MS;
+}
+
 void
 ab_crash_watch_set_target (struct ab_crash_watch *watch,
                            const struct ab_crash_target *target)
@@ -163,6 +175,8 @@
                  sizeof known->region);
   if (known->incarnation < target->incarnation)
     {
+      if (has_left (known))
+        ab_quarantine_left (watch->quarantine, target->address);
       known->incarnation = target->incarnation;
       known->leaving_ms = 0;
       ab_quarantine_announced (watch->quarantine, target->address,
@@ -211,9 +225,8 @@
 static int
 arm_timer (const struct ab_crash_watch *watch)
 {
-  uint64_t ms = ab_quarantine_suspects (watch->quarantine) > 0
-                    ? PROBE_INTERVAL_MS
-                    : IDLE_INTERVAL_MS;
+  uint64_t ms = now_ms () < watch->probe_until_ms ? PROBE_INTERVAL_MS
+                                                  : IDLE_INTERVAL_MS;
   const struct timeval tv = { .tv_sec = (time_t)(ms / 1000),
                               .tv_usec = (suseconds_t)(ms % 1000 * 1000) };
 
@@ -232,7 +245,7 @@
   ab_quarantine_tick (watch->quarantine, now);
   delete_left_targets (watch, now);
   arm_timer (watch);
-  if (ab_quarantine_suspects (watch->quarantine) == 0)
+  if (now >= watch->probe_until_ms)
     return;
   for (known = watch->targets; known; known = known->hh.next)
     if (now < known->probe_until_ms)
@@ -311,37 +324,57 @@
   return known ? known->incarnation : 0;
 }
 
+/* Records a request that TARGET has not answered.  Returns the target if it is
+   not known yet whether it crashed; null otherwise.  */
+static struct known_target *
+add_suspect (struct ab_crash_watch *watch, const char *address,
+             uint64_t incarnation, const struct ab_digest *content,
+             const char *label, uint64_t now)
+{
+  struct known_target *known = add_target (watch, address);
+
+  if (!known || (known->leaving_ms && incarnation == known->incarnation))
+    return NULL;
+  ab_quarantine_lost (watch->quarantine, address, incarnation, content, label,
+                      now);
+  /* The announcement of the next incarnation may arrive first.  */
+  if (incarnation == 0 || known->incarnation <= incarnation)
+    return known;
+  ab_quarantine_announced (watch->quarantine, address, known->incarnation,
+                           now);
+  return NULL;
+}
+
 void
 ab_crash_watch_lost (struct ab_crash_watch *watch, const char *address,
                      uint64_t incarnation, const struct ab_digest *content,
                      const char *label)
 {
-  struct known_target *known = add_target (watch, address);
   uint64_t now = now_ms ();
-  bool idle = ab_quarantine_suspects (watch->quarantine) == 0;
+  bool probing = now < watch->probe_until_ms;
+  struct known_target *known
+      = add_suspect (watch, address, incarnation, content, label, now);
 
-  if (known && known->leaving_ms && incarnation == known->incarnation)
-    return;
-  ab_quarantine_lost (watch->quarantine, address, incarnation, content, label,
-                      now);
   if (!known)
     return;
-  /* The announcement of the next incarnation may arrive first.  */
-  if (incarnation > 0 && known->incarnation > incarnation)
-    {
-      ab_quarantine_announced (watch->quarantine, address, known->incarnation,
-                               now);
-      return;
-    }
   /* The first probe is sent at once, because connections to a crashed process
      are refused at once.  */
   if (now >= known->probe_until_ms)
     ab_prober_probe (watch->prober, address);
   known->probe_until_ms = now + watch->ops->probe_ms;
-  if (idle)
+  watch->probe_until_ms = known->probe_until_ms;
+  if (!probing)
     arm_timer (watch);
 }
 
+void
+ab_crash_watch_hung (struct ab_crash_watch *watch, const char *address,
+                     uint64_t incarnation, const struct ab_digest *content,
+                     const char *label)
+{
+  add_suspect (watch, address, incarnation, content, label, now_ms ());
+}
+
 void
 ab_crash_watch_refused (struct ab_crash_watch *watch, const char *address)
 {
--- a/src/crash_watch_task.h
+++ b/src/crash_watch_task.h
@@ -73,6 +73,11 @@
 void ab_crash_watch_lost (struct ab_crash_watch *watch, const char *address,
                           uint64_t incarnation,
                           const struct ab_digest *content, const char *label);
+/* Records that the target at ADDRESS did not respond in time; it is not
+   probed.  */
+void ab_crash_watch_hung (struct ab_crash_watch *watch, const char *address,
+                          uint64_t incarnation,
+                          const struct ab_digest *content, const char *label);
 /* Records that the target at ADDRESS refused a connection.  */
 void ab_crash_watch_refused (struct ab_crash_watch *watch,
                              const char *address);
--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -71,6 +71,16 @@
              || attempt->end == AB_ATTEMPT_MALFORMED);
 }
 
+/* Returns whether the target had not responded when its time was over or the
+   caller disconnected.  */
+static bool
+is_unanswered (const struct ab_attempt *attempt)
+{
+  return attempt->written
+         && (attempt->end == AB_ATTEMPT_TIMEOUT
+             || attempt->end == AB_ATTEMPT_CANCELLED);
+}
+
 /* Records what ATTEMPT says about crashes of its target.  */
 static void
 report_crash (struct ab_gateway_flow *flow, const struct ab_attempt *attempt)
@@ -79,6 +89,9 @@
 
   if (attempt->end == AB_ATTEMPT_REFUSED)
     ab_gateway_crashes_refused (crashes, flow->grant.address);
+  else if (is_unanswered (attempt) && (flow->req || flow->has_content))
+    ab_gateway_crashes_hung (crashes, flow->grant.address, flow->incarnation,
+                             ab_gateway_flow_content (flow), flow->req);
   else if (!flow->req)
     return;
   else if (is_lost (attempt))
--- a/src/gateway_crash_task.c
+++ b/src/gateway_crash_task.c
@@ -205,6 +205,19 @@
   ab_crash_watch_lost (crashes->watch, address, incarnation, content, label);
 }
 
+void
+ab_gateway_crashes_hung (struct ab_gateway_crashes *crashes,
+                         const char *address, uint64_t incarnation,
+                         const struct ab_digest *content,
+                         struct evhttp_request *request)
+{
+  char label[AB_QUARANTINE_LABEL_BYTES] = "";
+
+  if (request)
+    ab_request_content_label (request, label, sizeof label);
+  ab_crash_watch_hung (crashes->watch, address, incarnation, content, label);
+}
+
 void
 ab_gateway_crashes_refused (struct ab_gateway_crashes *crashes,
                             const char *address)
--- a/src/gateway_crash_task.h
+++ b/src/gateway_crash_task.h
@@ -40,11 +40,17 @@
 uint64_t
 ab_gateway_crashes_incarnation (const struct ab_gateway_crashes *crashes,
                                 const char *address);
-/* Record what became of an attempt at the target at ADDRESS.  */
+/* Record what became of an attempt at the target at ADDRESS: its connection
+   was lost, it did not respond in time, it refused a connection, or it says
+   that it leaves.  REQUEST is null when the caller has disconnected.  */
 void ab_gateway_crashes_lost (struct ab_gateway_crashes *crashes,
                               const char *address, uint64_t incarnation,
                               const struct ab_digest *content,
                               struct evhttp_request *request);
+void ab_gateway_crashes_hung (struct ab_gateway_crashes *crashes,
+                              const char *address, uint64_t incarnation,
+                              const struct ab_digest *content,
+                              struct evhttp_request *request);
 void ab_gateway_crashes_refused (struct ab_gateway_crashes *crashes,
                                  const char *address);
 void ab_gateway_crashes_leaving (struct ab_gateway_crashes *crashes,
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -117,6 +117,10 @@
       = evhttp_request_get_connection (flow->req);
 
   ++*ab_gateway_flow_counter (flow, "ab_gateway_callers_gone_total");
+  /* The request is gone with its connection, but its target may have crashed
+     under it.  */
+  if (flow->attempt)
+    ab_gateway_flow_content (flow);
   flow->req = NULL;
   ab_caller_watch_free (flow->caller_watch);
   flow->caller_watch = NULL;
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -423,13 +423,16 @@
 confirm_crash (struct ab_quarantine *quarantine, const char *target,
                uint64_t incarnation, uint64_t now_ms)
 {
+  uint64_t window_ms
+      = incarnation > 0 ? AB_QUARANTINE_RETURN_MS : AB_QUARANTINE_CONFIRM_MS;
+
   for (size_t i = quarantine->suspect_count; i-- > 0;)
     {
       struct suspect suspect = quarantine->suspects[i];
       struct ab_quarantine_crash crash;
 
       if (strcmp (suspect.target, target) != 0
-          || now_ms - suspect.lost_ms > AB_QUARANTINE_CONFIRM_MS
+          || now_ms - suspect.lost_ms > window_ms
           || (incarnation > 0 && incarnation <= suspect.incarnation))
         continue;
       crash = make_crash (target, suspect.incarnation);
@@ -453,6 +456,14 @@
   confirm_crash (quarantine, target, incarnation, now_ms);
 }
 
+void
+ab_quarantine_left (struct ab_quarantine *quarantine, const char *target)
+{
+  for (size_t i = quarantine->suspect_count; i-- > 0;)
+    if (strcmp (quarantine->suspects[i].target, target) == 0)
+      delete_suspect (quarantine, i);
+}
+
 void
 ab_quarantine_answered (struct ab_quarantine *quarantine,
                         const struct ab_digest *content)
@@ -560,7 +571,7 @@
   struct crash *next_crash;
 
   for (size_t i = quarantine->suspect_count; i-- > 0;)
-    if (now_ms - quarantine->suspects[i].lost_ms > AB_QUARANTINE_CONFIRM_MS)
+    if (now_ms - quarantine->suspects[i].lost_ms > AB_QUARANTINE_RETURN_MS)
       delete_suspect (quarantine, i);
   HASH_ITER (hh, quarantine->entries, entry, next_entry)
   if (is_expired (&entry->record, now_ms))
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -1,11 +1,12 @@
 /* Recognises a request that crashes the targets that run it.
 
-   A connection that is lost without a complete response makes the content of
-   the request suspect.  If the target then refuses connections or comes back
-   with a new incarnation within AB_QUARANTINE_CONFIRM_MS, the target crashed,
-   and the crash is recorded for the content of every request that was lost
-   with it.  Crashes of two different targets block the content, or three of
-   one target.  Crashes may be reported by other hosts
+   A connection that is lost without a complete response, or a response that
+   does not come in time, makes the content of the request suspect.  If the
+   target then refuses connections within AB_QUARANTINE_CONFIRM_MS or comes
+   back with a new incarnation within AB_QUARANTINE_RETURN_MS, the target
+   crashed, and the crash is recorded for the content of every request that was
+   lost with it.  Crashes of two different targets block the content, or three
+   of one target.  Crashes may be reported by other hosts
    (ab_quarantine_reported), so that two that are seen by two hosts are
    combined.
 
@@ -34,6 +35,7 @@
 #include "digest.h"
 
 #define AB_QUARANTINE_CONFIRM_MS 2000
+#define AB_QUARANTINE_RETURN_MS 10000
 #define AB_QUARANTINE_MARK_MS (10 * 60 * 1000)
 #define AB_QUARANTINE_BLOCK_MS (10 * 60 * 1000)
 #define AB_QUARANTINE_DOUBLINGS 5
@@ -91,8 +93,8 @@
                                          void *ctx);
 void ab_quarantine_free (struct ab_quarantine *quarantine);
 
-/* Records that the connection to TARGET was lost before a complete response
-   to a request with CONTENT that was written at least in part.  INCARNATION is
+/* Records that TARGET gave no complete response to a request with CONTENT that
+   was written at least in part.  INCARNATION is
    the target's as known when the request was sent.  LABEL is copied.  */
 void ab_quarantine_lost (struct ab_quarantine *quarantine, const char *target,
                          uint64_t incarnation, const struct ab_digest *content,
@@ -107,6 +109,10 @@
                               const char *target, uint64_t incarnation,
                               uint64_t now_ms);
 
+/* Records that TARGET has ended by plan: requests that it did not answer are
+   not suspect.  */
+void ab_quarantine_left (struct ab_quarantine *quarantine, const char *target);
+
 /* Records that a request with CONTENT got a complete successful response:
    deletes its record and its suspects.  */
 void ab_quarantine_answered (struct ab_quarantine *quarantine,
--- a/tests/fleet_crashing_requests.c
+++ b/tests/fleet_crashing_requests.c
@@ -2,9 +2,10 @@
    targets end is recognised when it comes again, and that nothing else is.
 
    A target that runs a request with POISON in its path or body ends, and is
-   started again as a new incarnation after RETURN_MS.  The stated rule: from
-   SETTLE_MS after the third target ended under a request, at most
-   LATE_ARRIVALS repeats of it reach a target.  */
+   started again as a new incarnation after RETURN_MS.  With the flag "silent"
+   it freezes instead, and is ended and started again after HUNG_MS.  The
+   stated rule: from SETTLE_MS after the third target ended under a request, at
+   most LATE_ARRIVALS repeats of it reach a target.  */
 
 #include <pthread.h>
 #include <signal.h>
@@ -30,6 +31,7 @@
 #define TARGETS 6
 #define CALLERS 4
 #define RETURN_MS 1200
+#define HUNG_MS 4500
 #define RUN_MS 60
 #define SLOW_MS 700
 #define SETTLE_MS 3000
@@ -56,6 +58,8 @@
   if (strstr (request->head, POISON) || strstr (request->body, POISON))
     {
       fleet_sleep_ms (RUN_MS);
+      if (raw_target_flag (target, "silent"))
+        kill (getpid (), SIGSTOP);
       if (!raw_target_flag (target, "repaired"))
         _exit (EXIT_FAILURE);
     }
@@ -73,8 +77,31 @@
   atomic_bool stopping;
   atomic_int ended;
   uint64_t return_ms[TARGETS + 1]; /* 0: runs.  */
+  bool ends_frozen;
+  uint64_t frozen_ms[TARGETS + 1];
 };
 
+/* Ends target I HUNG_MS after it froze by itself.  */
+static void
+end_frozen (struct keeper *keeper, int i)
+{
+  pid_t pid = keeper->fleet->target_pids[i];
+  int status;
+
+  if (pid <= 0)
+    return;
+  if (waitpid (pid, &status, WNOHANG | WUNTRACED) == pid
+      && WIFSTOPPED (status))
+    keeper->frozen_ms[i] = now_ms ();
+  if (keeper->frozen_ms[i] && now_ms () - keeper->frozen_ms[i] > HUNG_MS)
+    {
+      keeper->frozen_ms[i] = 0;
+      gf_kill (&keeper->fleet->target_pids[i]);
+      keeper->return_ms[i] = now_ms ();
+      keeper->ended++;
+    }
+}
+
 static void *
 run_keeper (void *arg)
 {
@@ -84,15 +111,18 @@
   while (!keeper->stopping)
     {
       for (int i = 1; i <= TARGETS; i++)
-        if (fleet->target_pids[i] > 0
-            && waitpid (fleet->target_pids[i], NULL, WNOHANG)
-                   == fleet->target_pids[i])
+        if (keeper->ends_frozen)
+          end_frozen (keeper, i);
+        else if (fleet->target_pids[i] > 0
+                 && waitpid (fleet->target_pids[i], NULL, WNOHANG)
+                        == fleet->target_pids[i])
           {
             fleet->target_pids[i] = 0;
             keeper->return_ms[i] = now_ms () + RETURN_MS;
             keeper->ended++;
           }
-        else if (keeper->return_ms[i] && now_ms () >= keeper->return_ms[i])
+      for (int i = 1; i <= TARGETS; i++)
+        if (keeper->return_ms[i] && now_ms () >= keeper->return_ms[i])
           {
             keeper->return_ms[i] = 0;
             fleet->restarts[i]++;
@@ -721,9 +751,35 @@
 }
 END_TEST
 
+#define SILENT_REPEATS 30
+
+/* Guards against a request whose targets fall silent instead of closing their
+   connections, and come back as new incarnations.  */
+START_TEST (silent_crashes_are_recognised)
+{
+  static struct rig rig;
+  int quarantined = 0;
+
+  start_rig (&rig, "gf_crash9");
+  rig.keeper.ends_frozen = true;
+  for (int i = 1; i <= TARGETS; i++)
+    raw_set_flag (&rig.fleet, i, "silent", true);
+  for (int i = 0; i < SILENT_REPEATS && quarantined < GATEWAYS; i++)
+    {
+      if (send_crashing (&rig, 1 + i % GATEWAYS).quarantined)
+        quarantined++;
+      fleet_sleep_ms (REPEAT_PAUSE_MS);
+    }
+  check_arrivals (&rig.fleet, "p");
+  ck_assert_int_eq (quarantined, GATEWAYS);
+  abandon_rig (&rig);
+}
+END_TEST
+
 SUITE_MAIN ("fleet_crashing_requests", TEST_S, crashing_order_is_quarantined,
             crashing_lookup_is_quarantined,
             several_crashing_requests_are_quarantined,
             quarantine_survives_restarts, hosts_lost_meanwhile,
             restarts_and_deploys_quarantine_nothing,
-            operator_sees_and_releases, gateway_decides_alone)
+            operator_sees_and_releases, gateway_decides_alone,
+            silent_crashes_are_recognised)
