--- a/tests/test_fleet_watch.c
+++ b/tests/test_fleet_watch.c
@@ -215,9 +215,21 @@
   (void)ctx;
 }
 
+static unsigned records_received;
+static struct ab_quarantine_record last_record;
+
+static void
+on_quarantine (void *ctx, const struct ab_quarantine_record *record)
+{
+  (void)ctx;
+  records_received++;
+  last_record = *record;
+}
+
 static const struct ab_fleet_view_ops view_ops = { .target = on_target,
                                                    .bundle = on_bundle,
                                                    .hosts = on_change,
+                                                   .quarantine = on_quarantine,
                                                    .applied = on_change };
 
 static void
@@ -407,6 +419,47 @@
 }
 END_TEST
 
+static void
+report_crash (const char *target)
+{
+  struct ab_fleet_report report
+      = { .kind = AB_FLEET_REPORT_CRASHED, .label = "GET x/" };
+  enum ab_fleet_result result;
+  struct ab_buf data = AB_BUF_INIT;
+
+  snprintf (report.crash.target, sizeof report.crash.target, "%s", target);
+  ab_fleet_pack_reports (&data, 100000, 1);
+  ab_fleet_pack_report (&data, &report);
+  ck_assert_int_eq (ab_fleet_state_apply (control.state, ++index_now,
+                                          ab_buf_chunk (&data), &result),
+                    0);
+  ab_buf_free (&data);
+  ab_fleet_watch_push (control.watch);
+}
+
+/* Guards against a gateway that does not learn, soon or after its start, which
+   requests crash targets, or that gets a record more than once.  */
+START_TEST (crashing_requests_are_sent_once)
+{
+  records_received = 0;
+  report_crash ("t1");
+  start_gateways ();
+  run_ms (1000);
+  assert_delivered_in_time ();
+  ck_assert_uint_eq (records_received, GATEWAYS);
+  report_crash ("t2");
+  assert_delivered_in_time ();
+  run_ms (1000);
+  ck_assert_uint_eq (records_received, 2 * GATEWAYS);
+  ck_assert_uint_eq (last_record.crash_count, 2);
+  ck_assert_uint_eq (last_record.blocks, 1);
+  ck_assert_str_eq (last_record.label, "GET x/");
+  add_targets (1);
+  assert_delivered_in_time ();
+  ck_assert_uint_eq (records_received, 2 * GATEWAYS);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -418,6 +471,7 @@
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, narrow_links_catch_up);
+  tcase_add_test (tcase, crashing_requests_are_sent_once);
   tcase_add_test (tcase, changes_are_sent_alone);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
