Send crashing requests and notices of targets in the soak

Targets of the soak end under one request that comes again at all gateways, ask for pauses, and say that they leave; restarted ones are new incarnations. The stated rule on crashing requests is checked.

--- a/tests/fleet_soak.c
+++ b/tests/fleet_soak.c
@@ -40,6 +40,11 @@
 #define LIMITED_TARGET 1
 #define LIMIT 2
 #define CHANGING_TARGET 2
+/* The stated rule for a request that ends its targets.  */
+#define CRASHES_ALLOWED 3
+#define CRASHES_SETTLE_MS 3000
+#define CRASHES_LATE 3
+#define CRASHES_MAX 256
 
 struct soak
 {
@@ -205,16 +210,63 @@
   fleet_sleep_ms (STARTED_MS);
 }
 
+/* Ends target NUMBER, if it runs, and starts it as a new incarnation.  */
 static void
-restart_target (struct soak *soak)
+restart_target (struct soak *soak, int number)
 {
-  int number = random_below (soak, TARGETS) + 1;
-
   gf_kill (&soak->fleet.target_pids[number]);
   fleet_sleep_ms (random_below (soak, 500));
+  soak->fleet.restarts[number]++;
   gf_start_target (&soak->fleet, number, GF_HEALTHY);
 }
 
+/* Sends the request that ends its targets to all gateways, and starts the
+   targets again that it ended.  */
+static void
+send_crashing (struct soak *soak)
+{
+  static int number;
+  char id[32];
+
+  for (int i = 1; i <= GATEWAYS; i++)
+    {
+      snprintf (id, sizeof id, "crash-%d", number++);
+      gf_request (&soak->fleet, i, "POST", "/shop" GF_CRASH_PATH, id, NULL);
+    }
+  for (int i = 1; i <= TARGETS; i++)
+    if (waitpid (soak->fleet.target_pids[i], NULL, WNOHANG) > 0)
+      {
+        soak->fleet.target_pids[i] = 0;
+        restart_target (soak, i);
+      }
+}
+
+static void
+set_flag (const struct soak *soak, int number, const char *kind, bool on)
+{
+  char path[256];
+
+  gf_print_target_path (&soak->fleet, number, kind, path, sizeof path);
+  if (on)
+    ck_assert_int_eq (fclose (fopen (path, "w")), 0);
+  else
+    unlink (path);
+}
+
+/* Lets a target ask for pauses, or say that it leaves until it is replaced. */
+static void
+give_notice (struct soak *soak)
+{
+  int number = random_below (soak, TARGETS) + 1;
+  bool leaves = random_below (soak, 2);
+
+  set_flag (soak, number, leaves ? "leaving" : "pause", true);
+  fleet_sleep_ms (200 + random_below (soak, 1500));
+  set_flag (soak, number, leaves ? "leaving" : "pause", false);
+  if (leaves)
+    restart_target (soak, number);
+}
+
 /* Injects a fault into the network path to one target and removes it after a
    while.  Connections that lost bytes stay open and stalled, or out of
    sync.  */
@@ -245,8 +297,15 @@
 static void
 inject_fault (struct soak *soak)
 {
-  switch (random_below (soak, 12))
+  switch (random_below (soak, 15))
     {
+    case 12:
+    case 13:
+      send_crashing (soak);
+      break;
+    case 14:
+      give_notice (soak);
+      break;
     case 11:
       change_rate_limit (soak);
       break;
@@ -280,7 +339,7 @@
       restart_gateway (soak, false);
       break;
     default:
-      restart_target (soak);
+      restart_target (soak, random_below (soak, TARGETS) + 1);
     }
 }
 
@@ -345,6 +404,44 @@
                  most, GF_WINDOW_MS, LIMIT);
 }
 
+static int
+compare_times (const void *a, const void *b)
+{
+  uint64_t x = *(const uint64_t *)a;
+  uint64_t y = *(const uint64_t *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* Checks that the crashing request ended at most CRASHES_LATE targets later
+   than CRASHES_SETTLE_MS after the third.  */
+static void
+check_crashes (const struct soak *soak)
+{
+  uint64_t times[CRASHES_MAX];
+  size_t count = 0;
+  size_t late = 0;
+
+  for (int i = 1; i <= TARGETS; i++)
+    {
+      char path[256];
+      unsigned long long at_ms;
+      FILE *file;
+      gf_print_target_path (&soak->fleet, i, "crashes", path, sizeof path);
+      file = fopen (path, "r");
+      while (file && count < CRASHES_MAX && fscanf (file, "%llu", &at_ms) == 1)
+        times[count++] = at_ms;
+      if (file)
+        fclose (file);
+    }
+  qsort (times, count, sizeof *times, compare_times);
+  for (size_t i = CRASHES_ALLOWED; i < count; i++)
+    late += times[i] > times[CRASHES_ALLOWED - 1] + CRASHES_SETTLE_MS;
+  printf ("%zu targets ended under one request, %zu of them late\n", count,
+          late);
+  ck_assert_uint_le (late, CRASHES_LATE);
+}
+
 static void
 run_seed (uint64_t seed)
 {
@@ -385,6 +482,7 @@
   for (int i = 0; i < CALLERS; i++)
     check_caller (&soak, i, recovered_ms);
   check_rate_limit (&soak, named_ms);
+  check_crashes (&soak);
   gf_stop (&soak.fleet);
 }
 
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -89,7 +89,10 @@
 void gf_set_path_fault (struct gf_fleet *fleet, int number, const char *query);
 
 /* Starts target NUMBER of service "shop", which announces itself until it is
-   killed.  */
+   killed.  A request with GF_CRASH_PATH in its path ends it; the time goes to
+   its file "crashes".  While its file "leaving" exists, its responses say that
+   it leaves; while "pause" exists, it rejects requests with Retry-After.  */
+#define GF_CRASH_PATH "/crash"
 void gf_start_target (struct gf_fleet *fleet, int number, enum gf_fault fault);
 /* Addresses of targets; those behind a proxy listen at GF_PROXIED_OFFSET.  */
 #define GF_TARGET_PORT 8080
--- a/tests/gateway_target_lib.c
+++ b/tests/gateway_target_lib.c
@@ -66,6 +66,16 @@
   fclose (file);
 }
 
+static bool
+has_flag (const struct target *target, const char *kind)
+{
+  char path[256];
+
+  gf_print_target_path (target->fleet, target->number, kind, path,
+                        sizeof path);
+  return access (path, F_OK) == 0;
+}
+
 static void
 reply (const struct target *target, struct evhttp_request *req, int status)
 {
@@ -80,6 +90,8 @@
   if (target->fault == GF_SHEDS)
     evhttp_add_header (out, "Almond-Shed", "1");
   add_rate_limit (target, out);
+  if (has_flag (target, "leaving"))
+    evhttp_add_header (out, "Almond-Leaving", "1");
   evbuffer_add_printf (body, "target %d", target->number);
   if (target->fault == GF_LARGE
       && strstr (evhttp_request_get_uri (req), "large"))
@@ -220,6 +232,23 @@
   evbuffer_free (body);
 }
 
+/* Appends the time to the file "crashes" of TARGET.  */
+static void
+record_crash (const struct target *target)
+{
+  char path[256];
+  FILE *file;
+
+  gf_print_target_path (target->fleet, target->number, "crashes", path,
+                        sizeof path);
+  file = fopen (path, "a");
+  if (!file)
+    return;
+  fprintf (file, "%llu\n",
+           (unsigned long long)ab_clock_monotonic_ms (ab_clock_system ()));
+  fclose (file);
+}
+
 static void
 on_target_request (struct evhttp_request *req, void *ctx)
 {
@@ -230,11 +259,24 @@
   fprintf (target->arrivals, "%llu\n",
            (unsigned long long)ab_clock_monotonic_ms (ab_clock_system ()));
   fflush (target->arrivals);
+  if (strstr (evhttp_request_get_uri (req), GF_CRASH_PATH))
+    {
+      record_crash (target);
+      _exit (EXIT_FAILURE);
+    }
   if (target->fault == GF_SHEDS)
     {
       reply (target, req, 503);
       return;
     }
+  if (has_flag (target, "pause"))
+    {
+      struct evkeyvalq *out = evhttp_request_get_output_headers (req);
+      evhttp_add_header (out, "Almond-Shed", "1");
+      evhttp_add_header (out, "Retry-After", "0.8");
+      reply (target, req, 503);
+      return;
+    }
   fprintf (target->runs, "%s\n", id ? id : "-");
   fflush (target->runs);
   if (target->fault == GF_RESETS)
