Do not mark content that is answered

Cause: a gateway that had been frozen learned of the end of two targets at the same moment, and the order was in flight at both. Answers between the losses and their confirmation did not count, as a gateway looked at answers only for content that had a record already; and requests that take a few milliseconds have none in flight that could clear the block when it arrives. Class: evidence against is kept, evidence for is dropped.

Change: a successful response deletes the suspects of its content, and crashes in the next 3 s do not count for it. A gateway that hears of a record of content that it has just answered reports that, which clears it for all. A gateway therefore computes the digest of each answered request with a body of up to 64 KiB.

--- a/src/crash_member_task.c
+++ b/src/crash_member_task.c
@@ -68,6 +68,9 @@
       return;
     }
   if (!item->target[0]
+      || ab_quarantine_was_answered (
+          quarantine, &item->content,
+          ab_clock_monotonic_ms (ab_clock_system ()))
       || item->until_wall_ms <= ab_clock_wall_ms (ab_clock_system ()))
     return;
   ab_chunk_copy (ab_chunk_str (item->target), crash.target,
--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -14,6 +14,9 @@
    the target's accept queue.  */
 #define CONNECT_MS 350
 #define STATUS_SUCCESS_END 300
+/* The content of a request with a larger body is not remembered when it is
+   answered: its digest takes too long.  */
+#define ANSWERED_BODY_BYTES (64 * 1024)
 /* Maximum number of times that one request is sent, including attempts that
    did not run.  */
 #define SENDS_MAX 4
@@ -99,7 +102,8 @@
                              ab_gateway_flow_content (flow), flow->req);
   else if (attempt->end == AB_ATTEMPT_RESPONSE && !attempt->shed
            && attempt->status < STATUS_SUCCESS_END
-           && ab_gateway_crashes_may_know (crashes, flow->req))
+           && (flow->body_bytes <= ANSWERED_BODY_BYTES
+               || ab_gateway_crashes_may_know (crashes, flow->req)))
     ab_gateway_crashes_answered (crashes, ab_gateway_flow_content (flow));
 }
 
--- a/src/gateway_crash_task.c
+++ b/src/gateway_crash_task.c
@@ -232,17 +232,25 @@
   ab_crash_watch_leaving (crashes->watch, address);
 }
 
+static void
+report_answered (struct ab_gateway_crashes *crashes,
+                 const struct ab_digest *content)
+{
+  const struct ab_fleet_report report
+      = { .kind = AB_FLEET_REPORT_ANSWERED, .content = *content };
+
+  add_report (crashes, &report);
+}
+
 void
 ab_gateway_crashes_answered (struct ab_gateway_crashes *crashes,
                              const struct ab_digest *content)
 {
-  const struct ab_fleet_report report
-      = { .kind = AB_FLEET_REPORT_ANSWERED, .content = *content };
   bool known = ab_quarantine_find (quarantine_of (crashes), content);
 
-  ab_quarantine_answered (quarantine_of (crashes), content);
+  ab_quarantine_answered (quarantine_of (crashes), content, now_ms ());
   if (known)
-    add_report (crashes, &report);
+    report_answered (crashes, content);
 }
 
 /* What the fleet view says.  */
@@ -292,6 +300,13 @@
   bool was_blocked;
   bool blocked;
 
+  if (!record->cleared
+      && ab_quarantine_was_answered (quarantine_of (crashes), &record->content,
+                                     now))
+    {
+      report_answered (crashes, &record->content);
+      return;
+    }
   local.since_ms = to_monotonic (record->since_ms);
   if (record->blocked_until_ms)
     local.blocked_until_ms = to_monotonic (record->blocked_until_ms);
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -16,6 +16,7 @@
 #define BLOCKING_CRASHES 3
 #define CRASHES_KEPT_MAX 1024
 #define FILTER_SIZE 4096
+#define ANSWERS_SIZE 512
 
 /* Content of a request that was lost with a target, in a crash that is not
    confirmed yet.  */
@@ -28,6 +29,13 @@
   uint64_t lost_ms;
 };
 
+/* The last successful response to a content.  */
+struct answer
+{
+  struct ab_digest content;
+  uint64_t at_ms; /* 0: none.  */
+};
+
 struct entry
 {
   struct ab_quarantine_record record;
@@ -53,6 +61,9 @@
   struct crash *crashes;
   /* Number of records by a hash of the prefix of their content.  */
   uint16_t filter[FILTER_SIZE];
+  /* Each at the place that its content determines; a later one replaces
+     it.  */
+  struct answer answers[ANSWERS_SIZE];
 };
 
 struct ab_quarantine *
@@ -73,6 +84,15 @@
   return ((size_t)prefix[0] << 8 | prefix[1]) % FILTER_SIZE;
 }
 
+/* The bytes after the prefix depend on all of the content.  */
+static size_t
+answer_index (const struct ab_digest *content)
+{
+  return ((size_t)content->bytes[AB_DIGEST_PREFIX] << 8
+          | content->bytes[AB_DIGEST_PREFIX + 1])
+         % ANSWERS_SIZE;
+}
+
 /* Deletes suspect I; the last one takes its place.  */
 static void
 delete_suspect (struct ab_quarantine *quarantine, size_t i)
@@ -373,9 +393,11 @@
       const struct ab_quarantine_crash *crash, const struct ab_digest *content,
       const char *label, uint64_t now_ms)
 {
-  const struct ab_quarantine_record *record
-      = add_crash (quarantine, crash, content, label, now_ms);
+  const struct ab_quarantine_record *record;
 
+  if (ab_quarantine_was_answered (quarantine, content, now_ms))
+    return;
+  record = add_crash (quarantine, crash, content, label, now_ms);
   if (record && quarantine->ops->mark)
     quarantine->ops->mark (quarantine->ctx, record, crash);
 }
@@ -465,8 +487,8 @@
 }
 
 void
-ab_quarantine_answered (struct ab_quarantine *quarantine,
-                        const struct ab_digest *content)
+ab_quarantine_forget (struct ab_quarantine *quarantine,
+                      const struct ab_digest *content)
 {
   struct entry *entry
       = quarantine->entries ? find_entry (quarantine, content) : NULL;
@@ -479,10 +501,12 @@
 }
 
 void
-ab_quarantine_forget (struct ab_quarantine *quarantine,
-                      const struct ab_digest *content)
+ab_quarantine_answered (struct ab_quarantine *quarantine,
+                        const struct ab_digest *content, uint64_t now_ms)
 {
-  ab_quarantine_answered (quarantine, content);
+  quarantine->answers[answer_index (content)]
+      = (struct answer){ .content = *content, .at_ms = now_ms };
+  ab_quarantine_forget (quarantine, content);
 }
 
 void
@@ -592,6 +616,16 @@
   return entry ? &entry->record : NULL;
 }
 
+bool
+ab_quarantine_was_answered (const struct ab_quarantine *quarantine,
+                            const struct ab_digest *content, uint64_t now_ms)
+{
+  const struct answer *answer = &quarantine->answers[answer_index (content)];
+
+  return answer->at_ms && now_ms - answer->at_ms <= AB_QUARANTINE_ANSWERED_MS
+         && ab_digest_equal (&answer->content, content);
+}
+
 uint64_t
 ab_quarantine_blocked_ms (const struct ab_quarantine *quarantine,
                           const struct ab_digest *content, uint64_t now_ms)
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -14,7 +14,8 @@
    content, or when other content was lost in the same two.  A third is needed
    then, which the content that causes the crashes will have alone.
 
-   Content that gets a complete successful response is cleared: a request that
+   Content that gets a complete successful response is cleared, and crashes in
+   the next AB_QUARANTINE_ANSWERED_MS do not count for it: a request that
    crashes targets never gets one, but a request that was in flight at the same
    time does.  Records expire after AB_QUARANTINE_MARK_MS.  A block is lifted
    after AB_QUARANTINE_BLOCK_MS, because it may affect content that was in
@@ -36,6 +37,7 @@
 
 #define AB_QUARANTINE_CONFIRM_MS 2000
 #define AB_QUARANTINE_RETURN_MS 10000
+#define AB_QUARANTINE_ANSWERED_MS 3000
 #define AB_QUARANTINE_MARK_MS (10 * 60 * 1000)
 #define AB_QUARANTINE_BLOCK_MS (10 * 60 * 1000)
 #define AB_QUARANTINE_DOUBLINGS 5
@@ -116,7 +118,7 @@
 /* Records that a request with CONTENT got a complete successful response:
    deletes its record and its suspects.  */
 void ab_quarantine_answered (struct ab_quarantine *quarantine,
-                             const struct ab_digest *content);
+                             const struct ab_digest *content, uint64_t now_ms);
 
 /* Records that another host saw CONTENT crash a target.  If the content is
    blocked here, which that host did not know, it is blocked again for the time
@@ -155,6 +157,11 @@
 const struct ab_quarantine_record *
 ab_quarantine_find (const struct ab_quarantine *quarantine,
                     const struct ab_digest *content);
+/* Returns whether CONTENT got a successful response within the last
+   AB_QUARANTINE_ANSWERED_MS.  May miss one among many.  */
+bool ab_quarantine_was_answered (const struct ab_quarantine *quarantine,
+                                 const struct ab_digest *content,
+                                 uint64_t now_ms);
 /* Returns whether RECORD has CRASH.  An incarnation that is not known is taken
    for any one.  */
 bool ab_quarantine_has_crash (const struct ab_quarantine_record *record,
--- a/src/request_account_task.c
+++ b/src/request_account_task.c
@@ -75,7 +75,8 @@
       /* A target that fails may not have run the request.  */
       if (!attempt->shed && attempt->status < STATUS_SUCCESS_END)
         ab_quarantine_answered (ab_crash_watch_quarantine (watch),
-                                &flow->content);
+                                &flow->content,
+                                ab_clock_monotonic_ms (ab_clock_system ()));
       break;
     case AB_ATTEMPT_REFUSED:
       ab_crash_watch_refused (watch, flow->grant.target);
--- a/tests/fleet_soak.c
+++ b/tests/fleet_soak.c
@@ -8,7 +8,10 @@
 
    Seeds that failed before:
    47: SIGTERM reached a gateway before it handled signals; handlers are now
-   set before anything else starts.  */
+   set before anything else starts.
+   439: the order that all callers send was quarantined, as it was in flight at
+   two targets that ended; answers between the losses and their confirmation
+   did not count.  */
 
 #include <signal.h>
 #include <stdio.h>
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -141,7 +141,7 @@
   ab_quarantine_lost (quarantine, "t1", 1, &other, "", 1000);
   crash ("t1", &poison, 1001);
   ck_assert_uint_eq (marks, 3);
-  ab_quarantine_answered (quarantine, &innocent);
+  ab_quarantine_answered (quarantine, &innocent, 1500);
   ab_quarantine_lost (quarantine, "t2", 1, &innocent, "", 2000);
   crash ("t2", &poison, 2001);
   ck_assert_uint_eq (blocks, 1);
@@ -191,6 +191,30 @@
 }
 END_TEST
 
+/* Guards against blocking content that is in flight at each crash because it
+   is sent all the time, and answered.  */
+START_TEST (content_in_use_is_not_blocked)
+{
+  start ();
+  ab_quarantine_lost (quarantine, "t1", 1, &innocent, "", 1000);
+  ab_quarantine_lost (quarantine, "t2", 1, &innocent, "", 1000);
+  ab_quarantine_answered (quarantine, &innocent, 1010);
+  ab_quarantine_announced (quarantine, "t1", 2, 1500);
+  ab_quarantine_announced (quarantine, "t2", 2, 1500);
+  ck_assert_uint_eq (marks + blocks, 0);
+  crash ("t3", &innocent, 2000);
+  crash ("t4", &innocent, 3000);
+  ck_assert_uint_eq (marks + blocks, 0);
+  ck_assert (ab_quarantine_was_answered (quarantine, &innocent, 4010));
+  ck_assert (!ab_quarantine_was_answered (quarantine, &poison, 4010));
+  /* Content may begin to crash targets at any time.  */
+  crash ("t5", &innocent, 5000);
+  crash ("t6", &innocent, 6000);
+  ck_assert_uint_eq (marks, 2);
+  ab_quarantine_free (quarantine);
+}
+END_TEST
+
 /* Guards against blocking content that two restarts hit by chance, among
    others that do not.  */
 START_TEST (other_crashes_need_a_third)
@@ -367,6 +391,6 @@
 SUITE_MAIN ("quarantine", 10, two_targets_block, no_block_without_two_crashes,
             restart_and_late_loss_count, unrelated_request_is_not_blocked,
             crashes_seen_by_two_hosts_count, marks_expire_and_block_grows,
-            other_crashes_need_a_third, same_crashes_need_a_third,
-            three_incarnations_of_one_target_block, replicas_stay_equal,
-            decisions_of_the_group_are_merged)
+            content_in_use_is_not_blocked, other_crashes_need_a_third,
+            same_crashes_need_a_third, three_incarnations_of_one_target_block,
+            replicas_stay_equal, decisions_of_the_group_are_merged)
