Use one predicate for a success and one place for each log line and length

Cause: on reading the change again, the test for a successful response stood in both request paths, the length of a digest's prefix under two names, the line request_cleared in two files, and the return of an unused slot three times; the prefix of a request was computed again although its digest was known. Change: ab_attempt_succeeded, AB_DIGEST_PREFIX_BYTES, ab_crash_watch_log_clear, release_grant; a known digest is used. Behaviour stays.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -1,5 +1,7 @@
 #include "attempt.h"
 
+#define STATUS_SUCCESS_END 300
+
 enum ab_verdict
 ab_attempt_verdict (const struct ab_attempt *attempt)
 {
@@ -44,6 +46,13 @@
   return idempotent || ab_attempt_verdict (attempt) == AB_VERDICT_NOT_RUN;
 }
 
+bool
+ab_attempt_succeeded (const struct ab_attempt *attempt)
+{
+  return attempt->end == AB_ATTEMPT_RESPONSE && !attempt->shed
+         && attempt->status < STATUS_SUCCESS_END;
+}
+
 enum ab_outcome_kind
 ab_attempt_outcome (const struct ab_attempt *attempt)
 {
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -51,6 +51,9 @@
    deadline and a cancellation are final.  */
 bool ab_attempt_may_retry (const struct ab_attempt *attempt, bool idempotent);
 
+/* Returns whether the target ran the request and answered it with success.  */
+bool ab_attempt_succeeded (const struct ab_attempt *attempt);
+
 /* Returns the outcome that is reported to the dispatcher.  */
 enum ab_outcome_kind ab_attempt_outcome (const struct ab_attempt *attempt);
 
--- a/src/crash_watch_task.c
+++ b/src/crash_watch_task.c
@@ -139,14 +139,21 @@
                          duration_ms);
 }
 
+void
+ab_crash_watch_log_clear (const struct ab_digest *content)
+{
+  char hex[2 * AB_DIGEST_BYTES + 1];
+
+  ab_hex_encode (content->bytes, sizeof content->bytes, hex);
+  AB_LOG (AB_LOG_INFO, "request_cleared", ab_log_str ("content", hex));
+}
+
 static void
 on_lift (void *ctx, const struct ab_quarantine_record *record)
 {
   struct ab_crash_watch *watch = ctx;
-  char hex[2 * AB_DIGEST_BYTES + 1];
 
-  ab_hex_encode (record->content.bytes, sizeof record->content.bytes, hex);
-  AB_LOG (AB_LOG_INFO, "request_cleared", ab_log_str ("content", hex));
+  ab_crash_watch_log_clear (&record->content);
   if (watch->ops->lifted)
     watch->ops->lifted (watch->ctx, record);
 }
--- a/src/crash_watch_task.h
+++ b/src/crash_watch_task.h
@@ -88,6 +88,9 @@
                                const struct ab_quarantine_record *record,
                                const char *crashed, uint64_t duration_ms);
 
+/* Logs that CONTENT is not rejected any more.  */
+void ab_crash_watch_log_clear (const struct ab_digest *content);
+
 /* Returns a state dump: the numbers of suspects and of records, and each
    record with what is blocked and for how long.  */
 json_t *ab_crash_watch_state (const struct ab_crash_watch *watch);
--- a/src/digest.h
+++ b/src/digest.h
@@ -10,6 +10,8 @@
 #include "chunk.h"
 
 #define AB_DIGEST_BYTES 32
+/* Bytes by which digests are told apart cheaply.  */
+#define AB_DIGEST_PREFIX_BYTES 8
 #define AB_PUBLIC_KEY_BYTES 32
 #define AB_SECRET_KEY_BYTES 64
 #define AB_SIGNATURE_BYTES 64
--- a/src/fleet_quarantine.c
+++ b/src/fleet_quarantine.c
@@ -110,13 +110,6 @@
     ab_quarantine_clear (quarantine, &report->content, now_ms);
 }
 
-static void
-count_record (void *ctx, const struct ab_quarantine_record *record)
-{
-  (void)record;
-  ++*(size_t *)ctx;
-}
-
 static void
 save_record (void *ctx, const struct ab_quarantine_record *record)
 {
@@ -146,13 +139,11 @@
 ab_fleet_save_quarantine (struct ab_buf *out,
                           const struct ab_quarantine *quarantine)
 {
-  size_t records = 0;
   size_t crashes = 0;
 
-  ab_quarantine_visit (quarantine, count_record, &records);
   ab_quarantine_visit_crashes (quarantine, count_crash, &crashes);
   ab_pack_array (out, 2);
-  ab_pack_array (out, records);
+  ab_pack_array (out, ab_quarantine_records (quarantine));
   ab_quarantine_visit (quarantine, save_record, out);
   ab_pack_array (out, crashes);
   ab_quarantine_visit_crashes (quarantine, save_crash, out);
--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -13,7 +13,6 @@
 /* Timeout for connecting: covers a round trip between regions and the time in
    the target's accept queue.  */
 #define CONNECT_MS 350
-#define STATUS_SUCCESS_END 300
 /* The content of a request with a larger body is not remembered when it is
    answered: its digest takes too long.  */
 #define ANSWERED_BODY_BYTES (64 * 1024)
@@ -100,8 +99,7 @@
   else if (is_lost (attempt))
     ab_gateway_crashes_lost (crashes, flow->grant.address, flow->incarnation,
                              ab_gateway_flow_content (flow), flow->req);
-  else if (attempt->end == AB_ATTEMPT_RESPONSE && !attempt->shed
-           && attempt->status < STATUS_SUCCESS_END
+  else if (ab_attempt_succeeded (attempt)
            && (flow->body_bytes <= ANSWERED_BODY_BYTES
                || ab_gateway_crashes_may_know (crashes, flow->req)))
     ab_gateway_crashes_answered (crashes, ab_gateway_flow_content (flow));
@@ -342,6 +340,13 @@
          > end_ms;
 }
 
+/* Returns the granted slot, which is not used, to the scheduler.  */
+static void
+release_grant (const struct ab_gateway_flow *flow)
+{
+  ab_schedule_outcome (flow->env->schedule, &flow->grant, AB_TARGET_UNUSED, 0);
+}
+
 static void
 send_request (struct ab_gateway_flow *flow)
 {
@@ -359,16 +364,15 @@
         ab_link_load_begin (&flow->env->link);
       return;
     }
-  ab_schedule_outcome (flow->env->schedule, &flow->grant, AB_TARGET_UNUSED, 0);
+  release_grant (flow);
   ab_gateway_reply_rejected (flow, 503, "memory", AB_GATEWAY_RETRY_MS);
 }
 
-/* Returns the granted slot to the scheduler and rejects the request.  */
 static void
 release_and_reject (struct ab_gateway_flow *flow, const char *code,
                     uint64_t retry_ms)
 {
-  ab_schedule_outcome (flow->env->schedule, &flow->grant, AB_TARGET_UNUSED, 0);
+  release_grant (flow);
   ab_gateway_reply_rejected (flow, 503, code, retry_ms);
 }
 
@@ -390,8 +394,7 @@
   flow->grant = *grant;
   if (quarantined_ms > 0)
     {
-      ab_schedule_outcome (flow->env->schedule, &flow->grant, AB_TARGET_UNUSED,
-                           0);
+      release_grant (flow);
       ab_gateway_reply_quarantined (flow, quarantined_ms);
     }
   else if (is_memory_full (flow))
--- a/src/gateway_crash_task.c
+++ b/src/gateway_crash_task.c
@@ -8,7 +8,6 @@
 #include "crash_watch_task.h"
 #include "error.h"
 #include "fleet_quarantine.h"
-#include "log.h"
 #include "pack.h"
 #include "peer_task.h"
 #include "request_content.h"
@@ -296,7 +295,6 @@
 {
   struct ab_quarantine_record local = *record;
   uint64_t now = now_ms ();
-  char hex[2 * AB_DIGEST_BYTES + 1];
   bool was_blocked;
   bool blocked;
 
@@ -314,10 +312,7 @@
   blocked = ab_quarantine_merge (quarantine_of (crashes), &local, now);
   if (was_blocked
       && ab_gateway_crashes_blocked_ms (crashes, &record->content) == 0)
-    {
-      ab_hex_encode (record->content.bytes, AB_DIGEST_BYTES, hex);
-      AB_LOG (AB_LOG_INFO, "request_cleared", ab_log_str ("content", hex));
-    }
+    ab_crash_watch_log_clear (&record->content);
   if (!blocked)
     return;
   ab_crash_watch_log_block (
@@ -333,7 +328,7 @@
 ab_gateway_crashes_may_know (const struct ab_gateway_crashes *crashes,
                              struct evhttp_request *request)
 {
-  uint8_t prefix[AB_CONTENT_PREFIX_BYTES];
+  uint8_t prefix[AB_DIGEST_PREFIX_BYTES];
 
   if (ab_quarantine_records (quarantine_of (crashes)) == 0)
     return false;
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -68,7 +68,9 @@
 {
   const struct ab_gateway_crashes *crashes = flow->env->crashes;
 
-  if (!flow->req || !ab_gateway_crashes_may_know (crashes, flow->req))
+  if (!flow->req
+      || (!flow->has_content
+          && !ab_gateway_crashes_may_know (crashes, flow->req)))
     return 0;
   return ab_gateway_crashes_blocked_ms (crashes,
                                         ab_gateway_flow_content (flow));
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -88,8 +88,8 @@
 static size_t
 answer_index (const struct ab_digest *content)
 {
-  return ((size_t)content->bytes[AB_DIGEST_PREFIX] << 8
-          | content->bytes[AB_DIGEST_PREFIX + 1])
+  return ((size_t)content->bytes[AB_DIGEST_PREFIX_BYTES] << 8
+          | content->bytes[AB_DIGEST_PREFIX_BYTES + 1])
          % ANSWERS_SIZE;
 }
 
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -170,9 +170,8 @@
 uint64_t ab_quarantine_blocked_ms (const struct ab_quarantine *quarantine,
                                    const struct ab_digest *content,
                                    uint64_t now_ms);
-/* Returns false when no record's content begins with the AB_DIGEST_PREFIX
-   bytes of PREFIX.  May return true when there is none.  */
-#define AB_DIGEST_PREFIX 8
+/* Returns false when no record's content begins with the
+   AB_DIGEST_PREFIX_BYTES of PREFIX.  May return true when there is none.  */
 bool ab_quarantine_may_have (const struct ab_quarantine *quarantine,
                              const uint8_t *prefix);
 /* Return the number of suspects, of records and of those that are blocked, for
--- a/src/request_account_task.c
+++ b/src/request_account_task.c
@@ -4,8 +4,6 @@
 #include "counter.h"
 #include "request_flow_task.h"
 
-#define STATUS_SUCCESS_END 300
-
 static uint64_t *
 counter (const struct ab_flow *flow, const char *name)
 {
@@ -73,7 +71,7 @@
     {
     case AB_ATTEMPT_RESPONSE:
       /* A target that fails may not have run the request.  */
-      if (!attempt->shed && attempt->status < STATUS_SUCCESS_END)
+      if (ab_attempt_succeeded (attempt))
         ab_quarantine_answered (ab_crash_watch_quarantine (watch),
                                 &flow->content,
                                 ab_clock_monotonic_ms (ab_clock_system ()));
--- a/src/request_content.c
+++ b/src/request_content.c
@@ -36,11 +36,11 @@
 
 void
 ab_request_content_prefix (struct evhttp_request *request,
-                           uint8_t prefix[AB_CONTENT_PREFIX_BYTES])
+                           uint8_t prefix[AB_DIGEST_PREFIX_BYTES])
 {
   struct ab_digest head = digest_of_head (request);
 
-  memcpy (prefix, head.bytes, AB_CONTENT_PREFIX_BYTES);
+  memcpy (prefix, head.bytes, AB_DIGEST_PREFIX_BYTES);
 }
 
 struct ab_digest
@@ -76,7 +76,7 @@
         break;
     }
   content = ab_digest_end (&stream);
-  memcpy (content.bytes, head.bytes, AB_CONTENT_PREFIX_BYTES);
+  memcpy (content.bytes, head.bytes, AB_DIGEST_PREFIX_BYTES);
   return content;
 }
 
--- a/src/request_content.h
+++ b/src/request_content.h
@@ -8,13 +8,10 @@
 
 #include "digest.h"
 
-/* The first bytes of a content depend on all but the body.  */
-#define AB_CONTENT_PREFIX_BYTES 8
-
-/* Computes the first bytes of REQUEST's content, from its method, host, path
-   and query.  */
+/* Computes the first bytes of REQUEST's content, which depend on its method,
+   host, path and query alone.  */
 void ab_request_content_prefix (struct evhttp_request *request,
-                                uint8_t prefix[AB_CONTENT_PREFIX_BYTES]);
+                                uint8_t prefix[AB_DIGEST_PREFIX_BYTES]);
 
 /* Returns REQUEST's content, with its body: the length and the first MiB.  */
 struct ab_digest ab_request_content (struct evhttp_request *request);
