Share the flags, the order of times and the end of a fleet between tests

Cause: the flag files of targets stood in three test files, the comparison of two times in three, the end of a test's fleet twice, once with sums read while the callers still ran. Change: gf_has_flag, gf_set_flag, gf_compare_times, open_file, stop_rig; end_rig takes the share that must be served. Each assertion stays.

--- a/tests/fleet_budget.c
+++ b/tests/fleet_budget.c
@@ -111,15 +111,6 @@
   return NULL;
 }
 
-static int
-compare_times (const void *a, const void *b)
-{
-  uint64_t x = *(const uint64_t *)a;
-  uint64_t y = *(const uint64_t *)b;
-
-  return (x > y) - (x < y);
-}
-
 static int
 compare_arrivals (const void *a, const void *b)
 {
@@ -127,7 +118,7 @@
   const struct raw_arrival *y = b;
   int order = strcmp (x->id, y->id);
 
-  return order ? order : compare_times (&x->at_ms, &y->at_ms);
+  return order ? order : gf_compare_times (&x->at_ms, &y->at_ms);
 }
 
 /* Sets *TIMES to the times of all arrivals beyond the first of their request,
@@ -155,7 +146,7 @@
     if (strcmp (all[i].id, all[i - 1].id) == 0)
       (*times)[repeats++] = all[i].at_ms;
   free (all);
-  qsort (*times, repeats, sizeof **times, compare_times);
+  qsort (*times, repeats, sizeof **times, gf_compare_times);
   return repeats;
 }
 
--- a/tests/fleet_crashing_requests.c
+++ b/tests/fleet_crashing_requests.c
@@ -245,42 +245,42 @@
     }
 }
 
-/* Ends the test and checks that other requests were served.  */
+/* Ends all callers and processes.  */
 static void
-end_rig (struct rig *rig)
+stop_rig (struct rig *rig)
+{
+  rig->stopping = true;
+  for (int i = 0; i < CALLERS; i++)
+    pthread_join (rig->callers[i].thread, NULL);
+  rig->keeper.stopping = true;
+  pthread_join (rig->keeper.thread, NULL);
+  gf_stop (&rig->fleet);
+}
+
+/* Likewise, and checks that none of the other requests was quarantined and
+   that at least SHARE of them were served.  */
+static void
+end_rig (struct rig *rig, double share)
 {
   int sent = 0;
   int served = 0;
   int quarantined = 0;
 
-  rig->stopping = true;
+  stop_rig (rig);
   for (int i = 0; i < CALLERS; i++)
     {
-      pthread_join (rig->callers[i].thread, NULL);
       sent += rig->callers[i].sent;
       served += rig->callers[i].served;
       quarantined += rig->callers[i].quarantined;
     }
-  rig->keeper.stopping = true;
-  pthread_join (rig->keeper.thread, NULL);
-  gf_stop (&rig->fleet);
   fprintf (stderr, "other requests: %d sent, %d served, %d quarantined\n",
            sent, served, quarantined);
   ck_assert_int_eq (quarantined, 0);
-  ck_assert (served >= SERVED_SHARE * sent);
+  ck_assert (served >= share * sent);
 }
 
 /* Arrivals.  */
 
-static int
-compare_times (const void *a, const void *b)
-{
-  uint64_t x = *(const uint64_t *)a;
-  uint64_t y = *(const uint64_t *)b;
-
-  return (x > y) - (x < y);
-}
-
 /* Returns the arrivals at all targets of requests whose ids begin with PREFIX,
    and sets *TIMES to their times.  */
 static size_t
@@ -300,7 +300,7 @@
           (*times)[count++] = some[j].at_ms;
       free (some);
     }
-  qsort (*times, count, sizeof **times, compare_times);
+  qsort (*times, count, sizeof **times, gf_compare_times);
   return count;
 }
 
@@ -399,7 +399,7 @@
   /* The same path with another body is another request.  */
   ck_assert_int_eq (
       send_one (&rig.fleet, 1, "POST /shop/1", "other", "o").status, 200);
-  end_rig (&rig);
+  end_rig (&rig, SERVED_SHARE);
 }
 
 /* Guards against a request that may run once and ends one target for each
@@ -446,7 +446,7 @@
     pthread_join (repeaters[i].thread, NULL);
   for (int i = 0; i < AT_ONCE; i++)
     check_repeater (&repeaters[i]);
-  end_rig (&rig);
+  end_rig (&rig, SERVED_SHARE);
 }
 END_TEST
 
@@ -509,18 +509,6 @@
     gf_start_control (&rig->fleet, i, false);
 }
 
-/* Ends the processes without checking what callers got.  */
-static void
-abandon_rig (struct rig *rig)
-{
-  rig->stopping = true;
-  for (int i = 0; i < CALLERS; i++)
-    pthread_join (rig->callers[i].thread, NULL);
-  rig->keeper.stopping = true;
-  pthread_join (rig->keeper.thread, NULL);
-  gf_stop (&rig->fleet);
-}
-
 /* Guards against hosts that forget a quarantine with a restart, or that miss
    it while they are frozen.  */
 START_TEST (quarantine_survives_restarts)
@@ -541,7 +529,7 @@
   kill (rig.fleet.gateway_pids[2], SIGCONT);
   check_quarantined (&rig);
   ck_assert_int_eq (rig.keeper.ended, ended);
-  abandon_rig (&rig);
+  stop_rig (&rig);
 }
 END_TEST
 
@@ -580,8 +568,6 @@
     .fleet = &rig.fleet, .line = "POST /shop/1", .prefix = "p", .body = POISON
   };
   pthread_t disturber;
-  int sent = 0;
-  int served = 0;
 
   start_rig (&rig, "gf_crash5");
   ck_assert_int_eq (pthread_create (&disturber, NULL, disturb_hosts, &rig), 0);
@@ -590,16 +576,7 @@
   check_arrivals (&rig.fleet, "p");
   ck_assert_int_eq (repeater.untrue, 0);
   ck_assert_int_eq (repeater.ran, 0);
-  rig.stopping = true;
-  for (int i = 0; i < CALLERS; i++)
-    {
-      ck_assert_int_eq (rig.callers[i].quarantined, 0);
-      sent += rig.callers[i].sent;
-      served += rig.callers[i].served;
-    }
-  fprintf (stderr, "other requests: %d sent, %d served\n", sent, served);
-  ck_assert (served >= DISTURBED_SHARE * sent);
-  abandon_rig (&rig);
+  end_rig (&rig, DISTURBED_SHARE);
 }
 END_TEST
 
@@ -668,7 +645,7 @@
   fprintf (stderr, "same slow order: %d sent, %d served\n", slow.sent,
            slow.served);
   ck_assert_int_eq (slow.quarantined, 0);
-  end_rig (&rig);
+  end_rig (&rig, SERVED_SHARE);
 }
 END_TEST
 
@@ -708,7 +685,7 @@
   start_rig (&rig, "gf_crash7");
   wait_quarantined (&rig);
   for (int i = 1; i <= TARGETS; i++)
-    raw_set_flag (&rig.fleet, i, "repaired", true);
+    gf_set_flag (&rig.fleet, i, "repaired", true);
   check_quarantined (&rig);
   read_blocked (&rig.fleet, 2, digest);
   ck_assert_int_eq (release (&rig.fleet, 3, "12"), 400);
@@ -716,7 +693,7 @@
   fleet_sleep_ms (1000);
   for (int i = 1; i <= GATEWAYS; i++)
     ck_assert_int_eq (send_crashing (&rig, i).status, 200);
-  end_rig (&rig);
+  end_rig (&rig, SERVED_SHARE);
 }
 END_TEST
 
@@ -747,7 +724,7 @@
   ended = rig.keeper.ended;
   check_quarantined (&rig);
   ck_assert_int_eq (rig.keeper.ended, ended);
-  abandon_rig (&rig);
+  stop_rig (&rig);
 }
 END_TEST
 
@@ -763,7 +740,7 @@
   start_rig (&rig, "gf_crash9");
   rig.keeper.ends_frozen = true;
   for (int i = 1; i <= TARGETS; i++)
-    raw_set_flag (&rig.fleet, i, "silent", true);
+    gf_set_flag (&rig.fleet, i, "silent", true);
   for (int i = 0; i < SILENT_REPEATS && quarantined < GATEWAYS; i++)
     {
       if (send_crashing (&rig, 1 + i % GATEWAYS).quarantined)
@@ -772,7 +749,7 @@
     }
   check_arrivals (&rig.fleet, "p");
   ck_assert_int_eq (quarantined, GATEWAYS);
-  abandon_rig (&rig);
+  stop_rig (&rig);
 }
 END_TEST
 
--- a/tests/fleet_notices.c
+++ b/tests/fleet_notices.c
@@ -215,7 +215,7 @@
   double served;
 
   start (&fleet, "gf_leave", callers);
-  raw_set_flag (&fleet, 1, "leave", true);
+  gf_set_flag (&fleet, 1, "leave", true);
   left = now_ms ();
   for (int i = 1; i <= 3; i++)
     gf_kill (&fleet.control_pids[i]);
@@ -244,10 +244,10 @@
   double late;
 
   start (&fleet, "gf_back", callers);
-  raw_set_flag (&fleet, 1, "leave", true);
+  gf_set_flag (&fleet, 1, "leave", true);
   fleet_sleep_ms (DRAIN_MS);
   gf_kill (&fleet.target_pids[1]);
-  raw_set_flag (&fleet, 1, "leave", false);
+  gf_set_flag (&fleet, 1, "leave", false);
   fleet.born_ms = 2000;
   raw_target_start (&fleet, 1, answer);
   back = now_ms ();
@@ -271,10 +271,10 @@
 
   start (&fleet, "gf_pause", callers);
   from = now_ms ();
-  raw_set_flag (&fleet, 1, "pause", true);
+  gf_set_flag (&fleet, 1, "pause", true);
   fleet_sleep_ms (LOAD_MS);
   to = now_ms ();
-  raw_set_flag (&fleet, 1, "pause", false);
+  gf_set_flag (&fleet, 1, "pause", false);
   fleet_sleep_ms (PAUSE_MS + 1000);
   served = end_load (callers, &late);
   check_pauses (&fleet, 1, from + 100, to);
@@ -300,7 +300,7 @@
   start (&fleet, "gf_pauses", callers);
   from = now_ms ();
   for (int i = 1; i <= TARGETS; i++)
-    raw_set_flag (&fleet, i, "pause", true);
+    gf_set_flag (&fleet, i, "pause", true);
   strict_from = from + PAUSE_GRACE_MS;
   fleet_sleep_ms (LOAD_MS);
   to = now_ms ();
--- a/tests/fleet_soak.c
+++ b/tests/fleet_soak.c
@@ -244,28 +244,17 @@
       }
 }
 
-static void
-set_flag (const struct soak *soak, int number, const char *kind, bool on)
-{
-  char path[256];
-
-  gf_print_target_path (&soak->fleet, number, kind, path, sizeof path);
-  if (on)
-    ck_assert_int_eq (fclose (fopen (path, "w")), 0);
-  else
-    unlink (path);
-}
-
 /* Lets a target ask for pauses, or say that it leaves until it is replaced. */
 static void
 give_notice (struct soak *soak)
 {
   int number = random_below (soak, TARGETS) + 1;
   bool leaves = random_below (soak, 2);
+  const char *notice = leaves ? "leaving" : "pause";
 
-  set_flag (soak, number, leaves ? "leaving" : "pause", true);
+  gf_set_flag (&soak->fleet, number, notice, true);
   fleet_sleep_ms (200 + random_below (soak, 1500));
-  set_flag (soak, number, leaves ? "leaving" : "pause", false);
+  gf_set_flag (&soak->fleet, number, notice, false);
   if (leaves)
     restart_target (soak, number);
 }
@@ -407,15 +396,6 @@
                  most, GF_WINDOW_MS, LIMIT);
 }
 
-static int
-compare_times (const void *a, const void *b)
-{
-  uint64_t x = *(const uint64_t *)a;
-  uint64_t y = *(const uint64_t *)b;
-
-  return (x > y) - (x < y);
-}
-
 /* Checks that the crashing request ended at most CRASHES_LATE targets later
    than CRASHES_SETTLE_MS after the third.  */
 static void
@@ -437,7 +417,7 @@
       if (file)
         fclose (file);
     }
-  qsort (times, count, sizeof *times, compare_times);
+  qsort (times, count, sizeof *times, gf_compare_times);
   for (size_t i = CRASHES_ALLOWED; i < count; i++)
     late += times[i] > times[CRASHES_ALLOWED - 1] + CRASHES_SETTLE_MS;
   printf ("%zu targets ended under one request, %zu of them late\n", count,
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -310,6 +310,15 @@
                     200);
 }
 
+int
+gf_compare_times (const void *a, const void *b)
+{
+  uint64_t x = *(const uint64_t *)a;
+  uint64_t y = *(const uint64_t *)b;
+
+  return (x > y) - (x < y);
+}
+
 /* Runs.  */
 
 int
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -112,6 +112,11 @@
    "arrivals" or its "limit".  */
 void gf_print_target_path (const struct gf_fleet *fleet, int number,
                            const char *kind, char *out, size_t size);
+/* Returns whether the file KIND of target NUMBER exists, and creates or
+   removes it.  */
+bool gf_has_flag (const struct gf_fleet *fleet, int number, const char *kind);
+void gf_set_flag (const struct gf_fleet *fleet, int number, const char *kind,
+                  bool on);
 /* Makes target NUMBER name the rate limit TEXT, in requests per second, in its
    responses from now on; none if TEXT is null.  */
 void gf_set_rate_limit (const struct gf_fleet *fleet, int number,
@@ -121,6 +126,8 @@
    frees *TIMES.  */
 size_t gf_arrivals (const struct gf_fleet *fleet, int number,
                     uint64_t **times);
+/* Compares two times, for qsort.  */
+int gf_compare_times (const void *a, const void *b);
 /* The stated rule of rate limits: from GF_SETTLE_MS after a target first named
    its limit, it may get at most gf_allowed_arrivals in any GF_WINDOW_MS.  */
 #define GF_SETTLE_MS 3000
--- a/tests/gateway_target_lib.c
+++ b/tests/gateway_target_lib.c
@@ -46,19 +46,48 @@
   snprintf (out, size, "%s/target%d.%s", fleet->folder, number, kind);
 }
 
+bool
+gf_has_flag (const struct gf_fleet *fleet, int number, const char *kind)
+{
+  char path[256];
+
+  gf_print_target_path (fleet, number, kind, path, sizeof path);
+  return access (path, F_OK) == 0;
+}
+
+void
+gf_set_flag (const struct gf_fleet *fleet, int number, const char *kind,
+             bool on)
+{
+  char path[256];
+
+  gf_print_target_path (fleet, number, kind, path, sizeof path);
+  if (on)
+    ck_assert_int_eq (fclose (fopen (path, "w")), 0);
+  else
+    ck_assert_int_eq (unlink (path), 0);
+}
+
+/* Opens the file KIND of TARGET; returns null if that fails.  */
+static FILE *
+open_file (const struct target *target, const char *kind, const char *mode)
+{
+  char path[256];
+
+  gf_print_target_path (target->fleet, target->number, kind, path,
+                        sizeof path);
+  return fopen (path, mode);
+}
+
 #define RATE_LIMIT_BYTES 32
 
 /* Adds the rate limit that the test has set to a response of TARGET.  */
 static void
 add_rate_limit (const struct target *target, struct evkeyvalq *headers)
 {
-  char path[256];
   char text[RATE_LIMIT_BYTES];
-  FILE *file;
+  FILE *file = open_file (target, "limit", "r");
 
-  gf_print_target_path (target->fleet, target->number, "limit", path,
-                        sizeof path);
-  file = fopen (path, "r");
   if (!file)
     return;
   if (fgets (text, sizeof text, file))
@@ -66,16 +95,6 @@
   fclose (file);
 }
 
-static bool
-has_flag (const struct target *target, const char *kind)
-{
-  char path[256];
-
-  gf_print_target_path (target->fleet, target->number, kind, path,
-                        sizeof path);
-  return access (path, F_OK) == 0;
-}
-
 static void
 reply (const struct target *target, struct evhttp_request *req, int status)
 {
@@ -90,7 +109,7 @@
   if (target->fault == GF_SHEDS)
     evhttp_add_header (out, "Almond-Shed", "1");
   add_rate_limit (target, out);
-  if (has_flag (target, "leaving"))
+  if (gf_has_flag (target->fleet, target->number, "leaving"))
     evhttp_add_header (out, "Almond-Leaving", "1");
   evbuffer_add_printf (body, "target %d", target->number);
   if (target->fault == GF_LARGE
@@ -236,12 +255,8 @@
 static void
 record_crash (const struct target *target)
 {
-  char path[256];
-  FILE *file;
+  FILE *file = open_file (target, "crashes", "a");
 
-  gf_print_target_path (target->fleet, target->number, "crashes", path,
-                        sizeof path);
-  file = fopen (path, "a");
   if (!file)
     return;
   fprintf (file, "%llu\n",
@@ -269,7 +284,7 @@
       reply (target, req, 503);
       return;
     }
-  if (has_flag (target, "pause"))
+  if (gf_has_flag (target->fleet, target->number, "pause"))
     {
       struct evkeyvalq *out = evhttp_request_get_output_headers (req);
       evhttp_add_header (out, "Almond-Shed", "1");
@@ -347,15 +362,12 @@
   struct target target = { .fleet = fleet, .number = number, .fault = fault };
   struct evhttp *http;
   struct event *timer;
-  char path[256];
   char host[64];
 
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   signal (SIGPIPE, SIG_IGN);
-  gf_print_target_path (fleet, number, "runs", path, sizeof path);
-  target.runs = fopen (path, "a");
-  gf_print_target_path (fleet, number, "arrivals", path, sizeof path);
-  target.arrivals = fopen (path, "a");
+  target.runs = open_file (&target, "runs", "a");
+  target.arrivals = open_file (&target, "arrivals", "a");
   target.base = event_base_new ();
   http = evhttp_new (target.base);
   snprintf (
--- a/tests/raw_http_lib.c
+++ b/tests/raw_http_lib.c
@@ -183,24 +183,7 @@
 bool
 raw_target_flag (const struct raw_target *target, const char *kind)
 {
-  char path[LINE_BYTES];
-
-  gf_print_target_path (target->fleet, target->number, kind, path,
-                        sizeof path);
-  return access (path, F_OK) == 0;
-}
-
-void
-raw_set_flag (const struct gf_fleet *fleet, int number, const char *kind,
-              bool on)
-{
-  char path[LINE_BYTES];
-
-  gf_print_target_path (fleet, number, kind, path, sizeof path);
-  if (on)
-    ck_assert_int_eq (fclose (fopen (path, "w")), 0);
-  else
-    ck_assert_int_eq (unlink (path), 0);
+  return gf_has_flag (target->fleet, target->number, kind);
 }
 
 void
--- a/tests/raw_http_lib.h
+++ b/tests/raw_http_lib.h
@@ -50,8 +50,6 @@
                        raw_handler handler);
 /* Returns whether the test has set the flag KIND of the target.  */
 bool raw_target_flag (const struct raw_target *target, const char *kind);
-void raw_set_flag (const struct gf_fleet *fleet, int number, const char *kind,
-                   bool on);
 /* Records a run of the request ID, for gf_runs.  */
 void raw_target_run (struct raw_target *target, const char *id);
 /* Records an arrival of the request ID, for raw_arrivals.  */
