--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -16,12 +16,10 @@
 #define CONTROL_PEER_PORT 7720
 #define GATEWAY_PEER_PORT 7735
 #define ADMIN_PORT 8166
-#define CALLERS_PORT 8161
 #define READY_PORT 8167
 #define ADDRESSES_PORT 8164
 #define SEEDS 3
-#define GATEWAY_OFFSET 20
-#define PROXY_HOST 80
+#define PROXY_HOST 240
 #define PROXY_PORT 8083
 #define POLL_MS 50
 #define START_MS 30000
@@ -50,7 +48,7 @@
 const char *
 gf_callers (struct gf_fleet *fleet, int gateway)
 {
-  gf_print_address (fleet, gateway + GATEWAY_OFFSET, CALLERS_PORT,
+  gf_print_address (fleet, gateway + GF_GATEWAY_OFFSET, GF_CALLERS_PORT,
                     fleet->address, sizeof fleet->address);
   return fleet->address;
 }
@@ -65,22 +63,53 @@
   ck_assert_int_eq (fclose (file), 0);
 }
 
-bool
-gf_is_in_second_region (const struct gf_fleet *fleet, int number)
+void
+gf_print_domain (const struct gf_fleet *fleet, int number, char *out,
+                 size_t size)
+{
+  if (fleet->regions == 3)
+    snprintf (out, size, "d%d", 1 + (number - 1) % GF_DOMAINS);
+  else
+    snprintf (out, size, "d%s",
+              fleet->regions == 2 && number % 2 == 0 ? "2" : "");
+}
+
+const char *
+gf_service (const struct gf_fleet *fleet, int number)
 {
-  return fleet->regions == 2 && number % 2 == 0;
+  return fleet->services == 2 && (number - 1) / GF_DOMAINS % 3 == 2 ? "pay"
+                                                                    : "shop";
+}
+
+/* Prints the region of process NUMBER and those of all failure domains.  */
+static void
+print_regions (const struct gf_fleet *fleet, struct ab_buf *text, int number)
+{
+  char domain[16];
+
+  gf_print_domain (fleet, number, domain, sizeof domain);
+  if (fleet->regions != 3)
+    {
+      ab_buf_printf (text,
+                     "region: r%s\nfailure_domain: %s\n"
+                     "domains: {d: r, d2: r2}\n",
+                     domain + 1, domain);
+      return;
+    }
+  ab_buf_printf (text, "region: r%d\nfailure_domain: %s\ndomains: {",
+                 (number - 1) % GF_DOMAINS % 3, domain);
+  for (int i = 0; i < GF_DOMAINS; i++)
+    ab_buf_printf (text, "%sd%d: r%d", i > 0 ? ", " : "", i + 1, i % 3);
+  ab_buf_append_str (text, "}\n");
 }
 
 static void
 print_common (const struct gf_fleet *fleet, struct ab_buf *text,
               const char *role, int number)
 {
-  const char *suffix = gf_is_in_second_region (fleet, number) ? "2" : "";
-
-  ab_buf_printf (text,
-                 "host: %s%d\nrole: %s\nregion: r%s\nfailure_domain: d%s\n"
-                 "domains: {d: r, d2: r2}\ncontrol_port: %d\nseeds: [",
-                 role, number, role, suffix, suffix, CONTROL_PEER_PORT);
+  ab_buf_printf (text, "host: %s%d\nrole: %s\n", role, number, role);
+  print_regions (fleet, text, number);
+  ab_buf_printf (text, "control_port: %d\nseeds: [", CONTROL_PEER_PORT);
   for (int i = 1; i <= SEEDS; i++)
     ab_buf_printf (text, "%s127.%d.%d.%d:%d", i > 1 ? ", " : "",
                    fleet->block[0], fleet->block[1], i, ADMIN_PORT);
@@ -133,12 +162,12 @@
 {
   struct ab_buf text = AB_BUF_INIT;
   static const int ports[]
-      = { CALLERS_PORT, READY_PORT, ADDRESSES_PORT, GATEWAY_PEER_PORT };
+      = { GF_CALLERS_PORT, READY_PORT, ADDRESSES_PORT, GATEWAY_PEER_PORT };
   char addresses[4][64];
 
   for (int i = 0; i < 4; i++)
-    gf_print_address (fleet, number + GATEWAY_OFFSET, ports[i], addresses[i],
-                      sizeof addresses[i]);
+    gf_print_address (fleet, number + GF_GATEWAY_OFFSET, ports[i],
+                      addresses[i], sizeof addresses[i]);
   print_common (fleet, &text, "gateway", number);
   ab_buf_printf (&text,
                  "listen: {callers: %s, ready: %s, addresses: %s, peers: %s}\n"
@@ -147,21 +176,29 @@
                  fleet->stop_ms ? fleet->stop_ms : STOP_MS);
   if (fleet->retry_extra)
     ab_buf_printf (&text, "repeat_extra: %d\n", fleet->retry_extra);
+  if (fleet->retry_fraction > 0)
+    ab_buf_printf (&text, "repeat_fraction: %g\n", fleet->retry_fraction);
   spawn (fleet, "gateway", number, &text, &fleet->gateway_pids[number]);
 }
 
-void
-gf_start (struct gf_fleet *fleet, const char *name, int controls, int gateways)
+/* Prepares the folder and the addresses of FLEET.  */
+static void
+begin_fleet (struct gf_fleet *fleet, const char *name)
 {
   int pid = getpid ();
 
   memset (fleet, 0, sizeof *fleet);
   fleet->block[0] = 1 + pid / 250 % 250;
   fleet->block[1] = pid % 250;
-  fleet->controls = controls;
-  fleet->gateways = gateways;
   snprintf (fleet->folder, sizeof fleet->folder, "/tmp/%s-%d", name, pid);
   ck_assert_int_eq (mkdir (fleet->folder, 0700), 0);
+}
+
+static void
+start_hosts (struct gf_fleet *fleet, int controls, int gateways)
+{
+  fleet->controls = controls;
+  fleet->gateways = gateways;
   for (int i = 1; i <= controls; i++)
     gf_start_control (fleet, i, true);
   for (int i = 1; i <= gateways; i++)
@@ -174,6 +211,23 @@
     }
 }
 
+void
+gf_start (struct gf_fleet *fleet, const char *name, int controls, int gateways)
+{
+  begin_fleet (fleet, name);
+  start_hosts (fleet, controls, gateways);
+}
+
+void
+gf_start_wide (struct gf_fleet *fleet, const char *name, int controls,
+               int regions, int services)
+{
+  begin_fleet (fleet, name);
+  fleet->regions = regions;
+  fleet->services = services;
+  start_hosts (fleet, controls, 0);
+}
+
 void
 gf_kill (pid_t *pid)
 {
@@ -211,7 +265,8 @@
   for (int i = 0; i <= GF_CONTROLS_MAX; i++)
     gf_kill (&fleet->control_pids[i]);
   gf_kill (&fleet->proxy_pid);
-  remove_folder (fleet->folder);
+  if (!getenv ("AB_KEEP_LOGS"))
+    remove_folder (fleet->folder);
 }
 
 /* Memory.  */
@@ -250,6 +305,28 @@
   return peak;
 }
 
+uint64_t
+gf_processor_ms (pid_t pid)
+{
+  unsigned long long user = 0;
+  unsigned long long system = 0;
+  char path[64];
+  FILE *file;
+  int found;
+
+  snprintf (path, sizeof path, "/proc/%d/stat", (int)pid);
+  file = fopen (path, "r");
+  ck_assert_ptr_nonnull (file);
+  /* The name of the program has no spaces.  */
+  found = fscanf (file,
+                  "%*d %*s %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u "
+                  "%llu %llu",
+                  &user, &system);
+  fclose (file);
+  ck_assert_int_eq (found, 2);
+  return (user + system) * 1000 / (unsigned long long)sysconf (_SC_CLK_TCK);
+}
+
 /* Proxy.  */
 
 static const char *
@@ -262,16 +339,16 @@
 void
 gf_start_proxy (struct gf_fleet *fleet)
 {
-  char pairs[GF_TARGETS_MAX][160];
+  char pairs[GF_PROXIED_MAX][160];
   char control[64];
   char program[256];
   char log[256];
-  const char *arguments[2 * GF_TARGETS_MAX + 3] = { "--control" };
+  const char *arguments[2 * GF_PROXIED_MAX + 3] = { "--control" };
   const char *build = getenv ("AB_BUILD");
   int used = 1;
 
   arguments[used++] = proxy_control (fleet, control, sizeof control);
-  for (int i = 1; i <= GF_TARGETS_MAX; i++)
+  for (int i = 1; i <= GF_PROXIED_MAX; i++)
     {
       char announced[64];
       char real[64];
@@ -358,12 +435,13 @@
 gf_put_bundle (struct gf_fleet *fleet, int control, int version, int base,
                const char *extra)
 {
+  bool two = fleet->services == 2;
   char body[2048];
 
   snprintf (
       body, sizeof body,
       "{\"version\":%d,\"base_version\":%d,\"services\":[{\"name\":\"shop\","
-      "\"probe_path\":\"/h\",\"connections\":100}],\"limits\":{"
+      "\"probe_path\":\"/h\",\"connections\":100}%s],\"limits\":{"
       "\"header_bytes\":16384,\"body_bytes\":%d,\"header_time_ms\":3000,"
       "\"idle_time_ms\":%d},\"hosts\":[{\"host\":\"x.example\","
       "\"prefixes\":[{\"name\":\"order\",\"prefix\":\"/shop/\",\"kind\":"
@@ -373,9 +451,16 @@
       "\"objective_ms\":1000,\"priority\":1,\"service\":\"shop\","
       "\"attempts\":2},{\"name\":\"large\",\"prefix\":\"/large/\",\"kind\":"
       "\"download\",\"timeout_ms\":3000,\"priority\":2,\"service\":\"shop\"}"
-      "]}]}",
-      version, base, fleet->body_bytes ? fleet->body_bytes : BODY_BYTES,
-      fleet->idle_ms ? fleet->idle_ms : IDLE_MS, extra);
+      "%s]}]}",
+      version, base,
+      two ? ",{\"name\":\"pay\",\"probe_path\":\"/h\",\"connections\":100}"
+          : "",
+      fleet->body_bytes ? fleet->body_bytes : BODY_BYTES,
+      fleet->idle_ms ? fleet->idle_ms : IDLE_MS, extra,
+      two ? ",{\"name\":\"pay\",\"prefix\":\"/pay/\",\"kind\":\"once\","
+            "\"timeout_ms\":3000,\"objective_ms\":1000,\"priority\":0,"
+            "\"service\":\"pay\",\"attempts\":2}"
+          : "");
   return fleet_http (gf_admin (fleet, control), "POST", "/v1/bundle",
                      "Content-Type: application/json\n", body, NULL);
 }
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -3,7 +3,7 @@
 
    Every fleet has its own block 127.x.y.0/24, derived from the process id.
    Control host N (counted from 1) listens on .N, gateway N on .(N + 20),
-   target N on .(N + 40), or on .(N + 60) when it is behind a proxy.  */
+   target N on .(N + 130), or on .(N + 180) when it is behind a proxy.  */
 
 #ifndef GATEWAY_FLEET_LIB_H
 #define GATEWAY_FLEET_LIB_H
@@ -13,9 +13,11 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define GF_CONTROLS_MAX 6
-#define GF_GATEWAYS_MAX 12
-#define GF_TARGETS_MAX 6
+#define GF_CONTROLS_MAX 9
+#define GF_GATEWAYS_MAX 110
+#define GF_TARGETS_MAX 50
+#define GF_PROXIED_MAX 6
+#define GF_DOMAINS 6
 
 /* How a target handles requests.  A path with "/slow" takes GF_SLOW_MS.  */
 enum gf_fault
@@ -27,9 +29,9 @@
   GF_LARGE,      /* Responds with GF_LARGE_BYTES to paths with "large".  */
   GF_DUPLICATES, /* Responds with the request id.  On every eighth request, a
                  duplicate of the previous response precedes that.  */
-  GF_ENDLESS /* Sends bytes until the connection is closed: header lines for
-                a path with "head", chunks with "chunk", a body without length
-                otherwise.  A path with "slow" gets a few at a time.  */
+  GF_ENDLESS /* Sends bytes until the connection is closed, of a kind that a
+                word of the path names (endless_kinds), otherwise a body
+                without length.  A path with "slow" gets a few at a time.  */
 };
 
 #define GF_SLOW_MS 1500
@@ -47,17 +49,22 @@
   /* How often a target was started again as a new incarnation, which has an id
      and a start time of its own.  */
   int restarts[GF_TARGETS_MAX + 1];
-  pid_t proxy_pid;  /* Proxy in front of the targets; 0 if none.  */
-  int stop_ms;      /* stop_time of gateways started from now on; 0: 4 s.  */
-  int regions;      /* 2: even gateways and targets are in a second region,
-                       from their next start on.  Otherwise there is one.  */
-  int born_ms;      /* Start time that targets started from now on announce;
-                       0: 1000.  */
-  int idle_ms;      /* idle_time_ms of bundles put from now on; 0: 15 s.  */
-  int body_bytes;   /* body_bytes of bundles put from now on; 0: 1 MiB.  */
-  int retry_extra;  /* repeat_extra of gateways started from now on; 0: the
-                       default.  */
-  char address[64]; /* Result of the last gf_admin or gf_callers.  */
+  pid_t proxy_pid; /* Proxy in front of the targets; 0 if none.  */
+  int stop_ms;     /* stop_time of gateways started from now on; 0: 4 s.  */
+  int regions;     /* 2: even gateways and targets are in a second region,
+                      from their next start on.  3: processes are divided
+                      among GF_DOMAINS failure domains, two in each region.
+                      Otherwise there is one.  */
+  int services;    /* 2: each third target is of service "pay".  Otherwise
+                      all are of "shop".  */
+  int born_ms;     /* Start time that targets started from now on announce;
+                      0: 1000.  */
+  int idle_ms;     /* idle_time_ms of bundles put from now on; 0: 15 s.  */
+  int body_bytes;  /* body_bytes of bundles put from now on; 0: 1 MiB.  */
+  int retry_extra; /* repeat_extra of gateways started from now on; 0: the
+                      default.  */
+  double retry_fraction; /* Likewise repeat_fraction.  */
+  char address[64];      /* Result of the last gf_admin or gf_callers.  */
 };
 
 /* Starts CONTROLS control hosts, of which the first three are the seeds, and
@@ -65,7 +72,12 @@
    test on an error.  */
 void gf_start (struct gf_fleet *fleet, const char *name, int controls,
                int gateways);
-/* Kills all processes and removes the files.  */
+/* Likewise, with REGIONS and SERVICES as in struct gf_fleet and without
+   gateways.  */
+void gf_start_wide (struct gf_fleet *fleet, const char *name, int controls,
+                    int regions, int services);
+/* Kills all processes and, unless AB_KEEP_LOGS is set in the environment,
+   removes the files.  */
 void gf_stop (struct gf_fleet *fleet);
 
 void gf_start_control (struct gf_fleet *fleet, int number, bool first_start);
@@ -80,6 +92,8 @@
 long gf_memory_bound_kb (void);
 /* Returns the peak resident memory of the process PID, in KB.  */
 long gf_peak_memory_kb (pid_t pid);
+/* Returns the processor time that the process PID has used.  */
+uint64_t gf_processor_ms (pid_t pid);
 
 /* Puts a fault-injecting proxy in front of the targets that are started
    afterwards.  They announce the address of the proxy.  */
@@ -95,15 +109,20 @@
 #define GF_CRASH_PATH "/crash"
 void gf_start_target (struct gf_fleet *fleet, int number, enum gf_fault fault);
 /* Addresses of targets; those behind a proxy listen at GF_PROXIED_OFFSET.  */
+#define GF_GATEWAY_OFFSET 20
+#define GF_CALLERS_PORT 8161
 #define GF_TARGET_PORT 8080
-#define GF_TARGET_OFFSET 40
-#define GF_PROXIED_OFFSET 60
+#define GF_TARGET_OFFSET 130
+#define GF_PROXIED_OFFSET 180
 
 /* Writes to OUT the address of PORT on HOST of the fleet's block.  */
 void gf_print_address (const struct gf_fleet *fleet, int host, int port,
                        char *out, size_t size);
-/* Returns whether process or target NUMBER is in the second region.  */
-bool gf_is_in_second_region (const struct gf_fleet *fleet, int number);
+/* Writes to OUT the failure domain of process or target NUMBER.  */
+void gf_print_domain (const struct gf_fleet *fleet, int number, char *out,
+                      size_t size);
+/* Returns the service of target NUMBER.  */
+const char *gf_service (const struct gf_fleet *fleet, int number);
 /* Writes to OUT the address that target NUMBER listens on when there is no
    proxy.  */
 void gf_print_target_address (const struct gf_fleet *fleet, int number,
@@ -152,7 +171,8 @@
 
 /* Sends CONTROL a bundle of VERSION with the base version BASE.  EXTRA is
    appended to the prefix of its second route, "/look"; the third route,
-   "/large/", is for downloads.  Returns the HTTP status.  */
+   "/large/", is for downloads.  With two services, "/pay/" is for requests to
+   "pay" that run once.  Returns the HTTP status.  */
 int gf_put_bundle (struct gf_fleet *fleet, int control, int version, int base,
                    const char *extra);
 /* Waits until the bundle that CONTROL returns has VERSION.  Returns false
--- a/tests/gateway_target_lib.c
+++ b/tests/gateway_target_lib.c
@@ -324,18 +324,20 @@
   char address[64];
   char body[512];
   char incarnation[16] = "";
+  char domain[16];
   int restarts = fleet->restarts[number];
 
   gf_print_target_address (fleet, number, address, sizeof address);
   if (restarts > 0)
     snprintf (incarnation, sizeof incarnation, "-%d", restarts);
   snprintf (path, sizeof path, "/v1/targets/t%d%s/renew", number, incarnation);
+  gf_print_domain (fleet, number, domain, sizeof domain);
   snprintf (body, sizeof body,
-            "{\"service\":\"shop\",\"address\":\"%s\","
-            "\"failure_domain\":\"d%s\",\"version\":\"v1\",\"slots\":4,"
+            "{\"service\":\"%s\",\"address\":\"%s\","
+            "\"failure_domain\":\"%s\",\"version\":\"v1\",\"slots\":4,"
             "\"state\":\"%s\",\"cold_ms\":0,\"sequence\":%d,\"born\":%d}",
-            address, gf_is_in_second_region (fleet, number) ? "2" : "", state,
-            sequence, (fleet->born_ms ? fleet->born_ms : BORN_MS) + restarts);
+            gf_service (fleet, number), address, domain, state, sequence,
+            (fleet->born_ms ? fleet->born_ms : BORN_MS) + restarts);
   return fleet_http (gf_admin (fleet, control), "PUT", path,
                      "Content-Type: application/json\n", body, NULL);
 }
--- a/tests/raw_http_lib.c
+++ b/tests/raw_http_lib.c
@@ -186,6 +186,12 @@
   return gf_has_flag (target->fleet, target->number, kind);
 }
 
+bool
+raw_target_fleet_flag (const struct raw_target *target, const char *kind)
+{
+  return gf_has_flag (target->fleet, 0, kind);
+}
+
 void
 raw_target_run (struct raw_target *target, const char *id)
 {
--- a/tests/raw_http_lib.h
+++ b/tests/raw_http_lib.h
@@ -50,6 +50,8 @@
                        raw_handler handler);
 /* Returns whether the test has set the flag KIND of the target.  */
 bool raw_target_flag (const struct raw_target *target, const char *kind);
+/* Likewise, the flag KIND of target 0, which stands for all.  */
+bool raw_target_fleet_flag (const struct raw_target *target, const char *kind);
 /* Records a run of the request ID, for gf_runs.  */
 void raw_target_run (struct raw_target *target, const char *id);
 /* Records an arrival of the request ID, for raw_arrivals.  */
--- a/tests/suite_lib.c
+++ b/tests/suite_lib.c
@@ -1,6 +1,7 @@
 #include "suite_lib.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 int
 suite_main (const char *name, const TTest *const *tests, size_t count,
@@ -9,11 +10,13 @@
   Suite *suite = suite_create (name);
   TCase *tcase = tcase_create (name);
   SRunner *runner = srunner_create (suite);
+  const char *only = getenv ("AB_TEST");
   int failed;
 
   tcase_set_timeout (tcase, timeout_s);
   for (size_t i = 0; i < count; i++)
-    tcase_add_test (tcase, tests[i]);
+    if (!only || strstr (tests[i]->name, only))
+      tcase_add_test (tcase, tests[i]);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
--- a/tests/suite_lib.h
+++ b/tests/suite_lib.h
@@ -7,7 +7,8 @@
 #include <stddef.h>
 
 /* Runs COUNT tests as suite NAME, each for at most TIMEOUT_S seconds.  Returns
-   the exit status for main.  */
+   the exit status for main.  If AB_TEST is set in the environment, only tests
+   with that in their names run.  */
 int suite_main (const char *name, const TTest *const *tests, size_t count,
                 double timeout_s);
 
