Log and count what schedulers do with the retry budget

Cause: nothing told which host holds the role of a shard, nor what it grants, so that the hypotheses on the retry budget could not be told apart. Decisions stay as they are.

--- a/src/schedule_serve_task.c
+++ b/src/schedule_serve_task.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "error.h"
+#include "log.h"
 #include "peer_task.h"
 #include "schedule_frame.h"
 #include "schedule_internal.h"
@@ -24,6 +25,10 @@
   if (reply->decision == AB_SCHED_GRANTED && target)
     ab_rate_limit_task_reply (task->rate_limits, target->id,
                               target->started_ms, slot_request->host);
+  if (slot_request->is_retry && reply->decision == AB_SCHED_GRANTED)
+    ++*ab_counter (task->daemon->counters, "ab_retries_granted_total");
+  else if (reply->decision == AB_SCHED_BUDGET_USED_UP)
+    ++*ab_counter (task->daemon->counters, "ab_retries_refused_total");
   ab_sched_pack_reply (&body, reply);
   if (!body.error)
     ab_peer_task_reply (task->daemon->peer, ab_chunk_str (slot_request->host),
@@ -91,10 +96,25 @@
   return first && strcmp (first, task->daemon->settings->host) == 0;
 }
 
+static void
+on_role_changed (void *ctx, const char *service, const char *domain,
+                 bool is_regular)
+{
+  const struct ab_schedule_task *task = ctx;
+
+  AB_LOG (
+      AB_LOG_INFO, "scheduler_role", ab_log_str ("service", service),
+      ab_log_str ("shard", domain),
+      ab_log_str ("role", is_regular ? "regular" : "stand-in"),
+      ab_log_int ("schedulers", (int64_t)count_schedulers (ctx, service)),
+      ab_log_int ("view_age_ms", (int64_t)ab_fleet_view_age_ms (task->view)));
+}
+
 static const struct ab_scheduler_ops scheduler_ops
     = { .decide = on_decision,
         .count_schedulers = count_schedulers,
-        .is_primary = is_primary };
+        .is_primary = is_primary,
+        .role_changed = on_role_changed };
 
 /* Returns whether SLOT_REQUEST comes from this host and another host schedules
    its shard.  */
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -120,6 +120,10 @@
   /* Returns whether this host is the regular scheduler of SERVICE in SHARD,
      rather than a stand-in for it.  Null: it is, and always was.  */
   bool (*is_primary) (void *ctx, const char *service, const char *shard);
+  /* Reports that this host has become the regular scheduler, or is no longer.
+     May be null.  */
+  void (*role_changed) (void *ctx, const char *service, const char *shard,
+                        bool is_regular);
 };
 
 struct ab_scheduler_config
@@ -177,5 +181,8 @@
 /* Returns the targets as a new JSON array, for the state dump.  */
 json_t *ab_scheduler_state (const struct ab_scheduler *scheduler,
                             uint64_t now_ms);
+/* Returns the retry budget of each service and shard as a new JSON array.  */
+json_t *ab_scheduler_budgets (const struct ab_scheduler *scheduler,
+                              uint64_t now_ms);
 
 #endif
--- a/src/scheduler_budget.c
+++ b/src/scheduler_budget.c
@@ -1,3 +1,5 @@
+#include <stdlib.h>
+
 #include "scheduler_internal.h"
 
 /* Share of the budget that this scheduler uses; the rest is left for requests
@@ -46,6 +48,7 @@
   struct ab_sched_role *role = &service->role;
   uint64_t gap_ms = now_ms - role->checked_ms;
   const char *shard = strchr (service->key, '\n');
+  bool was_regular = role->since_ms > 0;
   char name[AB_NAME_BYTES];
 
   if (!s->ops->is_primary || !shard
@@ -58,6 +61,8 @@
     role->since_ms = 0;
   else if (role->since_ms == 0 || gap_ms > s->config.retry_window_ms)
     role->since_ms = now_ms;
+  if (s->ops->role_changed && (role->since_ms > 0) != was_regular)
+    s->ops->role_changed (s->ctx, name, shard + 1, role->since_ms > 0);
 }
 
 /* Returns the part of the additional retries that the role of this host allows
@@ -160,3 +165,21 @@
     bucket_at (request->service, now_ms)->retries++;
   ab_sched_return_retry (request);
 }
+
+json_t *
+ab_scheduler_budgets (const struct ab_scheduler *s, uint64_t now_ms)
+{
+  uint64_t seconds = s->config.retry_window_ms / 1000;
+  uint64_t now = now_ms / 1000;
+  json_t *list = json_array ();
+
+  for (const struct ab_sched_service *service = s->services; service;
+       service = service->hh.next)
+    json_array_append_new (
+        list, json_pack ("{s:s, s:b, s:f, s:f, s:f}", "service", service->key,
+                         "regular", service->role.since_ms > 0, "share",
+                         role_share (s, service, now_ms), "first_attempts",
+                         count_first_attempts (service, seconds, now),
+                         "retries", count_retries (service, seconds, now)));
+  return list;
+}
