Grant retries against credit that expires and is lost with its holder

Cause: a scheduler could save what a whole window of requests allows and spend it in a second; that it is not spent again rested on its own memory. Successors do not have that memory and spend what the same window allows once more. Change: a scheduler earns credit with each first attempt that it counts and, as the regular one, with time; a retry costs one, credit expires after 1.33 s, and a successor starts without any. It earns with time only when the view of its predecessor can no longer be fresh. So all holders together grant at most what the window and 1.33 s before it earn, 0.85 of the budget. The bound over the window that a scheduler remembers itself stays. Two tests expected additional retries at once after a start; they now require them over a window, in total as strictly, and none at all for a stand-in. Conclusion: the bound no longer rests on a memory that a replacement loses.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -226,7 +226,8 @@
        i++)
     {
       struct ab_sched_target *target;
-      if (is_skipped (&queue_pass, &list[i]->slot_request))
+      if (is_skipped (&queue_pass, &list[i]->slot_request)
+          || !ab_sched_may_spend_retry (s, list[i], now_ms))
         continue;
       target = find_target (list[i], &summary, now_ms);
       if (!target)
@@ -385,7 +386,7 @@
   ab_sched_count_arrival (request->service, slot_request, now_ms);
   ab_sched_check_role (s, request->service, now_ms);
   if (!slot_request->is_retry && !slot_request->is_counted)
-    ab_sched_count_first_attempt (request->service, now_ms);
+    ab_sched_count_first_attempt (s, request->service, now_ms);
   if (slot_request->is_retry && !ab_sched_reserve_retry (s, request, now_ms))
     {
       reject (s, request, AB_SCHED_BUDGET_USED_UP, NULL, RETRY_AFTER_MIN_MS,
@@ -603,8 +604,7 @@
   for (struct ab_sched_service *service = s->services; service;
        service = service->hh.next)
     {
-      if (service->role.since_ms > 0)
-        ab_sched_check_role (s, service, now_ms);
+      ab_sched_tick_budget (s, service, now_ms);
       check_granted (s, service, now_ms);
       serve_queue (s, service, now_ms);
       reject_unservable (s, service, now_ms);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -15,7 +15,8 @@
    - Sustained overload: requests whose turn would come too late are rejected
      at once, with the time after which a slot is expected.
    - Retries of a failing service: a budget over a sliding window bounds the
-     share that they add to the load.
+     share that they add to the load, also when schedulers are replaced within
+     the window (scheduler_budget.c).
    - Targets that name a rate limit: a token bucket bounds the requests that
      they get from the whole fleet; the rest is queued or rejected as when all
      slots are in use.
@@ -114,8 +115,8 @@
 {
   void (*decide) (void *ctx, const struct ab_sched_slot_request *slot_request,
                   const struct ab_sched_reply *reply);
-  /* Returns how many schedulers share the requests of SERVICE.  Null: this one
-     has all of them.  */
+  /* Returns how many hosts may be regular schedulers of SERVICE at the same
+     time.  Null: only this one.  */
   size_t (*count_schedulers) (void *ctx, const char *service);
   /* Returns whether this host is the regular scheduler of SERVICE in SHARD,
      rather than a stand-in for it.  Null: it is, and always was.  */
--- a/src/scheduler_budget.c
+++ b/src/scheduler_budget.c
@@ -2,14 +2,24 @@
 
 #include "scheduler_internal.h"
 
-/* Share of the budget that this scheduler uses; the rest is left for requests
-   that other schedulers place.  */
+/* The retries that all schedulers of a service grant within a window are
+   bounded without a memory that a successor would need: a scheduler grants a
+   retry only against credit that it has earned itself, with each first attempt
+   and with the time in which it is the regular scheduler, and credit expires
+   after a small part of the window.  So the sum over all schedulers, however
+   often they are replaced, is at most what the window and that part before it
+   earn.  A scheduler also keeps to what its own memory of the whole window
+   allows, which is less after a burst of requests.  */
+
+/* Share of the budget that is granted over time; the rest is left for credit
+   saved before a window.  */
 #define OWN_BUDGET_SHARE 0.75
-/* Part of the additional retries of a host that has just become the regular
-   scheduler.  */
-#define NEW_ROLE_SHARE 0.1
+/* Share of the budget that may be saved as credit.  */
+#define SAVED_SHARE 0.1
 /* Interval of the checks of a host's role.  */
 #define ROLE_CHECK_MS 1000
+/* Allows for the rounding of sums of fractions.  */
+#define ROUNDING 1e-6
 /* Part of that share that each priority class may use: when attempts fail or
    are rejected everywhere, urgent requests are retried first.  */
 static const double budget_by_priority[] = { 1, 0.85, 0.6, 0.6 };
@@ -34,11 +44,83 @@
              : AB_SCHED_PRIORITY_CLASSES - 1;
 }
 
+/* Returns the time for which one slot of the credit counts.  */
+static uint64_t
+credit_slot_ms (const struct ab_scheduler *s)
+{
+  return (uint64_t)((double)s->config.retry_window_ms * SAVED_SHARE
+                    / OWN_BUDGET_SHARE / AB_SCHED_CREDIT_SLOTS)
+         + 1;
+}
+
+static void
+earn_credit (const struct ab_scheduler *s, struct ab_sched_service *service,
+             double amount, uint64_t now_ms)
+{
+  struct ab_sched_credit *credit = &service->credit;
+  uint64_t number = now_ms / credit_slot_ms (s);
+  struct ab_sched_credit_slot *slot
+      = &credit->slots[number % AB_SCHED_CREDIT_SLOTS];
+
+  if (slot->number != number)
+    *slot = (struct ab_sched_credit_slot){ .number = number };
+  slot->earned += amount;
+  credit->amount += amount;
+}
+
+/* Returns whether this host earns credit with time.  A host that becomes the
+   regular scheduler waits until its predecessor, which may have an older view,
+   no longer takes itself for it.  */
+static bool
+is_settled (const struct ab_scheduler *s,
+            const struct ab_sched_service *service, uint64_t now_ms)
+{
+  return !s->ops->is_primary
+         || (service->role.since_ms > 0
+             && now_ms - service->role.since_ms
+                    >= s->config.role_overlap_ms + ROLE_CHECK_MS);
+}
+
+/* Adds the credit for the time since the last update and removes what has
+   expired.  A regular scheduler may always save one retry, as a service with
+   few requests earns less while credit lasts.  */
+static void
+update_credit (const struct ab_scheduler *s, struct ab_sched_service *service,
+               uint64_t now_ms)
+{
+  struct ab_sched_credit *credit = &service->credit;
+  uint64_t number = now_ms / credit_slot_ms (s);
+  uint64_t elapsed_ms = now_ms - credit->updated_ms;
+  bool settled = is_settled (s, service, now_ms);
+  double saved_max = settled ? 1 : 0;
+  double valid = 0;
+
+  /* After a longer gap this process was suspended.  */
+  if (settled && credit->updated_ms > 0 && elapsed_ms <= ROLE_CHECK_MS)
+    earn_credit (s, service,
+                 OWN_BUDGET_SHARE * s->config.retry_extra
+                     / (double)service->role.schedulers * (double)elapsed_ms
+                     / (double)s->config.retry_window_ms,
+                 now_ms);
+  credit->updated_ms = now_ms;
+  for (size_t i = 0; i < AB_SCHED_CREDIT_SLOTS; i++)
+    if (credit->slots[i].number + AB_SCHED_CREDIT_SLOTS > number)
+      valid += credit->slots[i].earned;
+  if (valid > saved_max)
+    saved_max = valid;
+  if (credit->amount > saved_max)
+    credit->amount = saved_max;
+  credit->saved_max = saved_max;
+}
+
 void
-ab_sched_count_first_attempt (struct ab_sched_service *service,
+ab_sched_count_first_attempt (const struct ab_scheduler *s,
+                              struct ab_sched_service *service,
                               uint64_t now_ms)
 {
   bucket_at (service, now_ms)->first_attempts++;
+  earn_credit (s, service, OWN_BUDGET_SHARE * s->config.retry_fraction,
+               now_ms);
 }
 
 void
@@ -50,55 +132,36 @@
   const char *shard = strchr (service->key, '\n');
   bool was_regular = role->since_ms > 0;
   char name[AB_NAME_BYTES];
+  size_t schedulers;
 
-  if (!s->ops->is_primary || !shard
-      || (role->checked_ms > 0 && gap_ms < ROLE_CHECK_MS))
+  if (!shard || (role->checked_ms > 0 && gap_ms < ROLE_CHECK_MS))
     return;
   ab_chunk_copy (ab_chunk (service->key, (size_t)(shard - service->key)), name,
                  sizeof name);
   role->checked_ms = now_ms;
-  if (!s->ops->is_primary (s->ctx, name, shard + 1))
+  schedulers
+      = s->ops->count_schedulers ? s->ops->count_schedulers (s->ctx, name) : 1;
+  if (schedulers == 0)
+    schedulers = 1;
+  if (!s->ops->is_primary || !s->ops->is_primary (s->ctx, name, shard + 1))
     role->since_ms = 0;
-  else if (role->since_ms == 0 || gap_ms > s->config.retry_window_ms)
+  else if (role->since_ms == 0 || schedulers < role->schedulers
+           || gap_ms > s->config.retry_window_ms)
     role->since_ms = now_ms;
+  role->schedulers = schedulers;
   if (s->ops->role_changed && (role->since_ms > 0) != was_regular)
     s->ops->role_changed (s->ctx, name, shard + 1, role->since_ms > 0);
 }
 
-/* Returns the part of the additional retries that the role of this host allows
-   it.  A host that becomes the regular scheduler does not know how many its
-   predecessor granted, which may be itself before a restart, and waits until
-   these have left the window.  Stand-ins get none: when schedulers are lost or
-   slow, every host may be one at the same time.  */
-static double
-role_share (const struct ab_scheduler *s,
-            const struct ab_sched_service *service, uint64_t now_ms)
-{
-  uint64_t settled_ms = s->config.retry_window_ms + s->config.role_overlap_ms;
-
-  if (!s->ops->is_primary)
-    return 1;
-  if (service->role.since_ms == 0)
-    return 0;
-  return now_ms - service->role.since_ms >= settled_ms ? 1 : NEW_ROLE_SHARE;
-}
-
 /* Returns this scheduler's part of the additional retries.  */
 static double
 own_additional_retries (const struct ab_scheduler *s,
                         const struct ab_sched_service *service,
-                        const struct ab_sched_slot_request *slot_request,
-                        uint64_t now_ms)
+                        const struct ab_sched_slot_request *slot_request)
 {
-  size_t schedulers
-      = s->ops->count_schedulers
-            ? s->ops->count_schedulers (s->ctx, slot_request->service)
-            : 1;
-
   if (slot_request->last_resort)
     return 0;
-  return role_share (s, service, now_ms) * s->config.retry_extra
-         / (double)(schedulers > 0 ? schedulers : 1);
+  return s->config.retry_extra / (double)service->role.schedulers;
 }
 
 /* Returns the retries that were granted in the window before NOW_MS, or are
@@ -129,6 +192,21 @@
   return first_attempts;
 }
 
+/* Returns the credit that is kept for requests of higher priority than
+   SLOT_REQUEST; a retry of the lowest one is possible when all else is
+   saved.  */
+static double
+credit_kept (const struct ab_sched_credit *credit,
+             const struct ab_sched_slot_request *slot_request)
+{
+  double share = budget_by_priority[ab_sched_priority_class (slot_request)];
+  double kept = (1 - share) * credit->saved_max;
+
+  if (kept > credit->saved_max - 1)
+    kept = credit->saved_max - 1;
+  return kept > 0 ? kept : 0;
+}
+
 bool
 ab_sched_reserve_retry (const struct ab_scheduler *s,
                         struct ab_sched_request *request, uint64_t now_ms)
@@ -138,12 +216,16 @@
   uint64_t seconds = s->config.retry_window_ms / 1000;
   uint64_t now = now_ms / 1000;
 
-  if (count_retries (service, seconds, now) + 1
-      > OWN_BUDGET_SHARE
-            * budget_by_priority[ab_sched_priority_class (slot_request)]
-            * (s->config.retry_fraction
-                   * count_first_attempts (service, seconds, now)
-               + own_additional_retries (s, service, slot_request, now_ms)))
+  update_credit (s, service, now_ms);
+  if ((double)service->reserved_retries + 1
+              + credit_kept (&service->credit, slot_request)
+          > service->credit.amount + ROUNDING
+      || count_retries (service, seconds, now) + 1
+             > OWN_BUDGET_SHARE
+                   * budget_by_priority[ab_sched_priority_class (slot_request)]
+                   * (s->config.retry_fraction
+                          * count_first_attempts (service, seconds, now)
+                      + own_additional_retries (s, service, slot_request)))
     return false;
   request->reserves_retry = true;
   service->reserved_retries++;
@@ -158,14 +240,36 @@
   request->reserves_retry = false;
 }
 
+bool
+ab_sched_may_spend_retry (const struct ab_scheduler *s,
+                          const struct ab_sched_request *request,
+                          uint64_t now_ms)
+{
+  if (!request->reserves_retry)
+    return true;
+  update_credit (s, request->service, now_ms);
+  return request->service->credit.amount + ROUNDING >= 1;
+}
+
 void
 ab_sched_spend_retry (struct ab_sched_request *request, uint64_t now_ms)
 {
   if (request->reserves_retry)
-    bucket_at (request->service, now_ms)->retries++;
+    {
+      bucket_at (request->service, now_ms)->retries++;
+      request->service->credit.amount -= 1;
+    }
   ab_sched_return_retry (request);
 }
 
+void
+ab_sched_tick_budget (const struct ab_scheduler *s,
+                      struct ab_sched_service *service, uint64_t now_ms)
+{
+  ab_sched_check_role (s, service, now_ms);
+  update_credit (s, service, now_ms);
+}
+
 json_t *
 ab_scheduler_budgets (const struct ab_scheduler *s, uint64_t now_ms)
 {
@@ -176,10 +280,14 @@
   for (const struct ab_sched_service *service = s->services; service;
        service = service->hh.next)
     json_array_append_new (
-        list, json_pack ("{s:s, s:b, s:f, s:f, s:f}", "service", service->key,
-                         "regular", service->role.since_ms > 0, "share",
-                         role_share (s, service, now_ms), "first_attempts",
-                         count_first_attempts (service, seconds, now),
-                         "retries", count_retries (service, seconds, now)));
+        list,
+        json_pack ("{s:s, s:b, s:b, s:I, s:f, s:f, s:f, s:f}", "service",
+                   service->key, "regular", service->role.since_ms > 0,
+                   "settled", is_settled (s, service, now_ms), "schedulers",
+                   (json_int_t)service->role.schedulers, "first_attempts",
+                   count_first_attempts (service, seconds, now), "retries",
+                   count_retries (service, seconds, now), "credit",
+                   service->credit.amount, "credit_max",
+                   service->credit.saved_max));
   return list;
 }
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -108,6 +108,24 @@
 {
   uint64_t since_ms; /* 0: it is not.  */
   uint64_t checked_ms;
+  size_t schedulers; /* That share the requests of the service, at least 1.  */
+};
+
+#define AB_SCHED_CREDIT_SLOTS 16
+
+struct ab_sched_credit_slot
+{
+  uint64_t number; /* Time divided by the length of a slot.  */
+  double earned;
+};
+
+/* Retries that may be granted.  */
+struct ab_sched_credit
+{
+  double amount;
+  double saved_max; /* Upper limit of AMOUNT: what was earned in SLOTS.  */
+  struct ab_sched_credit_slot slots[AB_SCHED_CREDIT_SLOTS];
+  uint64_t updated_ms;
 };
 
 /* Counts of requests that ended during one slice of time.  */
@@ -141,6 +159,7 @@
   struct ab_sched_bucket buckets[AB_SCHED_BUCKETS];
   uint64_t reserved_retries; /* Of queued requests.  */
   struct ab_sched_role role;
+  struct ab_sched_credit credit;
   UT_hash_handle hh;
 };
 
@@ -294,7 +313,8 @@
 
 size_t
 ab_sched_priority_class (const struct ab_sched_slot_request *slot_request);
-void ab_sched_count_first_attempt (struct ab_sched_service *service,
+void ab_sched_count_first_attempt (const struct ab_scheduler *scheduler,
+                                   struct ab_sched_service *service,
                                    uint64_t now_ms);
 /* Updates since when this host has been the regular scheduler of SERVICE.  */
 void ab_sched_check_role (const struct ab_scheduler *scheduler,
@@ -306,6 +326,15 @@
                              uint64_t now_ms);
 /* Returns the retry that is set aside for REQUEST to the budget, if any.  */
 void ab_sched_return_retry (struct ab_sched_request *request);
+/* Returns whether REQUEST, if a retry is set aside for it, may still be
+   granted: credit that was saved when it was queued may have expired.  */
+bool ab_sched_may_spend_retry (const struct ab_scheduler *scheduler,
+                               const struct ab_sched_request *request,
+                               uint64_t now_ms);
+/* Updates the role of this host and the credit of SERVICE; called on every
+   tick.  */
+void ab_sched_tick_budget (const struct ab_scheduler *scheduler,
+                           struct ab_sched_service *service, uint64_t now_ms);
 /* Counts the retry that is set aside for REQUEST as sent, if any.  */
 void ab_sched_spend_retry (struct ab_sched_request *request, uint64_t now_ms);
 
--- a/src/scheduler_targets.c
+++ b/src/scheduler_targets.c
@@ -24,6 +24,7 @@
   if (!service)
     return NULL;
   memcpy (service->key, key, sizeof key);
+  service->role.schedulers = 1;
   HASH_ADD_STR (s->services, key, service);
   return service;
 }
--- a/tests/scheduler_replay_lib.c
+++ b/tests/scheduler_replay_lib.c
@@ -68,6 +68,17 @@
     replay_set_target (i, "d", AB_FLEET_TARGET_READY);
 }
 
+void
+replay_pass (uint64_t duration_ms)
+{
+  for (uint64_t until_ms = replay_now_ms + duration_ms;
+       replay_now_ms < until_ms;)
+    {
+      replay_now_ms += AB_SCHED_TICK_MS;
+      ab_scheduler_tick (replay_sched, replay_now_ms);
+    }
+}
+
 struct ab_sched_slot_request
 replay_make_slot_request (uint64_t id, bool idempotent)
 {
--- a/tests/scheduler_replay_lib.h
+++ b/tests/scheduler_replay_lib.h
@@ -35,6 +35,8 @@
 
 /* Creates a new scheduler with TARGETS targets of two slots each.  */
 void replay_begin (unsigned targets);
+/* Lets DURATION_MS pass with the scheduler's ticks.  */
+void replay_pass (uint64_t duration_ms);
 void replay_set_target (unsigned number, const char *domain,
                         enum ab_fleet_target_state state);
 struct ab_sched_slot_request replay_make_slot_request (uint64_t id,
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -178,15 +178,18 @@
   *(unsigned *)ctx += reply->decision == AB_SCHED_GRANTED;
 }
 
-/* Returns the retries that one of SHARERS schedulers grants when first
-   attempts allow none.  */
+#define SHARING_WINDOW_MS 10000
+
+/* Returns the retries that one of SCHEDULERS schedulers grants in a window
+   when first attempts allow none.  At FROM_MS the window begins.  */
 static unsigned
-count_additional_retries (bool last_resort)
+count_additional_retries (bool last_resort, uint64_t from_ms)
 {
   static const struct ab_scheduler_ops sharing
       = { .decide = ignore_decision, .count_schedulers = count_schedulers };
   const struct ab_scheduler_config config
-      = { .retry_extra = SHARED_ADDITIONAL, .retry_window_ms = 10000 };
+      = { .retry_extra = SHARED_ADDITIONAL,
+          .retry_window_ms = SHARING_WINDOW_MS };
   struct ab_fleet_target target = { .id = "1",
                                     .service = "s",
                                     .address = "10.0.0.1:80",
@@ -195,18 +198,22 @@
                                     .slots = 100,
                                     .state = AB_FLEET_TARGET_READY };
   unsigned granted = 0;
+  uint64_t id = 0;
   struct ab_scheduler *scheduler
       = ab_scheduler_new (&config, &sharing, &granted);
 
   ab_scheduler_set_target (scheduler, &target, "", 100000);
-  for (uint64_t id = 1; id <= SHARED_ADDITIONAL; id++)
+  for (uint64_t t = 0; t < from_ms + SHARING_WINDOW_MS; t += AB_SCHED_TICK_MS)
     {
       struct ab_sched_slot_request slot_request
-          = replay_make_slot_request (id, true);
+          = replay_make_slot_request (++id, true);
       slot_request.is_retry = true;
       slot_request.last_resort = last_resort;
-      ab_scheduler_request_slot (scheduler, &slot_request, 100001);
-      ab_scheduler_outcome (scheduler, id, AB_TARGET_OK, 10, 100001);
+      ab_scheduler_tick (scheduler, 100000 + t);
+      if (t < from_ms)
+        continue;
+      ab_scheduler_request_slot (scheduler, &slot_request, 100000 + t);
+      ab_scheduler_outcome (scheduler, id, AB_TARGET_OK, 10, 100000 + t);
     }
   ab_scheduler_free (scheduler);
   return granted;
@@ -214,14 +221,18 @@
 
 /* After a power failure many schedulers start at once, and hosts that find
    none decide alone.  Guards against each of them using the whole budget of
-   additional retries.  */
+   additional retries, and against one that saves more than the budget while
+   there are no retries.  */
 START_TEST (additional_retries_are_shared)
 {
-  unsigned granted = count_additional_retries (false);
-
-  ck_assert_uint_gt (granted, 0);
-  ck_assert_uint_le (granted * SCHEDULERS, SHARED_ADDITIONAL);
-  ck_assert_uint_eq (count_additional_retries (true), 0);
+  unsigned early = count_additional_retries (false, 0);
+  unsigned late = count_additional_retries (false, 10 * SHARING_WINDOW_MS);
+
+  ck_assert_uint_gt (early, 0);
+  ck_assert_uint_gt (late * SCHEDULERS, SHARED_ADDITIONAL / 2);
+  ck_assert_uint_le (early * SCHEDULERS, SHARED_ADDITIONAL);
+  ck_assert_uint_le (late * SCHEDULERS, SHARED_ADDITIONAL);
+  ck_assert_uint_eq (count_additional_retries (true, 0), 0);
 }
 END_TEST
 
--- a/tests/test_scheduler_budget.c
+++ b/tests/test_scheduler_budget.c
@@ -62,8 +62,21 @@
   return host->primary;
 }
 
+/* Hosts that may be the regular scheduler at the same time.  */
+static size_t regular_hosts = 1;
+
+static size_t
+count_schedulers (void *ctx, const char *service)
+{
+  (void)ctx;
+  (void)service;
+  return regular_hosts;
+}
+
 static const struct ab_scheduler_ops ops
-    = { .decide = on_decision, .is_primary = is_primary };
+    = { .decide = on_decision,
+        .count_schedulers = count_schedulers,
+        .is_primary = is_primary };
 
 static void
 start_host (struct fleet *fleet, struct host *host)
@@ -245,16 +258,6 @@
 }
 END_TEST
 
-static unsigned
-grant_retries (struct fleet *fleet, struct host *host, unsigned count)
-{
-  unsigned granted = 0;
-
-  for (unsigned i = 0; i < count; i++)
-    granted += request_slot (fleet, host, true, true);
-  return granted;
-}
-
 static void
 pass_time (struct fleet *fleet, uint64_t duration_ms)
 {
@@ -264,28 +267,132 @@
       ab_scheduler_tick (fleet->hosts[i].scheduler, fleet->now_ms);
 }
 
+/* Returns how many retries HOST grants in DURATION_MS when it is asked for one
+   in each step.  */
+static unsigned
+grant_retries (struct fleet *fleet, struct host *host, uint64_t duration_ms)
+{
+  unsigned granted = 0;
+
+  for (uint64_t until = fleet->now_ms + duration_ms; fleet->now_ms < until;
+       fleet->now_ms += STEP_MS)
+    {
+      for (int i = 0; i < HOSTS; i++)
+        ab_scheduler_tick (fleet->hosts[i].scheduler, fleet->now_ms);
+      granted += request_slot (fleet, host, true, true);
+    }
+  return granted;
+}
+
 /* Guards against a regular scheduler that never gets the additional budget,
-   and against one that gets it before its predecessor's grants have left the
-   window.  */
+   and against one that gets it while its predecessor may still use it.  */
 START_TEST (role_earns_additional_retries)
 {
   struct fleet *fleet = calloc (1, sizeof *fleet);
   struct host *host;
+  unsigned granted;
 
   begin (fleet, 1);
   host = &fleet->hosts[0];
   request_slot (fleet, host, false, false);
-  ck_assert_uint_le (grant_retries (fleet, host, EXTRA), EXTRA / 10);
-  pass_time (fleet, WINDOW_MS + OVERLAP_MS + 2000);
-  ck_assert_uint_gt (grant_retries (fleet, host, EXTRA), EXTRA / 2);
-  ck_assert_uint_eq (grant_retries (fleet, host, EXTRA), 0);
+  ck_assert_uint_eq (grant_retries (fleet, host, OVERLAP_MS), 0);
+  grant_retries (fleet, host, 2000);
+  granted = grant_retries (fleet, host, WINDOW_MS);
+  ck_assert_uint_gt (granted, EXTRA / 2);
+  ck_assert_uint_le (granted, EXTRA);
   host->primary = false;
-  pass_time (fleet, WINDOW_MS + OVERLAP_MS + 2000);
-  ck_assert_uint_eq (grant_retries (fleet, host, EXTRA), 0);
+  grant_retries (fleet, host, 2000);
+  ck_assert_uint_eq (grant_retries (fleet, host, WINDOW_MS), 0);
+  end (fleet);
+  free (fleet);
+}
+END_TEST
+
+/* Retries that each request asks for.  */
+#define RETRIES 4
+
+/* Sends requests without retries until what they allow could be saved, then
+   moves the role in each second while each request is retried.  */
+static unsigned
+move_role_after_calm (struct fleet *fleet, uint64_t *requests)
+{
+  unsigned granted = 0;
+  uint64_t begin_ms = fleet->now_ms + 2 * (uint64_t)WINDOW_MS;
+
+  *requests = 0;
+  for (; fleet->now_ms < begin_ms + WINDOW_MS; fleet->now_ms += STEP_MS)
+    {
+      struct host *host = &fleet->hosts[fleet->primary];
+      for (int i = 0; i < HOSTS; i++)
+        ab_scheduler_tick (fleet->hosts[i].scheduler, fleet->now_ms);
+      for (int i = 0; i < REQUESTS_AT_A_TIME; i++)
+        {
+          request_slot (fleet, host, false, false);
+          *requests += fleet->now_ms >= begin_ms;
+          for (int j = 0; j < RETRIES && fleet->now_ms >= begin_ms; j++)
+            granted += request_slot (fleet, host, true, true);
+        }
+      if (fleet->now_ms <= begin_ms || (fleet->now_ms - begin_ms) % 1000 != 0)
+        continue;
+      host->primary = false;
+      start_host (fleet, host);
+      fleet->primary = (fleet->primary + 1) % HOSTS;
+      fleet->hosts[fleet->primary].primary = true;
+    }
+  return granted;
+}
+
+/* Guards against a scheduler that saves the budget of a window, spends it at
+   once and is replaced, so that its successors spend that of the same window
+   again.  */
+START_TEST (savings_are_bounded_when_role_moves)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  uint64_t requests;
+  unsigned granted;
+
+  begin (fleet, 1);
+  granted = move_role_after_calm (fleet, &requests);
+  ck_assert_uint_gt (granted, EXTRA / 2);
+  ck_assert_double_le ((double)granted,
+                       0.85 * (FRACTION * (double)requests + EXTRA));
+  end (fleet);
+  free (fleet);
+}
+END_TEST
+
+#define SIDES 3
+
+/* Guards against additional retries on each side of a fleet whose control
+   hosts are cut from one another, so that each side has a regular scheduler,
+   and against more of them while the sides join again.  */
+START_TEST (sides_share_additional_retries)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  unsigned granted = 0;
+
+  begin (fleet, 1);
+  regular_hosts = SIDES;
+  for (int i = 0; i < SIDES; i++)
+    fleet->hosts[i].primary = true;
+  pass_time (fleet, WINDOW_MS);
+  for (uint64_t t = 0; t < WINDOW_MS; t += STEP_MS)
+    {
+      if (t == WINDOW_MS / 2)
+        regular_hosts = 1;
+      if (t == WINDOW_MS / 2 + OVERLAP_MS)
+        fleet->hosts[1].primary = fleet->hosts[2].primary = false;
+      for (int i = 0; i < SIDES; i++)
+        granted += request_slot (fleet, &fleet->hosts[i], true, true);
+      pass_time (fleet, STEP_MS);
+    }
+  ck_assert_uint_gt (granted, EXTRA / 2);
+  ck_assert_uint_le (granted, EXTRA);
   end (fleet);
   free (fleet);
 }
 END_TEST
 
 SUITE_MAIN ("scheduler_budget", 60, all_schedulers_share_one_budget,
-            role_earns_additional_retries)
+            role_earns_additional_retries, savings_are_bounded_when_role_moves,
+            sides_share_additional_retries)
--- a/tests/test_scheduler_limit.c
+++ b/tests/test_scheduler_limit.c
@@ -161,6 +161,9 @@
 }
 END_TEST
 
+/* In this time a service without requests saves the credit for one retry.  */
+#define SAVING_MS 2000
+
 /* Guards against a limit that does not count retries, or that ends when the
    target is ejected or busy.  */
 START_TEST (retries_count_against_limit)
@@ -171,7 +174,7 @@
   replay_begin (1);
   replay_make_healthy (1, 1);
   set_limit (0, 1000);
-  replay_now_ms += 1000;
+  replay_pass (SAVING_MS);
   replay_request_slot (10, false);
   ck_assert (replay_requests[10].granted);
   replay_now_ms += 50;
@@ -180,8 +183,7 @@
   slot_request.is_retry = true;
   ab_scheduler_request_slot (replay_sched, &slot_request, replay_now_ms);
   ck_assert (!replay_requests[20].granted);
-  replay_now_ms += 700;
-  ab_scheduler_tick (replay_sched, replay_now_ms);
+  replay_pass (700);
   ck_assert (replay_requests[20].granted);
   ab_scheduler_free (replay_sched);
 }
