Divide additional retries among sides whose control hosts are cut off

Cause: a control host that does not hear another one drops that one's followers from its list of hosts after 3.5 s, so that each side may have a regular scheduler that earns the additional retries. Change: a control host leaves out the failure domain of those that it does not hear, which gateways count; a regular scheduler divides its part by one more for each.

--- a/src/fleet_settings.c
+++ b/src/fleet_settings.c
@@ -36,6 +36,7 @@
   AB_CONF_FIELD (ab_fleet_listen, "admin", admin, ab_conf_address),
   AB_CONF_FIELD (ab_fleet_listen, "peers", peers, ab_conf_address,
                  .required = true),
+  AB_CONF_FIELD (ab_fleet_listen, "peers_bind", peers_bind, ab_conf_address),
   AB_CONF_FIELD (ab_fleet_listen, "metrics", metrics, ab_conf_address),
 };
 
@@ -208,7 +209,9 @@
   base->role
       = settings->role == AB_FLEET_CONTROL ? AB_ROLE_CONTROL : AB_ROLE_ENTRY;
   memcpy (base->host, settings->listen.peers, sizeof base->host);
-  memcpy (base->listen.peers, settings->listen.peers,
+  memcpy (base->listen.peers,
+          settings->listen.peers_bind[0] ? settings->listen.peers_bind
+                                         : settings->listen.peers,
           sizeof base->listen.peers);
   memcpy (base->listen.callers, settings->listen.callers,
           sizeof base->listen.callers);
--- a/src/fleet_settings.h
+++ b/src/fleet_settings.h
@@ -40,6 +40,9 @@
   char addresses[AB_ADDRESS_BYTES];
   char admin[AB_ADDRESS_BYTES]; /* For targets and operators.  */
   char peers[AB_ADDRESS_BYTES];
+  char peers_bind[AB_ADDRESS_BYTES]; /* Address to listen on for peers when
+                                        they reach this process through a
+                                        forwarder at PEERS; empty: PEERS.  */
   char metrics[AB_ADDRESS_BYTES];
 };
 
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -53,6 +53,7 @@
   struct event *timer;
   struct control_host controls[CONTROLS_MAX];
   size_t control_count;
+  size_t unheard_controls; /* By the followed one.  */
   size_t followed;    /* Index into CONTROLS; CONTROLS_MAX if none yet.  */
   size_t next_poll;   /* Index, modulo the count, of the one to poll next.  */
   uint64_t polled_ms; /* When a host that is not followed was last polled.  */
@@ -414,10 +415,13 @@
   view->ops->hosts (view->ctx);
 }
 
-/* Reads the list of control hosts and their failure domains.  */
+/* Reads the list of control hosts and their failure domains.  The sender of
+   FRAME does not hear those without a domain.  */
 static void
-apply_controls (struct ab_fleet_view *view, struct ab_reader *reader)
+apply_controls (struct ab_fleet_view *view, struct ab_reader *reader,
+                const struct ab_fleet_view_frame *frame)
 {
+  size_t unheard = 0;
   size_t count = ab_reader_enter (reader, 2 * CONTROLS_MAX);
 
   for (size_t i = 0; i + 1 < count; i += 2)
@@ -427,12 +431,16 @@
       struct control_host *control;
       if (ab_reader_error (reader) < 0)
         return;
+      unheard += domain.len == 0;
       control = find_or_add_control (view, address);
       if (control && domain.len > 0 && !control->failure_domain[0])
         ab_chunk_copy (domain, control->failure_domain,
                        sizeof control->failure_domain);
     }
   ab_reader_leave (reader);
+  /* A reply to a poll is not from the followed control host.  */
+  if (frame->after_index != UINT64_MAX)
+    view->unheard_controls = unheard;
 }
 
 /* Reads the list of requests that crash targets and passes on those that
@@ -473,7 +481,7 @@
   changed
       = apply_targets (view, reader) > 0 || bundle.len > 0 || frame->has_hosts;
   apply_hosts (view, reader, frame);
-  apply_controls (view, reader);
+  apply_controls (view, reader, frame);
   if (ab_reader_has_more (reader))
     changed = apply_quarantine (view, reader) > 0 || changed;
   return changed;
@@ -644,6 +652,12 @@
   return view->host_count;
 }
 
+size_t
+ab_fleet_view_unheard_controls (const struct ab_fleet_view *view)
+{
+  return view->unheard_controls;
+}
+
 uint64_t
 ab_fleet_view_age_ms (const struct ab_fleet_view *view)
 {
--- a/src/fleet_view_task.h
+++ b/src/fleet_view_task.h
@@ -56,6 +56,9 @@
    their number.  */
 size_t ab_fleet_view_hosts (const struct ab_fleet_view *view,
                             const struct ab_fleet_host **hosts);
+/* Returns how many control hosts the followed one does not hear.  The entry
+   hosts that follow those may be missing from the known ones.  */
+size_t ab_fleet_view_unheard_controls (const struct ab_fleet_view *view);
 /* Returns the time since the view was last known to be current; UINT64_MAX if
    it never was.  */
 uint64_t ab_fleet_view_age_ms (const struct ab_fleet_view *view);
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -69,6 +69,7 @@
   uint64_t after_index;
   uint64_t last_index;
   uint64_t hosts_version;
+  size_t live_peers;
   bool has_hosts;
   char failure_domain[AB_NAME_BYTES];
   struct ab_buf bytes;
@@ -176,19 +177,23 @@
 }
 
 /* Returns the failure domain of the control host at ADDRESS; empty if it is
-   not known.  */
+   not known, or if this control host does not hear that one, so that its entry
+   hosts may be missing from the directory.  */
 static const char *
 control_domain (const struct ab_fleet_watch *watch, const char *address)
 {
   const struct ab_fleet_control *control = watch->control;
+  uint64_t now = ab_fleet_now_ms ();
 
   if (strcmp (address, control->daemon->settings->host) == 0)
     return control->settings->base.failure_domain;
   for (size_t i = 0; i < watch->peer_count; i++)
     if (strcmp (watch->peers[i].address, address) == 0
-        && watch->peers[i].failure_domain[0])
-      return watch->peers[i].failure_domain;
-  return ab_group_failure_domain (control->group, address);
+        && is_live (&watch->peers[i], now))
+      return watch->peers[i].failure_domain[0]
+                 ? watch->peers[i].failure_domain
+                 : ab_group_failure_domain (control->group, address);
+  return "";
 }
 
 static void
@@ -257,6 +262,7 @@
   lists->after_index = view->after_index;
   lists->last_index = view->last_index;
   lists->hosts_version = view->hosts_version;
+  lists->live_peers = watch->live_peers;
   lists->has_hosts = view->has_hosts;
   ab_chunk_copy (ab_chunk_str (domain), lists->failure_domain,
                  sizeof lists->failure_domain);
@@ -275,10 +281,13 @@
 }
 
 static bool
-lists_match (const struct view_lists *lists,
+lists_match (const struct ab_fleet_watch *watch,
              const struct ab_fleet_view_frame *view, const char *domain)
 {
+  const struct view_lists *lists = &watch->lists;
+
   return lists->bytes.len > 0 && !lists->bytes.error
+         && lists->live_peers == watch->live_peers
          && lists->after_index == view->after_index
          && lists->last_index == view->last_index
          && lists->hosts_version == view->hosts_version
@@ -305,7 +314,7 @@
   view.hosts_version = hosts_version (watch, watcher);
   view.has_hosts = watcher->index != UINT64_MAX
                    && watcher->hosts_version != view.hosts_version;
-  if (!lists_match (&watch->lists, &view, domain))
+  if (!lists_match (watch, &view, domain))
     fill_lists (watch, &view, domain);
   view.compressed = watch->lists.compressed;
   ab_pack_array (&body, 2);
--- a/src/schedule_serve_task.c
+++ b/src/schedule_serve_task.c
@@ -36,7 +36,9 @@
   ab_buf_free (&body);
 }
 
-/* Returns the number of shards of SERVICE, each of which has a scheduler.  */
+/* Returns the number of hosts that may take themselves for a regular scheduler
+   of SERVICE: one for each shard, and as many again for each control host
+   whose followers may not know this host.  */
 static size_t
 count_schedulers (void *ctx, const char *service)
 {
@@ -45,7 +47,8 @@
 
   return ab_shards_list (task->shards, service,
                          task->settings->base.failure_domain, shards,
-                         AB_SHARDS_MAX);
+                         AB_SHARDS_MAX)
+         * (1 + ab_fleet_view_unheard_controls (task->view));
 }
 
 /* Returns the host that schedules SERVICE in the shard of this region with the
--- a/tests/budget_load_lib.c
+++ b/tests/budget_load_lib.c
@@ -173,6 +173,7 @@
 
   for (int i = 1; i <= targets; i++)
     add_arrivals (fleet, i, service, &all, &count);
+  ck_assert_ptr_nonnull (all);
   qsort (all, count, sizeof *all, compare_arrivals);
   *times = calloc (count + 1, sizeof **times);
   ck_assert_ptr_nonnull (*times);
@@ -265,7 +266,7 @@
 {
   reject_percent = load->reject_percent;
   gf_start_wide (fleet, load->name, load->controls, load->regions,
-                 load->services);
+                 load->services, load->proxied_gateways);
   fleet->retry_extra = load->retry_extra;
   fleet->retry_fraction = load->retry_fraction;
   fleet->gateways = load->gateways;
--- a/tests/budget_load_lib.h
+++ b/tests/budget_load_lib.h
@@ -22,6 +22,7 @@
   int controls;
   int gateways;
   int targets;
+  int proxied_gateways; /* As for gf_start_wide.  */
   int retry_extra;
   double retry_fraction;
   int callers;
--- a/tests/fleet_budget_holders.c
+++ b/tests/fleet_budget_holders.c
@@ -250,6 +250,43 @@
 }
 END_TEST
 
+#define CUT_MS 5000
+#define PROXIED_GATEWAYS 30
+
+/* Cuts two control hosts and a third of the gateways off from what others send
+   them, for longer than the control hosts keep them in their lists.  */
+static void
+cut_in_turn (struct gf_fleet *fleet)
+{
+  reject_after_calm (fleet);
+  for (int i = 0; i < 3; i++)
+    {
+      int control = 2 + 2 * (i % 2);
+      int gateway = i * (PROXIED_GATEWAYS / 3);
+      gf_cut_control (fleet, control, true);
+      gf_cut_control (fleet, control + 1, true);
+      for (int j = 1; j <= PROXIED_GATEWAYS / 3; j++)
+        gf_cut_gateway (fleet, gateway + j, true);
+      fleet_sleep_ms (CUT_MS);
+      gf_cut_control (fleet, control, false);
+      gf_cut_control (fleet, control + 1, false);
+      for (int j = 1; j <= PROXIED_GATEWAYS / 3; j++)
+        gf_cut_gateway (fleet, gateway + j, false);
+      fleet_sleep_ms (ROUND_MS);
+    }
+}
+
+/* Guards against a budget on each side of a fleet whose hosts are cut from one
+   another.  */
+START_TEST (cut_schedulers_share_one_budget)
+{
+  struct budget_load load = make_load ("gf_cut");
+
+  load.proxied_gateways = PROXIED_GATEWAYS;
+  budget_run (&load, cut_in_turn);
+}
+END_TEST
+
 /* Kills, joins, freezes, restarts of control hosts and new bundles, which
    overlap.  */
 static void
@@ -315,5 +352,6 @@
             joining_schedulers_share_one_budget,
             stopped_schedulers_share_one_budget,
             frozen_schedulers_share_one_budget,
+            cut_schedulers_share_one_budget,
             overlapping_faults_share_one_budget, bursts_share_one_budget,
             few_requests_keep_budget)
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -21,6 +21,11 @@
 #define SEEDS 3
 #define PROXY_HOST 240
 #define PROXY_PORT 8083
+#define PEER_PROXY_PORT 8084
+#define PEER_PAIRS_MAX 64
+/* Ports on which hosts behind the proxy listen.  */
+#define CONTROL_BIND_PORT 7721
+#define GATEWAY_BIND_PORT 7736
 #define POLL_MS 50
 #define START_MS 30000
 #define STOP_MS 4000
@@ -137,23 +142,38 @@
   ck_assert_int_gt (*pid, 0);
 }
 
+/* Writes to OUT the setting by which HOST, which is behind the proxy, listens
+   for peers on PORT.  */
+static void
+print_bind (const struct gf_fleet *fleet, int host, int port, char *out,
+            size_t size)
+{
+  char address[64];
+
+  gf_print_address (fleet, host, port, address, sizeof address);
+  snprintf (out, size, ", peers_bind: %s", address);
+}
+
 void
 gf_start_control (struct gf_fleet *fleet, int number, bool first_start)
 {
   struct ab_buf text = AB_BUF_INIT;
   char admin[64];
   char peers[64];
+  char bind[96] = "";
   char folder[256];
 
   snprintf (folder, sizeof folder, "%s/data%d", fleet->folder, number);
   mkdir (folder, 0700);
   gf_print_address (fleet, number, ADMIN_PORT, admin, sizeof admin);
   gf_print_address (fleet, number, CONTROL_PEER_PORT, peers, sizeof peers);
+  if (fleet->peer_proxy_pid)
+    print_bind (fleet, number, CONTROL_BIND_PORT, bind, sizeof bind);
   print_common (fleet, &text, "control", number);
   ab_buf_printf (&text,
-                 "listen: {admin: %s, peers: %s}\ndata_folder: %s\n"
+                 "listen: {admin: %s, peers: %s%s}\ndata_folder: %s\n"
                  "first_start: %s\n",
-                 admin, peers, folder, first_start ? "true" : "false");
+                 admin, peers, bind, folder, first_start ? "true" : "false");
   spawn (fleet, "control", number, &text, &fleet->control_pids[number]);
 }
 
@@ -164,16 +184,21 @@
   static const int ports[]
       = { GF_CALLERS_PORT, READY_PORT, ADDRESSES_PORT, GATEWAY_PEER_PORT };
   char addresses[4][64];
+  char bind[96] = "";
 
   for (int i = 0; i < 4; i++)
     gf_print_address (fleet, number + GF_GATEWAY_OFFSET, ports[i],
                       addresses[i], sizeof addresses[i]);
+  if (number <= fleet->proxied_gateways)
+    print_bind (fleet, number + GF_GATEWAY_OFFSET, GATEWAY_BIND_PORT, bind,
+                sizeof bind);
   print_common (fleet, &text, "gateway", number);
-  ab_buf_printf (&text,
-                 "listen: {callers: %s, ready: %s, addresses: %s, peers: %s}\n"
-                 "stop_time: %dms\n",
-                 addresses[0], addresses[1], addresses[2], addresses[3],
-                 fleet->stop_ms ? fleet->stop_ms : STOP_MS);
+  ab_buf_printf (
+      &text,
+      "listen: {callers: %s, ready: %s, addresses: %s, peers: %s%s}\n"
+      "stop_time: %dms\n",
+      addresses[0], addresses[1], addresses[2], addresses[3], bind,
+      fleet->stop_ms ? fleet->stop_ms : STOP_MS);
   if (fleet->retry_extra)
     ab_buf_printf (&text, "repeat_extra: %d\n", fleet->retry_extra);
   if (fleet->retry_fraction > 0)
@@ -181,6 +206,93 @@
   spawn (fleet, "gateway", number, &text, &fleet->gateway_pids[number]);
 }
 
+/* Proxy between hosts.  */
+
+static void
+start_peer_proxy (struct gf_fleet *fleet, int controls, int gateways)
+{
+  char pairs[PEER_PAIRS_MAX][160];
+  char control[64];
+  char program[256];
+  char log[256];
+  const char *arguments[2 * PEER_PAIRS_MAX + 3] = { "--control" };
+  const char *build = getenv ("AB_BUILD");
+  int used = 1;
+
+  ck_assert_int_le (controls + gateways, PEER_PAIRS_MAX);
+  fleet->proxied_gateways = gateways;
+  gf_print_address (fleet, PROXY_HOST, PEER_PROXY_PORT, control,
+                    sizeof control);
+  arguments[used++] = control;
+  for (int i = 0; i < controls + gateways; i++)
+    {
+      bool is_control = i < controls;
+      int host = is_control ? i + 1 : i - controls + 1 + GF_GATEWAY_OFFSET;
+      char announced[64];
+      char real[64];
+      gf_print_address (fleet, host,
+                        is_control ? CONTROL_PEER_PORT : GATEWAY_PEER_PORT,
+                        announced, sizeof announced);
+      gf_print_address (fleet, host,
+                        is_control ? CONTROL_BIND_PORT : GATEWAY_BIND_PORT,
+                        real, sizeof real);
+      snprintf (pairs[i], sizeof pairs[0], "%s=%s", announced, real);
+      arguments[used++] = "--pair";
+      arguments[used++] = pairs[i];
+    }
+  snprintf (program, sizeof program, "%s/standins/faultproxy",
+            build ? build : "build");
+  snprintf (log, sizeof log, "%s/peer-proxy.log", fleet->folder);
+  fleet->peer_proxy_pid = fleet_spawn_program (program, arguments, log);
+  ck_assert_int_gt (fleet->peer_proxy_pid, 0);
+  for (int waited = 0;
+       fleet_http (control, "GET", "/pair/all", NULL, NULL, NULL) != 200;
+       waited += POLL_MS)
+    {
+      ck_assert_int_lt (waited, START_MS);
+      fleet_sleep_ms (POLL_MS);
+    }
+}
+
+static void
+set_peer_fault (const struct gf_fleet *fleet, int pair, const char *query)
+{
+  char control[64];
+  char path[128];
+
+  gf_print_address (fleet, PROXY_HOST, PEER_PROXY_PORT, control,
+                    sizeof control);
+  snprintf (path, sizeof path, "/pair/%d?%s", pair, query);
+  ck_assert_int_eq (fleet_http (control, "PUT", path, NULL, "", NULL), 200);
+}
+
+/* Bytes that were dropped are missing on the connections, which are reset
+   before new ones are let through.  */
+static void
+cut_peer (const struct gf_fleet *fleet, int pair, bool cut)
+{
+  if (cut)
+    set_peer_fault (fleet, pair, "up=drop&down=drop");
+  else
+    {
+      set_peer_fault (fleet, pair, "mode=reset");
+      set_peer_fault (fleet, pair, "mode=pass&up=pass&down=pass");
+    }
+}
+
+void
+gf_cut_control (const struct gf_fleet *fleet, int number, bool cut)
+{
+  cut_peer (fleet, number - 1, cut);
+}
+
+void
+gf_cut_gateway (const struct gf_fleet *fleet, int number, bool cut)
+{
+  ck_assert_int_le (number, fleet->proxied_gateways);
+  cut_peer (fleet, fleet->controls + number - 1, cut);
+}
+
 /* Prepares the folder and the addresses of FLEET.  */
 static void
 begin_fleet (struct gf_fleet *fleet, const char *name)
@@ -220,11 +332,13 @@
 
 void
 gf_start_wide (struct gf_fleet *fleet, const char *name, int controls,
-               int regions, int services)
+               int regions, int services, int proxied_gateways)
 {
   begin_fleet (fleet, name);
   fleet->regions = regions;
   fleet->services = services;
+  if (proxied_gateways > 0)
+    start_peer_proxy (fleet, controls, proxied_gateways);
   start_hosts (fleet, controls, 0);
 }
 
@@ -265,6 +379,7 @@
   for (int i = 0; i <= GF_CONTROLS_MAX; i++)
     gf_kill (&fleet->control_pids[i]);
   gf_kill (&fleet->proxy_pid);
+  gf_kill (&fleet->peer_proxy_pid);
   if (!getenv ("AB_KEEP_LOGS"))
     remove_folder (fleet->folder);
 }
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -49,7 +49,10 @@
   /* How often a target was started again as a new incarnation, which has an id
      and a start time of its own.  */
   int restarts[GF_TARGETS_MAX + 1];
-  pid_t proxy_pid; /* Proxy in front of the targets; 0 if none.  */
+  pid_t proxy_pid;      /* Proxy in front of the targets; 0 if none.  */
+  pid_t peer_proxy_pid; /* Proxy between the hosts; 0 if none.  */
+  int proxied_gateways; /* It is in front of all control hosts and of this
+                           many gateways.  */
   int stop_ms;     /* stop_time of gateways started from now on; 0: 4 s.  */
   int regions;     /* 2: even gateways and targets are in a second region,
                       from their next start on.  3: processes are divided
@@ -73,9 +76,15 @@
 void gf_start (struct gf_fleet *fleet, const char *name, int controls,
                int gateways);
 /* Likewise, with REGIONS and SERVICES as in struct gf_fleet and without
-   gateways.  */
+   gateways.  With PROXIED_GATEWAYS above 0, hosts may be cut from one
+   another.  */
 void gf_start_wide (struct gf_fleet *fleet, const char *name, int controls,
-                    int regions, int services);
+                    int regions, int services, int proxied_gateways);
+/* Cuts control host or gateway NUMBER off from connections that the other
+   hosts open to it, or heals that.  What it sends on its own connections
+   arrives, and so do replies on these.  */
+void gf_cut_control (const struct gf_fleet *fleet, int number, bool cut);
+void gf_cut_gateway (const struct gf_fleet *fleet, int number, bool cut);
 /* Kills all processes and, unless AB_KEEP_LOGS is set in the environment,
    removes the files.  */
 void gf_stop (struct gf_fleet *fleet);
--- a/tests/test_fleet_watch.c
+++ b/tests/test_fleet_watch.c
@@ -16,6 +16,9 @@
 #define LINK_BYTES_PER_MS 250 /* 2 Mbit/s.  */
 #define TARGETS 12000
 #define CONTROL_ADDRESS "10.1.0.1:7000"
+#define OTHER_ADDRESS "10.1.0.2:7000"
+/* A control host that is silent for this long is no longer heard.  */
+#define SILENT_MS 4500
 /* Required time within which a change is in force.  */
 #define IN_FORCE_MS 3000
 #define STEP_MS 10
@@ -60,6 +63,7 @@
 static struct gateway gateways[GATEWAYS];
 static uint64_t index_now;
 static struct ab_rng rng;
+static bool has_other; /* Whether the group has a second control host.  */
 
 static uint64_t
 now_ms (void)
@@ -175,7 +179,8 @@
 {
   (void)task;
   hosts[0] = CONTROL_ADDRESS;
-  return 1;
+  hosts[1] = OTHER_ADDRESS;
+  return has_other ? 2 : 1;
 }
 
 const char *
@@ -460,6 +465,53 @@
 }
 END_TEST
 
+/* Delivers the list of the second control host's followers, which is empty. */
+static void
+hear_other (void)
+{
+  struct ab_buf body = AB_BUF_INIT;
+  struct ab_frame frame = { .type = AB_FRAME_FLEET_HOSTS,
+                            .sender = ab_chunk_str (OTHER_ADDRESS) };
+
+  ab_pack_array (&body, 3);
+  ab_pack_bytes (&body, ab_chunk_str ("d1"));
+  ab_pack_bytes (&body, ab_chunk_str ("10.1.0.2:80"));
+  ab_pack_array (&body, 0);
+  frame.body = ab_buf_chunk (&body);
+  control_peer.handlers[frame.type].handle (
+      control_peer.handlers[frame.type].ctx, &frame);
+  ab_buf_free (&body);
+}
+
+static void
+assert_unheard (size_t unheard)
+{
+  for (int i = 0; i < GATEWAYS; i++)
+    ck_assert_uint_eq (ab_fleet_view_unheard_controls (gateways[i].view),
+                       unheard);
+}
+
+/* Guards against gateways that do not learn that the list of hosts may lack
+   the followers of a control host that is cut off from theirs: each side would
+   have regular schedulers of its own.  */
+START_TEST (cut_control_host_is_counted)
+{
+  start_gateways ();
+  run_ms (1000);
+  assert_unheard (0);
+  has_other = true;
+  add_targets (1);
+  run_ms (1000);
+  assert_unheard (1);
+  hear_other ();
+  run_ms (1000);
+  assert_unheard (0);
+  run_ms (SILENT_MS);
+  assert_unheard (1);
+  has_other = false;
+}
+END_TEST
+
 int
 main (void)
 {
@@ -473,6 +525,7 @@
   tcase_add_test (tcase, narrow_links_catch_up);
   tcase_add_test (tcase, crashing_requests_are_sent_once);
   tcase_add_test (tcase, changes_are_sent_alone);
+  tcase_add_test (tcase, cut_control_host_is_counted);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
