Keep the failure domains of control hosts that are not heard in views

Change: the domains stay; the number of control hosts that are not heard follows the lists of a view, only when there are any. Entry hosts of earlier versions cannot read such a view, so gateways are upgraded first, as before. The state dump shows the domains and the number.

--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -15,7 +15,7 @@
 
 #define CONTROLS_MAX 64
 #define TARGETS_MAX 131072
-#define LISTS_MAX 6
+#define LISTS_MAX 7
 #define LISTS_BYTES_MAX (16 * 1024 * 1024)
 /* A control host that has not replied for this long is unresponsive, and
    another is followed.  */
@@ -53,7 +53,7 @@
   struct event *timer;
   struct control_host controls[CONTROLS_MAX];
   size_t control_count;
-  size_t unheard_controls; /* By the followed one.  */
+  uint64_t unheard_controls; /* By the followed one.  */
   size_t followed;    /* Index into CONTROLS; CONTROLS_MAX if none yet.  */
   size_t next_poll;   /* Index, modulo the count, of the one to poll next.  */
   uint64_t polled_ms; /* When a host that is not followed was last polled.  */
@@ -415,13 +415,10 @@
   view->ops->hosts (view->ctx);
 }
 
-/* Reads the list of control hosts and their failure domains.  The sender of
-   FRAME does not hear those without a domain.  */
+/* Reads the list of control hosts and their failure domains.  */
 static void
-apply_controls (struct ab_fleet_view *view, struct ab_reader *reader,
-                const struct ab_fleet_view_frame *frame)
+apply_controls (struct ab_fleet_view *view, struct ab_reader *reader)
 {
-  size_t unheard = 0;
   size_t count = ab_reader_enter (reader, 2 * CONTROLS_MAX);
 
   for (size_t i = 0; i + 1 < count; i += 2)
@@ -431,16 +428,12 @@
       struct control_host *control;
       if (ab_reader_error (reader) < 0)
         return;
-      unheard += domain.len == 0;
       control = find_or_add_control (view, address);
       if (control && domain.len > 0 && !control->failure_domain[0])
         ab_chunk_copy (domain, control->failure_domain,
                        sizeof control->failure_domain);
     }
   ab_reader_leave (reader);
-  /* A reply to a poll is not from the followed control host.  */
-  if (frame->after_index != UINT64_MAX)
-    view->unheard_controls = unheard;
 }
 
 /* Reads the list of requests that crash targets and passes on those that
@@ -470,6 +463,7 @@
 {
   uint64_t bundle_index;
   struct ab_chunk bundle;
+  uint64_t unheard = 0;
   bool changed;
 
   ab_reader_enter (reader, LISTS_MAX);
@@ -481,9 +475,14 @@
   changed
       = apply_targets (view, reader) > 0 || bundle.len > 0 || frame->has_hosts;
   apply_hosts (view, reader, frame);
-  apply_controls (view, reader, frame);
+  apply_controls (view, reader);
   if (ab_reader_has_more (reader))
     changed = apply_quarantine (view, reader) > 0 || changed;
+  if (ab_reader_has_more (reader))
+    unheard = ab_reader_u64 (reader);
+  /* A reply to a poll is not from the followed control host.  */
+  if (frame->after_index != UINT64_MAX)
+    view->unheard_controls = unheard;
   return changed;
 }
 
@@ -682,12 +681,17 @@
 ab_fleet_view_state (const struct ab_fleet_view *view)
 {
   json_t *hosts = json_array ();
+  json_t *controls = json_object ();
 
   for (size_t i = 0; i < view->host_count; i++)
     json_array_append_new (hosts, json_string (view->hosts[i].peer));
+  for (size_t i = 0; i < view->control_count; i++)
+    json_object_set_new (controls, view->controls[i].address,
+                         json_string (view->controls[i].failure_domain));
   return json_pack (
-      "{s:I, s:I, s:I, s:s, s:o}", "index", (json_int_t)view->index, "age_ms",
-      (json_int_t)ab_fleet_view_age_ms (view), "bundle_version",
+      "{s:I, s:I, s:I, s:s, s:o, s:I, s:o}", "index", (json_int_t)view->index,
+      "age_ms", (json_int_t)ab_fleet_view_age_ms (view), "bundle_version",
       (json_int_t)(view->table ? ab_route_table_version (view->table) : 0),
-      "control", ab_fleet_view_control (view), "hosts", hosts);
+      "control", ab_fleet_view_control (view), "control_domains", controls,
+      "unheard_controls", (json_int_t)view->unheard_controls, "hosts", hosts);
 }
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -177,23 +177,43 @@
 }
 
 /* Returns the failure domain of the control host at ADDRESS; empty if it is
-   not known, or if this control host does not hear that one, so that its entry
-   hosts may be missing from the directory.  */
+   not known.  */
 static const char *
 control_domain (const struct ab_fleet_watch *watch, const char *address)
 {
   const struct ab_fleet_control *control = watch->control;
-  uint64_t now = ab_fleet_now_ms ();
 
   if (strcmp (address, control->daemon->settings->host) == 0)
     return control->settings->base.failure_domain;
   for (size_t i = 0; i < watch->peer_count; i++)
     if (strcmp (watch->peers[i].address, address) == 0
-        && is_live (&watch->peers[i], now))
-      return watch->peers[i].failure_domain[0]
-                 ? watch->peers[i].failure_domain
-                 : ab_group_failure_domain (control->group, address);
-  return "";
+        && watch->peers[i].failure_domain[0])
+      return watch->peers[i].failure_domain;
+  return ab_group_failure_domain (control->group, address);
+}
+
+static bool
+hears (const struct ab_fleet_watch *watch, const char *address, uint64_t now)
+{
+  for (size_t i = 0; i < watch->peer_count; i++)
+    if (strcmp (watch->peers[i].address, address) == 0)
+      return is_live (&watch->peers[i], now);
+  return strcmp (address, watch->control->daemon->settings->host) == 0;
+}
+
+/* Returns how many other control hosts this one does not hear.  Their entry
+   hosts may be missing from the directory.  */
+static size_t
+count_unheard (const struct ab_fleet_watch *watch)
+{
+  const char *hosts[AB_GROUP_HOSTS_MAX];
+  size_t count = ab_group_hosts (watch->control->group, hosts);
+  uint64_t now = ab_fleet_now_ms ();
+  size_t unheard = 0;
+
+  for (size_t i = 0; i < count; i++)
+    unheard += !hears (watch, hosts[i], now);
+  return unheard;
 }
 
 static void
@@ -213,9 +233,9 @@
 #define LISTS 5
 
 /* Appends the lists of VIEW for entry hosts of DOMAIN to OUT.  The list of
-   requests that crash targets comes last and only if it holds changes: entry
-   hosts of earlier versions do not know it.  Returns whether the lists hold
-   changes.  */
+   requests that crash targets and the number of control hosts that are not
+   heard come last and only if needed: entry hosts of earlier versions do not
+   know them.  Returns whether the lists hold changes.  */
 static bool
 pack_lists (struct ab_buf *out, const struct ab_fleet_watch *watch,
             const struct ab_fleet_view_frame *view, const char *domain)
@@ -224,10 +244,16 @@
   struct ab_chunk bundle = ab_chunk ("", 0);
   size_t targets = 0;
   size_t records = 0;
+  size_t unheard = count_unheard (watch);
+  size_t count = LISTS;
 
   ab_fleet_state_quarantine_changes (control->state, view->after_index,
                                      count_record, &records);
-  ab_pack_array (out, records > 0 ? LISTS + 1 : LISTS);
+  if (unheard > 0)
+    count = LISTS + 2;
+  else if (records > 0)
+    count = LISTS + 1;
+  ab_pack_array (out, count);
   if (ab_fleet_state_bundle_index (control->state) > view->after_index)
     bundle = ab_fleet_state_compressed (control->state);
   ab_pack_u64 (out, ab_fleet_state_bundle_index (control->state));
@@ -241,12 +267,14 @@
   else
     ab_pack_array (out, 0);
   pack_controls (out, watch);
-  if (records > 0)
+  if (records > 0 || unheard > 0)
     {
       ab_pack_array (out, records);
       ab_fleet_state_quarantine_changes (control->state, view->after_index,
                                          pack_record, out);
     }
+  if (unheard > 0)
+    ab_pack_u64 (out, unheard);
   return bundle.len > 0 || targets > 0 || records > 0 || view->has_hosts;
 }
 
--- a/tests/test_fleet_watch.c
+++ b/tests/test_fleet_watch.c
@@ -491,6 +491,23 @@
                        unheard);
 }
 
+/* Guards against a gateway that does not know where a control host is, and
+   follows one in another region, because the sender of its view does not hear
+   that one.  */
+static void
+assert_domain_known (void)
+{
+  for (int i = 0; i < GATEWAYS; i++)
+    {
+      json_t *state = ab_fleet_view_state (gateways[i].view);
+      const char *domain = json_string_value (json_object_get (
+          json_object_get (state, "control_domains"), OTHER_ADDRESS));
+      ck_assert_ptr_nonnull (domain);
+      ck_assert_str_eq (domain, "d1");
+      json_decref (state);
+    }
+}
+
 /* Guards against gateways that do not learn that the list of hosts may lack
    the followers of a control host that is cut off from theirs: each side would
    have regular schedulers of its own.  */
@@ -503,6 +520,7 @@
   add_targets (1);
   run_ms (1000);
   assert_unheard (1);
+  assert_domain_known ();
   hear_other ();
   run_ms (1000);
   assert_unheard (0);
