budget_load_lib: free the times of both services

Cause: with one service the times of the second were not freed; the sanitized run of fleet_budget reported the leak. Change: all are freed.

--- a/tests/budget_load_lib.c
+++ b/tests/budget_load_lib.c
@@ -332,9 +332,8 @@
   fprintf (stderr, "%s served: %zu of %zu (%.3f)\n", load->name, served,
            requests, (double)served / (double)requests);
   for (int i = 0; i < (load->services == 2 ? 2 : 1); i++)
-    {
-      check_service (load, &fleet, i, &sent[i]);
-      free (sent[i].times);
-    }
+    check_service (load, &fleet, i, &sent[i]);
+  for (int i = 0; i < SERVICES_MAX; i++)
+    free (sent[i].times);
   gf_stop (&fleet);
 }
