Cut hosts off from one another in the soak

Cause: the soak disturbed paths to targets only, never those between hosts. Change: a proxy stands between all hosts; a gateway, or a control host while no other one is lost, does not get what other hosts send it for up to 5 s, while another fault occurs.

--- a/tests/fleet_soak.c
+++ b/tests/fleet_soak.c
@@ -58,6 +58,8 @@
   int proposed; /* Version of the newest bundle that was sent; it may be in
                    force without having been acknowledged.  */
   int down;     /* Number of the control host that is down; 0 if none.  */
+  int cut;      /* Number of the control host that is cut off; 0 if none.  */
+  bool cutting; /* Some host is cut off.  */
 };
 
 static uint64_t
@@ -163,7 +165,7 @@
 static void
 kill_control (struct soak *soak)
 {
-  if (soak->down)
+  if (soak->down || soak->cut)
     return;
   soak->down = random_below (soak, CONTROLS) + 1;
   gf_kill (&soak->fleet.control_pids[soak->down]);
@@ -286,11 +288,47 @@
                      limits[random_below (soak, 5)]);
 }
 
+static void inject_fault (struct soak *soak);
+
+/* Cuts a host off from what other hosts send it, while other faults occur.  */
+static void
+cut_host (struct soak *soak, bool control)
+{
+  int number = random_below (soak, control ? CONTROLS : GATEWAYS) + 1;
+
+  if (soak->cutting || (control && soak->down))
+    return;
+  soak->cutting = true;
+  if (control)
+    {
+      soak->cut = number;
+      gf_cut_control (&soak->fleet, number, true);
+    }
+  else
+    gf_cut_gateway (&soak->fleet, number, true);
+  fleet_sleep_ms (random_below (soak, 2500));
+  inject_fault (soak);
+  fleet_sleep_ms (random_below (soak, 2500));
+  if (control)
+    gf_cut_control (&soak->fleet, number, false);
+  else
+    gf_cut_gateway (&soak->fleet, number, false);
+  soak->cut = 0;
+  soak->cutting = false;
+}
+
 static void
 inject_fault (struct soak *soak)
 {
-  switch (random_below (soak, 15))
+  switch (random_below (soak, 18))
     {
+    case 15:
+    case 16:
+      cut_host (soak, false);
+      break;
+    case 17:
+      cut_host (soak, true);
+      break;
     case 12:
     case 13:
       send_crashing (soak);
@@ -316,7 +354,7 @@
       restart_control (soak);
       break;
     case 4:
-      if (!soak->down)
+      if (!soak->down && !soak->cut)
         pause_process (
             soak, soak->fleet.control_pids[random_below (soak, CONTROLS) + 1]);
       break;
@@ -437,7 +475,10 @@
   printf ("soak seed %llu\n", (unsigned long long)seed);
   fflush (stdout);
   ab_rng_init_seeded (&soak.rng, seed);
-  gf_start (&soak.fleet, "gf_soak", CONTROLS, GATEWAYS);
+  gf_start_wide (&soak.fleet, "gf_soak", CONTROLS, 1, 1, GATEWAYS);
+  soak.fleet.gateways = GATEWAYS;
+  for (int i = 1; i <= GATEWAYS; i++)
+    gf_start_gateway (&soak.fleet, i);
   gf_start_proxy (&soak.fleet);
   for (int i = 1; i <= TARGETS; i++)
     gf_start_target (&soak.fleet, i, GF_HEALTHY);
