fleet_crashing_requests: release the content that is blocked

Cause: operator_sees_and_releases took the first content of the list. Orders of other callers that were in progress at a target that ended are listed too, not blocked; released was then one of those, and the next request got 503. Change: the test parses the list, takes the content that is blocked, and requires that it is the only one.

--- a/tests/fleet_crashing_requests.c
+++ b/tests/fleet_crashing_requests.c
@@ -7,6 +7,7 @@
    stated rule: from SETTLE_MS after the third target ended under a request, at
    most LATE_ARRIVALS repeats of it reach a target.  */
 
+#include <jansson.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -649,21 +650,37 @@
 }
 END_TEST
 
-/* Copies to DIGEST the content that CONTROL lists as blocked.  */
+/* Copies to DIGEST the content that CONTROL lists as blocked, which must be
+   the only one.  Other orders may be listed: they were in progress at a target
+   that ended.  */
 static void
 read_blocked (struct gf_fleet *fleet, int control, char digest[65])
 {
   char *body = NULL;
-  const char *content;
+  json_t *state;
+  json_t *item;
+  size_t index;
+  int blocked = 0;
 
   ck_assert_int_eq (fleet_http (gf_admin (fleet, control), "GET",
                                 "/v1/quarantine", NULL, NULL, &body),
                     200);
-  ck_assert (strstr (body, "\"blocked\":true"));
-  ck_assert (strstr (body, "POST x.example/shop/1"));
-  content = strstr (body, "\"content\":\"");
-  ck_assert_ptr_nonnull (content);
-  ck_assert_int_eq (sscanf (content, "\"content\":\"%64s", digest), 1);
+  state = json_loads (body, 0, NULL);
+  ck_assert_ptr_nonnull (state);
+  json_array_foreach (json_object_get (state, "requests"), index, item)
+  {
+    if (!json_is_true (json_object_get (item, "blocked")))
+      continue;
+    blocked++;
+    ck_assert_str_eq (json_string_value (json_object_get (item, "request")),
+                      "POST x.example/shop/1");
+    ck_assert_int_eq (
+        sscanf (json_string_value (json_object_get (item, "content")), "%64s",
+                digest),
+        1);
+  }
+  ck_assert_int_eq (blocked, 1);
+  json_decref (state);
   free (body);
 }
 
