upstream: end attempts that are broken off in one place

Cause: the timeouts, the bound on sizes and the new bound on framing each repeated how an attempt is recorded, closed and ended. Change: abort_call; the comment on the limit of framing says what its two constants mean. Behaviour stays.

--- a/src/upstream_task.c
+++ b/src/upstream_task.c
@@ -30,8 +30,9 @@
 /* Longest line with the size and the extensions of a chunk.  evhttp searches
    all that has arrived for its end whenever more arrives.  */
 #define CHUNK_LINE_BYTES 4096
-/* Limit for the bytes of a response that are neither head nor body: this many,
-   and as many for each byte of the body, which may come in small chunks.  */
+/* Limit for the bytes of a response that are neither head nor body:
+   FRAMING_BYTES, and FRAMING_FACTOR for each byte of the body, which may come
+   in small chunks.  */
 #define FRAMING_BYTES 65536
 #define FRAMING_FACTOR 2
 
@@ -310,6 +311,16 @@
   end_call (call, call->attempt.end == AB_ATTEMPT_RESPONSE ? req : NULL);
 }
 
+/* Closes the connection of CALL and ends it with END.  */
+static void
+abort_call (struct ab_upstream_call *call, enum ab_attempt_end end)
+{
+  record_traffic (call);
+  call->attempt.end = end;
+  ab_connection_close (call->connection);
+  end_call (call, NULL);
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -318,12 +329,9 @@
   (void)fd;
   (void)what;
   if (call->connection)
-    {
-      record_traffic (call);
-      call->attempt.end = AB_ATTEMPT_TIMEOUT;
-      ab_connection_close (call->connection);
-    }
-  end_call (call, NULL);
+    abort_call (call, AB_ATTEMPT_TIMEOUT);
+  else
+    end_call (call, NULL);
 }
 
 static void
@@ -336,9 +344,7 @@
   record_traffic (call);
   if (!call->connection || call->attempt.written)
     return;
-  call->attempt.end = AB_ATTEMPT_UNREACHABLE;
-  ab_connection_close (call->connection);
-  end_call (call, NULL);
+  abort_call (call, AB_ATTEMPT_UNREACHABLE);
 }
 
 /* Returns how many bytes of the response of CALL are held in memory.  */
@@ -357,10 +363,7 @@
   AB_LOG (AB_LOG_WARN, "response_too_large",
           ab_log_str ("target", ab_connection_address (call->connection)),
           ab_log_int ("bytes", (int64_t)bytes));
-  record_traffic (call);
-  call->attempt.end = AB_ATTEMPT_TOO_LARGE;
-  ab_connection_close (call->connection);
-  end_call (call, NULL);
+  abort_call (call, AB_ATTEMPT_TOO_LARGE);
 }
 
 /* Ends the call with the largest response when that response is larger than
@@ -434,10 +437,7 @@
           ab_log_int ("held", (int64_t)response_bytes (call)));
   ++*ab_counter (upstream->daemon->counters,
                  "ab_responses_framing_excessive_total");
-  record_traffic (call);
-  call->attempt.end = AB_ATTEMPT_MALFORMED;
-  ab_connection_close (call->connection);
-  end_call (call, NULL);
+  abort_call (call, AB_ATTEMPT_MALFORMED);
   return true;
 }
 
