fleet_watch: look peers up in one place

Cause: the count of control hosts that are not heard repeated the search for a peer that two other functions had. Change: lookup_peer and is_own_address serve all three; a stale comment on the number of schedulers follows its meaning. Behaviour stays.

--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -176,35 +176,43 @@
   ab_fleet_pack_record (ctx, record);
 }
 
+/* Returns the peer with ADDRESS, or null.  */
+static struct peer *
+lookup_peer (struct ab_fleet_watch *watch, struct ab_chunk address)
+{
+  for (size_t i = 0; i < watch->peer_count; i++)
+    if (ab_chunk_equal (ab_chunk_str (watch->peers[i].address), address))
+      return &watch->peers[i];
+  return NULL;
+}
+
+/* Returns whether ADDRESS is that of this control host.  */
+static bool
+is_own_address (const struct ab_fleet_watch *watch, const char *address)
+{
+  return strcmp (address, watch->control->daemon->settings->host) == 0;
+}
+
 /* Returns the failure domain of the control host at ADDRESS; empty if it is
    not known.  */
 static const char *
-control_domain (const struct ab_fleet_watch *watch, const char *address)
+control_domain (struct ab_fleet_watch *watch, const char *address)
 {
   const struct ab_fleet_control *control = watch->control;
+  const struct peer *peer;
 
-  if (strcmp (address, control->daemon->settings->host) == 0)
+  if (is_own_address (watch, address))
     return control->settings->base.failure_domain;
-  for (size_t i = 0; i < watch->peer_count; i++)
-    if (strcmp (watch->peers[i].address, address) == 0
-        && watch->peers[i].failure_domain[0])
-      return watch->peers[i].failure_domain;
+  peer = lookup_peer (watch, ab_chunk_str (address));
+  if (peer && peer->failure_domain[0])
+    return peer->failure_domain;
   return ab_group_failure_domain (control->group, address);
 }
 
-static bool
-hears (const struct ab_fleet_watch *watch, const char *address, uint64_t now)
-{
-  for (size_t i = 0; i < watch->peer_count; i++)
-    if (strcmp (watch->peers[i].address, address) == 0)
-      return is_live (&watch->peers[i], now);
-  return strcmp (address, watch->control->daemon->settings->host) == 0;
-}
-
 /* Returns how many other control hosts this one does not hear.  Their entry
    hosts may be missing from the directory.  */
 static size_t
-count_unheard (const struct ab_fleet_watch *watch)
+count_unheard (struct ab_fleet_watch *watch)
 {
   const char *hosts[AB_GROUP_HOSTS_MAX];
   size_t count = ab_group_hosts (watch->control->group, hosts);
@@ -212,12 +220,16 @@
   size_t unheard = 0;
 
   for (size_t i = 0; i < count; i++)
-    unheard += !hears (watch, hosts[i], now);
+    {
+      const struct peer *peer = lookup_peer (watch, ab_chunk_str (hosts[i]));
+      unheard += !is_own_address (watch, hosts[i])
+                 && !(peer && is_live (peer, now));
+    }
   return unheard;
 }
 
 static void
-pack_controls (struct ab_buf *out, const struct ab_fleet_watch *watch)
+pack_controls (struct ab_buf *out, struct ab_fleet_watch *watch)
 {
   const char *hosts[AB_GROUP_HOSTS_MAX];
   size_t count = ab_group_hosts (watch->control->group, hosts);
@@ -237,7 +249,7 @@
    heard come last and only if needed: entry hosts of earlier versions do not
    know them.  Returns whether the lists hold changes.  */
 static bool
-pack_lists (struct ab_buf *out, const struct ab_fleet_watch *watch,
+pack_lists (struct ab_buf *out, struct ab_fleet_watch *watch,
             const struct ab_fleet_view_frame *view, const char *domain)
 {
   const struct ab_fleet_control *control = watch->control;
@@ -523,11 +535,10 @@
 static struct peer *
 find_peer (struct ab_fleet_watch *watch, struct ab_chunk address)
 {
-  struct peer *peer;
+  struct peer *peer = lookup_peer (watch, address);
 
-  for (size_t i = 0; i < watch->peer_count; i++)
-    if (ab_chunk_equal (ab_chunk_str (watch->peers[i].address), address))
-      return &watch->peers[i];
+  if (peer)
+    return peer;
   if (watch->peer_count == PEERS_MAX)
     return NULL;
   peer = &watch->peers[watch->peer_count];
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -108,7 +108,8 @@
 {
   uint64_t since_ms; /* 0: it is not.  */
   uint64_t checked_ms;
-  size_t schedulers; /* That share the requests of the service, at least 1.  */
+  size_t schedulers; /* Hosts that may be regular schedulers of the service at
+                        the same time; at least 1.  */
 };
 
 #define AB_SCHED_CREDIT_SLOTS 16
