tests: start and steer both fault proxies with the same code

Cause: the proxy between hosts repeated the start, the wait and the requests of the proxy before targets; four tests spelt the callers' address out. Change: add_pair, start_proxy, set_proxy_fault, gf_print_callers. Assertions stay.

--- a/tests/budget_load_lib.c
+++ b/tests/budget_load_lib.c
@@ -94,10 +94,8 @@
   char text[256];
   int fd;
 
-  gf_print_address (fleet,
-                    1 + (caller->number * 7 + i) % fleet->gateways
-                        + GF_GATEWAY_OFFSET,
-                    GF_CALLERS_PORT, address, sizeof address);
+  gf_print_callers (fleet, 1 + (caller->number * 7 + i) % fleet->gateways,
+                    address, sizeof address);
   fd = raw_connect (address);
   if (fd < 0)
     return;
--- a/tests/fleet_crashing_requests.c
+++ b/tests/fleet_crashing_requests.c
@@ -156,8 +156,7 @@
   char text[1024];
   int fd;
 
-  snprintf (address, sizeof address, "127.%d.%d.%d:8161", fleet->block[0],
-            fleet->block[1], 20 + gateway);
+  gf_print_callers (fleet, gateway, address, sizeof address);
   snprintf (text, sizeof text,
             "%s HTTP/1.1\r\nHost: x.example\r\nConnection: close\r\n"
             "X-Request-Id: %s\r\nContent-Length: %zu\r\n\r\n%s",
--- a/tests/fleet_notices.c
+++ b/tests/fleet_notices.c
@@ -95,8 +95,7 @@
   int gateway = 1 + caller->number % GATEWAYS;
   char address[64];
 
-  snprintf (address, sizeof address, "127.%d.%d.%d:8161",
-            caller->fleet->block[0], caller->fleet->block[1], 20 + gateway);
+  gf_print_callers (caller->fleet, gateway, address, sizeof address);
   while (!load_ended)
     {
       char text[256];
--- a/tests/fleet_refusals.c
+++ b/tests/fleet_refusals.c
@@ -153,8 +153,7 @@
   char address[64];
   int fd;
 
-  snprintf (address, sizeof address, "127.%d.%d.21:8161",
-            caller->fleet->block[0], caller->fleet->block[1]);
+  gf_print_callers (caller->fleet, 1, address, sizeof address);
   fd = raw_connect (address);
   if (fd < 0)
     return NULL;
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -16,13 +16,15 @@
 #define CONTROL_PEER_PORT 7720
 #define GATEWAY_PEER_PORT 7735
 #define ADMIN_PORT 8166
+#define CALLERS_PORT 8161
 #define READY_PORT 8167
 #define ADDRESSES_PORT 8164
 #define SEEDS 3
+#define GATEWAY_OFFSET 20
 #define PROXY_HOST 240
 #define PROXY_PORT 8083
 #define PEER_PROXY_PORT 8084
-#define PEER_PAIRS_MAX 64
+#define PROXY_PAIRS_MAX 64
 /* Ports on which hosts behind the proxy listen.  */
 #define CONTROL_BIND_PORT 7721
 #define GATEWAY_BIND_PORT 7736
@@ -50,11 +52,17 @@
   return fleet->address;
 }
 
+void
+gf_print_callers (const struct gf_fleet *fleet, int gateway, char *out,
+                  size_t size)
+{
+  gf_print_address (fleet, gateway + GATEWAY_OFFSET, CALLERS_PORT, out, size);
+}
+
 const char *
 gf_callers (struct gf_fleet *fleet, int gateway)
 {
-  gf_print_address (fleet, gateway + GF_GATEWAY_OFFSET, GF_CALLERS_PORT,
-                    fleet->address, sizeof fleet->address);
+  gf_print_callers (fleet, gateway, fleet->address, sizeof fleet->address);
   return fleet->address;
 }
 
@@ -182,15 +190,15 @@
 {
   struct ab_buf text = AB_BUF_INIT;
   static const int ports[]
-      = { GF_CALLERS_PORT, READY_PORT, ADDRESSES_PORT, GATEWAY_PEER_PORT };
+      = { CALLERS_PORT, READY_PORT, ADDRESSES_PORT, GATEWAY_PEER_PORT };
   char addresses[4][64];
   char bind[96] = "";
 
   for (int i = 0; i < 4; i++)
-    gf_print_address (fleet, number + GF_GATEWAY_OFFSET, ports[i],
-                      addresses[i], sizeof addresses[i]);
+    gf_print_address (fleet, number + GATEWAY_OFFSET, ports[i], addresses[i],
+                      sizeof addresses[i]);
   if (number <= fleet->proxied_gateways)
-    print_bind (fleet, number + GF_GATEWAY_OFFSET, GATEWAY_BIND_PORT, bind,
+    print_bind (fleet, number + GATEWAY_OFFSET, GATEWAY_BIND_PORT, bind,
                 sizeof bind);
   print_common (fleet, &text, "gateway", number);
   ab_buf_printf (
@@ -206,45 +214,55 @@
   spawn (fleet, "gateway", number, &text, &fleet->gateway_pids[number]);
 }
 
-/* Proxy between hosts.  */
+/* Proxies.  */
+
+/* The "--pair" arguments of a proxy.  */
+struct proxy_pairs
+{
+  char texts[PROXY_PAIRS_MAX][160];
+  int count;
+};
 
+/* Adds a pair: what is sent to HOST's PORT goes to REAL_HOST's REAL_PORT.  */
 static void
-start_peer_proxy (struct gf_fleet *fleet, int controls, int gateways)
+add_pair (const struct gf_fleet *fleet, struct proxy_pairs *pairs, int host,
+          int port, int real_host, int real_port)
+{
+  char announced[64];
+  char real[64];
+
+  ck_assert_int_lt (pairs->count, PROXY_PAIRS_MAX);
+  gf_print_address (fleet, host, port, announced, sizeof announced);
+  gf_print_address (fleet, real_host, real_port, real, sizeof real);
+  snprintf (pairs->texts[pairs->count++], sizeof pairs->texts[0], "%s=%s",
+            announced, real);
+}
+
+/* Starts a proxy that is controlled on CONTROL_PORT and logs to the file NAME,
+   and returns its process id.  */
+static pid_t
+start_proxy (const struct gf_fleet *fleet, int control_port, const char *name,
+             const struct proxy_pairs *pairs)
 {
-  char pairs[PEER_PAIRS_MAX][160];
   char control[64];
   char program[256];
   char log[256];
-  const char *arguments[2 * PEER_PAIRS_MAX + 3] = { "--control" };
+  const char *arguments[2 * PROXY_PAIRS_MAX + 3] = { "--control", control };
   const char *build = getenv ("AB_BUILD");
-  int used = 1;
+  int used = 2;
+  pid_t pid;
 
-  ck_assert_int_le (controls + gateways, PEER_PAIRS_MAX);
-  fleet->proxied_gateways = gateways;
-  gf_print_address (fleet, PROXY_HOST, PEER_PROXY_PORT, control,
-                    sizeof control);
-  arguments[used++] = control;
-  for (int i = 0; i < controls + gateways; i++)
+  gf_print_address (fleet, PROXY_HOST, control_port, control, sizeof control);
+  for (int i = 0; i < pairs->count; i++)
     {
-      bool is_control = i < controls;
-      int host = is_control ? i + 1 : i - controls + 1 + GF_GATEWAY_OFFSET;
-      char announced[64];
-      char real[64];
-      gf_print_address (fleet, host,
-                        is_control ? CONTROL_PEER_PORT : GATEWAY_PEER_PORT,
-                        announced, sizeof announced);
-      gf_print_address (fleet, host,
-                        is_control ? CONTROL_BIND_PORT : GATEWAY_BIND_PORT,
-                        real, sizeof real);
-      snprintf (pairs[i], sizeof pairs[0], "%s=%s", announced, real);
       arguments[used++] = "--pair";
-      arguments[used++] = pairs[i];
+      arguments[used++] = pairs->texts[i];
     }
   snprintf (program, sizeof program, "%s/standins/faultproxy",
             build ? build : "build");
-  snprintf (log, sizeof log, "%s/peer-proxy.log", fleet->folder);
-  fleet->peer_proxy_pid = fleet_spawn_program (program, arguments, log);
-  ck_assert_int_gt (fleet->peer_proxy_pid, 0);
+  snprintf (log, sizeof log, "%s/%s", fleet->folder, name);
+  pid = fleet_spawn_program (program, arguments, log);
+  ck_assert_int_gt (pid, 0);
   for (int waited = 0;
        fleet_http (control, "GET", "/pair/all", NULL, NULL, NULL) != 200;
        waited += POLL_MS)
@@ -252,31 +270,51 @@
       ck_assert_int_lt (waited, START_MS);
       fleet_sleep_ms (POLL_MS);
     }
+  return pid;
 }
 
+/* Sets the fault of PAIR, counted from 0, of the proxy that is controlled on
+   CONTROL_PORT.  */
 static void
-set_peer_fault (const struct gf_fleet *fleet, int pair, const char *query)
+set_proxy_fault (const struct gf_fleet *fleet, int control_port, int pair,
+                 const char *query)
 {
   char control[64];
   char path[128];
 
-  gf_print_address (fleet, PROXY_HOST, PEER_PROXY_PORT, control,
-                    sizeof control);
+  gf_print_address (fleet, PROXY_HOST, control_port, control, sizeof control);
   snprintf (path, sizeof path, "/pair/%d?%s", pair, query);
   ck_assert_int_eq (fleet_http (control, "PUT", path, NULL, "", NULL), 200);
 }
 
+/* Starts the proxy between the hosts.  */
+static void
+start_peer_proxy (struct gf_fleet *fleet, int controls, int gateways)
+{
+  struct proxy_pairs pairs = { .count = 0 };
+
+  fleet->proxied_gateways = gateways;
+  for (int i = 1; i <= controls; i++)
+    add_pair (fleet, &pairs, i, CONTROL_PEER_PORT, i, CONTROL_BIND_PORT);
+  for (int i = 1; i <= gateways; i++)
+    add_pair (fleet, &pairs, i + GATEWAY_OFFSET, GATEWAY_PEER_PORT,
+              i + GATEWAY_OFFSET, GATEWAY_BIND_PORT);
+  fleet->peer_proxy_pid
+      = start_proxy (fleet, PEER_PROXY_PORT, "peer-proxy.log", &pairs);
+}
+
 /* Bytes that were dropped are missing on the connections, which are reset
    before new ones are let through.  */
 static void
 cut_peer (const struct gf_fleet *fleet, int pair, bool cut)
 {
   if (cut)
-    set_peer_fault (fleet, pair, "up=drop&down=drop");
+    set_proxy_fault (fleet, PEER_PROXY_PORT, pair, "up=drop&down=drop");
   else
     {
-      set_peer_fault (fleet, pair, "mode=reset");
-      set_peer_fault (fleet, pair, "mode=pass&up=pass&down=pass");
+      set_proxy_fault (fleet, PEER_PROXY_PORT, pair, "mode=reset");
+      set_proxy_fault (fleet, PEER_PROXY_PORT, pair,
+                       "mode=pass&up=pass&down=pass");
     }
 }
 
@@ -442,64 +480,21 @@
   return (user + system) * 1000 / (unsigned long long)sysconf (_SC_CLK_TCK);
 }
 
-/* Proxy.  */
-
-static const char *
-proxy_control (const struct gf_fleet *fleet, char *out, size_t size)
-{
-  gf_print_address (fleet, PROXY_HOST, PROXY_PORT, out, size);
-  return out;
-}
-
 void
 gf_start_proxy (struct gf_fleet *fleet)
 {
-  char pairs[GF_PROXIED_MAX][160];
-  char control[64];
-  char program[256];
-  char log[256];
-  const char *arguments[2 * GF_PROXIED_MAX + 3] = { "--control" };
-  const char *build = getenv ("AB_BUILD");
-  int used = 1;
+  struct proxy_pairs pairs = { .count = 0 };
 
-  arguments[used++] = proxy_control (fleet, control, sizeof control);
   for (int i = 1; i <= GF_PROXIED_MAX; i++)
-    {
-      char announced[64];
-      char real[64];
-      gf_print_address (fleet, i + GF_TARGET_OFFSET, GF_TARGET_PORT, announced,
-                        sizeof announced);
-      gf_print_address (fleet, i + GF_PROXIED_OFFSET, GF_TARGET_PORT, real,
-                        sizeof real);
-      snprintf (pairs[i - 1], sizeof pairs[0], "%s=%s", announced, real);
-      arguments[used++] = "--pair";
-      arguments[used++] = pairs[i - 1];
-    }
-  snprintf (program, sizeof program, "%s/standins/faultproxy",
-            build ? build : "build");
-  snprintf (log, sizeof log, "%s/proxy.log", fleet->folder);
-  fleet->proxy_pid = fleet_spawn_program (program, arguments, log);
-  ck_assert_int_gt (fleet->proxy_pid, 0);
-  for (int waited = 0;
-       fleet_http (control, "GET", "/pair/all", NULL, NULL, NULL) != 200;
-       waited += POLL_MS)
-    {
-      ck_assert_int_lt (waited, START_MS);
-      fleet_sleep_ms (POLL_MS);
-    }
+    add_pair (fleet, &pairs, i + GF_TARGET_OFFSET, GF_TARGET_PORT,
+              i + GF_PROXIED_OFFSET, GF_TARGET_PORT);
+  fleet->proxy_pid = start_proxy (fleet, PROXY_PORT, "proxy.log", &pairs);
 }
 
 void
 gf_set_path_fault (struct gf_fleet *fleet, int number, const char *query)
 {
-  char control[64];
-  char path[128];
-
-  /* The proxy counts pairs from 0.  */
-  snprintf (path, sizeof path, "/pair/%d?%s", number - 1, query);
-  ck_assert_int_eq (fleet_http (proxy_control (fleet, control, sizeof control),
-                                "PUT", path, NULL, "", NULL),
-                    200);
+  set_proxy_fault (fleet, PROXY_PORT, number - 1, query);
 }
 
 int
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -118,8 +118,6 @@
 #define GF_CRASH_PATH "/crash"
 void gf_start_target (struct gf_fleet *fleet, int number, enum gf_fault fault);
 /* Addresses of targets; those behind a proxy listen at GF_PROXIED_OFFSET.  */
-#define GF_GATEWAY_OFFSET 20
-#define GF_CALLERS_PORT 8161
 #define GF_TARGET_PORT 8080
 #define GF_TARGET_OFFSET 130
 #define GF_PROXIED_OFFSET 180
@@ -174,6 +172,9 @@
 int gf_runs (const struct gf_fleet *fleet, const char *id);
 int gf_runs_at (const struct gf_fleet *fleet, int number, const char *id);
 
+/* Writes to OUT the address at which GATEWAY accepts callers.  */
+void gf_print_callers (const struct gf_fleet *fleet, int gateway, char *out,
+                       size_t size);
 /* Return the address of a listener, valid until the next call of either.  */
 const char *gf_admin (struct gf_fleet *fleet, int control);
 const char *gf_callers (struct gf_fleet *fleet, int gateway);
