Read teams and their keys from the bundle

Cause: gateways and their bundle know no teams, so that callers' keys can be neither checked nor replaced by the team's name. Nothing uses them yet. Result: test_route_table 7 of 7, test_fleet_frames 6 of 6; a bundle without teams is read as before.

--- a/src/fleet_settings.c
+++ b/src/fleet_settings.c
@@ -13,6 +13,7 @@
 #define MIB (1024 * KIB)
 #define PORT_MAX 65535
 #define TOLERATED_LOSSES_MAX 3
+#define TEAM_LIMIT_SLACK_MAX 1000000
 #define RETRY_EXTRA_MAX 100000
 /* Election timeout: many times the duration of two round trips between regions
    and a slow disk write.  */
@@ -48,6 +49,8 @@
   AB_CONF_FIELD (ab_header_names, "answered_by", answered_by, ab_conf_name),
   AB_CONF_FIELD (ab_header_names, "leaving", leaving, ab_conf_name),
   AB_CONF_FIELD (ab_header_names, "rate_limit", rate_limit, ab_conf_name),
+  AB_CONF_FIELD (ab_header_names, "key", key, ab_conf_name),
+  AB_CONF_FIELD (ab_header_names, "team", team, ab_conf_name),
 };
 
 static const char *const roles[] = { "gateway", "control", NULL };
@@ -145,6 +148,14 @@
                  .max = RETRY_EXTRA_MAX),
   AB_CONF_FIELD (ab_fleet_settings, "repeat_window", retry_window_ms,
                  ab_conf_duration, .min = SECOND_MS, .max = HOUR_MS),
+  AB_CONF_FIELD (ab_fleet_settings, "key_lifetime", key_lifetime_ms,
+                 ab_conf_duration, .min = SECOND_MS, .max = HOUR_MS),
+  AB_CONF_FIELD (ab_fleet_settings, "team_limit_window", team_limit_window_ms,
+                 ab_conf_duration, .min = SECOND_MS, .max = HOUR_MS),
+  AB_CONF_FIELD (ab_fleet_settings, "team_limit_overshoot",
+                 team_limit_overshoot, ab_conf_fraction),
+  AB_CONF_FIELD (ab_fleet_settings, "team_limit_slack", team_limit_slack,
+                 ab_conf_u64, .max = TEAM_LIMIT_SLACK_MAX),
   AB_CONF_FIELD (ab_fleet_settings, "memory_mb", memory_mb, ab_conf_u64,
                  .max = MEMORY_MB_MAX),
   AB_CONF_FIELD (ab_fleet_settings, "link_mbps", link_mbps, ab_conf_number,
@@ -167,13 +178,18 @@
                .not_run = "Almond-Shed",
                .answered_by = "Almond-Target",
                .leaving = "Almond-Leaving",
-               .rate_limit = AB_RATE_LIMIT_HEADER },
+               .rate_limit = AB_RATE_LIMIT_HEADER,
+               .key = "Almond-Key",
+               .team = "Almond-Team" },
   .tolerated_losses = 1,
   .answer_lifetime_ms = 5 * SECOND_MS,
   .stop_time_ms = 6 * SECOND_MS,
   .retry_fraction = 0.1,
   .retry_extra = 10,
   .retry_window_ms = 10 * SECOND_MS,
+  .team_limit_window_ms = 5 * SECOND_MS,
+  .team_limit_overshoot = 0.1,
+  .team_limit_slack = 0,
 };
 
 /* Checks rules that involve several keys.  */
--- a/src/fleet_settings.h
+++ b/src/fleet_settings.h
@@ -31,6 +31,8 @@
   char leaving[AB_HEADER_NAME_BYTES];     /* "1": the target leaves.  */
   char rate_limit[AB_HEADER_NAME_BYTES];  /* Requests per second that the
                                              target takes from all hosts.  */
+  char key[AB_HEADER_NAME_BYTES];         /* Key of the caller's team.  */
+  char team[AB_HEADER_NAME_BYTES]; /* Name of the team, set for targets.  */
 };
 
 struct ab_fleet_listen
@@ -75,6 +77,14 @@
                                    fleet-wide.  */
   uint64_t retry_extra;        /* Further retries allowed in each window.  */
   uint64_t retry_window_ms;    /* Window of the retry budget.  */
+  /* Longest time for which a key is honoured after the acknowledgement of a
+     bundle without it; 0: no limit.  */
+  uint64_t key_lifetime_ms;
+  /* In each window a team may exceed its limit by this fraction and by this
+     many requests.  */
+  uint64_t team_limit_window_ms;
+  double team_limit_overshoot;
+  uint64_t team_limit_slack;
   uint64_t memory_mb; /* Memory limit of the process; 0: not known.  */
   double link_mbps;   /* Bandwidth of the host's link in each direction; 0 if
                          unknown.  */
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -41,6 +41,7 @@
   struct ab_fleet_route *routes;
   size_t route_count;
   struct host_routes *hosts;
+  struct ab_team_table *teams; /* Null: callers need no key.  */
 };
 
 static int fail (char *error, const char *format, ...)
@@ -244,6 +245,18 @@
   return 0;
 }
 
+static int
+read_no_key (struct ab_fleet_route *route, const json_t *item, char *error)
+{
+  const json_t *no_key = json_object_get (item, "no_key");
+
+  if (no_key && !json_is_boolean (no_key) && !json_is_null (no_key))
+    return fail (error, "'no_key' of route '%s' must be true or false",
+                 route->name);
+  route->no_key = json_is_true (no_key);
+  return 0;
+}
+
 static int
 read_route (const struct ab_route_table *table, struct ab_fleet_route *route,
             const json_t *item, char *error)
@@ -262,6 +275,8 @@
     rc = read_number (item, "priority", false, 0, &route->priority, error);
   if (rc == 0)
     rc = read_number (item, "attempts", false, 1, &route->attempts, error);
+  if (rc == 0)
+    rc = read_no_key (route, item, error);
   if (rc < 0)
     return rc;
   if (route->attempts > ATTEMPTS_MAX)
@@ -427,6 +442,14 @@
   return rc;
 }
 
+static int
+read_teams (struct ab_route_table *table, const json_t *list, char *error)
+{
+  if (!list || json_is_null (list))
+    return 0;
+  return ab_team_table_read (list, &table->teams, error);
+}
+
 static int
 read_table (struct ab_route_table *table, const json_t *root, char *error)
 {
@@ -440,6 +463,8 @@
     rc = read_hosts (table, json_object_get (root, "hosts"), error);
   if (rc == 0)
     rc = read_limits (table, json_object_get (root, "limits"), error);
+  if (rc == 0)
+    rc = read_teams (table, json_object_get (root, "teams"), error);
   if (rc == 0)
     rc = index_routes (table, error);
   return rc;
@@ -497,6 +522,7 @@
       free (host->routes);
       free (host);
     }
+  ab_team_table_free (table->teams);
   free (table->services);
   free (table->routes);
   free (table);
@@ -561,6 +587,38 @@
   return find_host (table, host) != NULL;
 }
 
+bool
+ab_route_table_has_teams (const struct ab_route_table *table)
+{
+  return table->teams != NULL;
+}
+
+size_t
+ab_route_table_team_count (const struct ab_route_table *table)
+{
+  return table->teams ? ab_team_table_count (table->teams) : 0;
+}
+
+const struct ab_fleet_team *
+ab_route_table_team (const struct ab_route_table *table, size_t index)
+{
+  return ab_team_table_at (table->teams, index);
+}
+
+const struct ab_fleet_team *
+ab_route_table_find_team (const struct ab_route_table *table,
+                          struct ab_chunk name)
+{
+  return table->teams ? ab_team_table_find (table->teams, name) : NULL;
+}
+
+const struct ab_fleet_team *
+ab_route_table_find_key (const struct ab_route_table *table,
+                         struct ab_chunk key)
+{
+  return table->teams ? ab_team_table_find_key (table->teams, key) : NULL;
+}
+
 size_t
 ab_fleet_route_choose (const struct ab_fleet_route *route, uint64_t draw)
 {
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -1,4 +1,4 @@
-/* Routes, services and limits of a fleet's bundle.
+/* Routes, services, limits and teams of a fleet's bundle.
 
    The text is a JSON object; docs/fleet.md describes it.  A table is immutable
    once parsed and is shared by reference count.  Durations are in
@@ -14,6 +14,7 @@
 #include "chunk.h"
 #include "conf.h"
 #include "settings.h"
+#include "team_table.h"
 
 #define AB_ROUTE_PATH_BYTES 512
 #define AB_ROUTE_HOST_BYTES 256
@@ -47,6 +48,7 @@
   struct ab_route_share shares[AB_ROUTE_SHARES_MAX];
   size_t share_count;
   uint64_t weight_sum;
+  bool no_key; /* Requests need no key of a team.  */
 };
 
 struct ab_fleet_service
@@ -96,6 +98,19 @@
 bool ab_route_table_has_host (const struct ab_route_table *table,
                               struct ab_chunk host);
 
+/* Returns whether callers need the key of a team.  */
+bool ab_route_table_has_teams (const struct ab_route_table *table);
+size_t ab_route_table_team_count (const struct ab_route_table *table);
+const struct ab_fleet_team *
+ab_route_table_team (const struct ab_route_table *table, size_t index);
+/* Return the team with that name or key, or null.  */
+const struct ab_fleet_team *
+ab_route_table_find_team (const struct ab_route_table *table,
+                          struct ab_chunk name);
+const struct ab_fleet_team *
+ab_route_table_find_key (const struct ab_route_table *table,
+                         struct ab_chunk key);
+
 /* Returns the index of the service for a request on ROUTE.  DRAW is a random
    number; each share is chosen in proportion to its weight.  */
 size_t ab_fleet_route_choose (const struct ab_fleet_route *route,
--- a/src/schedule_frame.c
+++ b/src/schedule_frame.c
@@ -3,7 +3,10 @@
 #include "error.h"
 #include "pack.h"
 
+/* Fields of every slot request, and of one with a team.  A host of an earlier
+   version cannot read the latter.  */
 #define SLOT_REQUEST_FIELDS 9
+#define SLOT_REQUEST_TEAM_FIELDS 11
 #define REPLY_FIELDS 8
 
 enum slot_request_flag
@@ -34,7 +37,8 @@
     flags |= FLAG_LARGE_BODY;
   if (slot_request->is_counted)
     flags |= FLAG_COUNTED;
-  ab_pack_array (out, SLOT_REQUEST_FIELDS);
+  ab_pack_array (out, slot_request->team[0] ? SLOT_REQUEST_TEAM_FIELDS
+                                            : SLOT_REQUEST_FIELDS);
   ab_pack_u64 (out, slot_request->id);
   ab_pack_bytes (out, ab_chunk_str (slot_request->failure_domain));
   ab_pack_bytes (out, ab_chunk_str (slot_request->service));
@@ -46,6 +50,10 @@
   ab_pack_array (out, slot_request->tried_count);
   for (size_t i = 0; i < slot_request->tried_count; i++)
     ab_pack_bytes (out, ab_chunk_str (slot_request->tried[i]));
+  if (!slot_request->team[0])
+    return;
+  ab_pack_bytes (out, ab_chunk_str (slot_request->team));
+  ab_pack_u64 (out, slot_request->team_priority);
 }
 
 int
@@ -59,7 +67,7 @@
   if (rc < 0)
     return rc;
   memset (slot_request, 0, sizeof *slot_request);
-  ab_reader_enter (&reader, SLOT_REQUEST_FIELDS);
+  ab_reader_enter (&reader, SLOT_REQUEST_TEAM_FIELDS);
   slot_request->id = ab_reader_u64 (&reader);
   ab_reader_str (&reader, slot_request->failure_domain,
                  sizeof slot_request->failure_domain);
@@ -79,6 +87,12 @@
   for (size_t i = 0; i < slot_request->tried_count; i++)
     ab_reader_str (&reader, slot_request->tried[i],
                    sizeof slot_request->tried[i]);
+  ab_reader_leave (&reader);
+  if (ab_reader_has_more (&reader))
+    {
+      ab_reader_str (&reader, slot_request->team, sizeof slot_request->team);
+      slot_request->team_priority = ab_reader_u64 (&reader);
+    }
   rc = ab_reader_error (&reader);
   ab_reader_free (&reader);
   return rc;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -72,7 +72,11 @@
   /* Whether the request or its response is so large that crossing between
      failure domains is expensive.  */
   bool large_body;
-  uint64_t priority; /* 0 is the most urgent.  */
+  /* Team of the caller; empty when the bundle has no teams.  */
+  char team[AB_NAME_BYTES];
+  /* Rank of the team; precedes PRIORITY.  0 is the most urgent.  */
+  uint64_t team_priority;
+  uint64_t priority; /* Rank of the route; 0 is the most urgent.  */
   /* Milliseconds until the response misses its latency objective.  */
   uint64_t objective_ms;
   /* Milliseconds until the request's deadline.  */
--- a/tests/test_fleet_frames.c
+++ b/tests/test_fleet_frames.c
@@ -44,6 +44,29 @@
 }
 END_TEST
 
+/* Guards against a team that is lost on its way, or whose loss goes
+   unnoticed.  */
+START_TEST (slot_request_keeps_its_team)
+{
+  struct ab_sched_slot_request request = {
+    .id = 1, .service = "s", .team = "t", .team_priority = 2, .priority = 3
+  };
+  struct ab_sched_slot_request read;
+  struct ab_buf body = AB_BUF_INIT;
+
+  ab_sched_pack_slot_request (&body, &request);
+  ck_assert_int_eq (ab_sched_read_slot_request (ab_buf_chunk (&body), &read),
+                    0);
+  ck_assert_str_eq (read.team, "t");
+  ck_assert_uint_eq (read.team_priority, 2);
+  ck_assert_uint_eq (read.priority, 3);
+  for (size_t len = 0; len < body.len; len++)
+    ck_assert_int_lt (
+        ab_sched_read_slot_request (ab_chunk (body.data, len), &read), 0);
+  ab_buf_free (&body);
+}
+END_TEST
+
 START_TEST (reply_and_outcome_round_trip)
 {
   struct ab_sched_reply reply = { .decision = AB_SCHED_GRANTED,
@@ -198,5 +221,5 @@
 END_TEST
 
 SUITE_MAIN ("fleet_frames", 10, slot_request_round_trip,
-            reply_and_outcome_round_trip, rate_limit_round_trip,
-            watch_round_trip, settings_are_checked)
+            slot_request_keeps_its_team, reply_and_outcome_round_trip,
+            rate_limit_round_trip, watch_round_trip, settings_are_checked)
--- a/tests/test_route_table.c
+++ b/tests/test_route_table.c
@@ -158,5 +158,64 @@
 }
 END_TEST
 
+#define TEAMS(list)                                                           \
+  "{\"version\":7,\"base_version\":5," SERVICES                               \
+  ",\"hosts\":[{\"host\":\"h\",\"prefixes\":["                                \
+  "{\"name\":\"r\",\"prefix\":\"/x/\",\"kind\":\"once\","                     \
+  "\"timeout_ms\":9,\"service\":\"a\",\"no_key\":true}]}],"                   \
+  "\"teams\":[" list "]}"
+
+/* Guards against a key that names another team than its own, and against a
+   limit that is lost in parsing.  */
+START_TEST (finds_teams_by_key)
+{
+  struct ab_route_table *table
+      = parse (TEAMS ("{\"name\":\"zeta\",\"keys\":[\"k1\",\"k2\"],"
+                      "\"priority\":1,\"rate_per_s\":425,\"burst\":0.5},"
+                      "{\"name\":\"alpha\",\"keys\":[\"k3\"]},"
+                      "{\"name\":\"none\",\"keys\":[]}"));
+  const struct ab_fleet_team *team
+      = ab_route_table_find_key (table, AB_CHUNK ("k2"));
+
+  ck_assert (ab_route_table_has_teams (table));
+  ck_assert_uint_eq (ab_route_table_team_count (table), 3);
+  ck_assert_ptr_nonnull (team);
+  ck_assert_str_eq (team->name, "zeta");
+  ck_assert_uint_eq (team->priority, 1);
+  ck_assert_uint_eq (team->rate_per_s, 425);
+  ck_assert_uint_eq (team->burst, 1);
+  ck_assert_ptr_eq (ab_route_table_find_team (table, AB_CHUNK ("zeta")), team);
+  team = ab_route_table_find_key (table, AB_CHUNK ("k3"));
+  ck_assert_ptr_nonnull (team);
+  ck_assert_str_eq (team->name, "alpha");
+  ck_assert_uint_eq (team->rate_per_s, 0);
+  ck_assert_ptr_null (ab_route_table_find_key (table, AB_CHUNK ("k")));
+  ck_assert_ptr_null (ab_route_table_find_key (table, AB_CHUNK ("")));
+  ck_assert_ptr_null (ab_route_table_find_team (table, AB_CHUNK ("k3")));
+  ck_assert (
+      ab_route_table_find (table, AB_CHUNK ("h"), AB_CHUNK ("/x/"))->no_key);
+  ab_route_table_unref (table);
+}
+END_TEST
+
+/* Guards against bundles in which a key or a name belongs to two teams.  */
+START_TEST (rejects_invalid_teams)
+{
+  assert_rejected (TEAMS ("{\"name\":\"a\",\"keys\":[\"k\"]},"
+                          "{\"name\":\"b\",\"keys\":[\"k\"]}"),
+                   "key");
+  assert_rejected (TEAMS ("{\"name\":\"a\"},{\"name\":\"a\"}"), "name");
+  assert_rejected (TEAMS ("{\"name\":\"\"}"), "name");
+  assert_rejected (TEAMS ("{\"name\":\"a\\r\\nB: c\"}"), "name");
+  assert_rejected (TEAMS ("{\"name\":\"a\",\"keys\":\"k\"}"), "keys");
+  assert_rejected (TEAMS ("{\"name\":\"a\",\"keys\":[7]}"), "key");
+  assert_rejected (TEAMS ("{\"name\":\"a\",\"burst\":-1}"), "burst");
+  assert_rejected (TEAMS ("7"), "name");
+  ab_route_table_unref (
+      parse (TEAMS ("{\"name\":\"a\",\"keys\":[\"k\",\"k\"]}")));
+}
+END_TEST
+
 SUITE_MAIN ("route_table", 10, finds_longest_prefix, splits_by_weight,
-            accepts_all_kinds, rejects_invalid, accepts_unusual_but_valid)
+            accepts_all_kinds, rejects_invalid, accepts_unusual_but_valid,
+            finds_teams_by_key, rejects_invalid_teams)
