Estimate waits from the throughput of a backlog, test targets when slots are short

Change: once a backlog has lasted 1.2 s the estimate uses the slots that were granted; orders take untested targets while more requests are queued than proven slots and the backlog is older than 1.5 typical latencies.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -141,6 +141,7 @@
   target->trial_requests += request->is_trial;
   target->used = true;
   ab_rate_bucket_take (&target->rate, now_ms);
+  ab_sched_record_grant (service, now_ms);
   ab_sched_spend_retry (request, now_ms);
   decide (s, request, AB_SCHED_GRANTED, target, 0, now_ms);
 }
@@ -265,7 +266,8 @@
 {
   const struct ab_sched_capacity unlimited
       = { .slots = capacity->unlimited_slots,
-          .unlimited_slots = capacity->unlimited_slots };
+          .unlimited_slots = capacity->unlimited_slots,
+          .is_hypothetical = true };
   double response_ms;
 
   if (!capacity->most_limited)
@@ -608,6 +610,7 @@
       check_granted (s, service, now_ms);
       serve_queue (s, service, now_ms);
       reject_unservable (s, service, now_ms);
+      ab_sched_record_backlog (service, now_ms);
     }
 }
 
--- a/src/scheduler_choice.c
+++ b/src/scheduler_choice.c
@@ -44,6 +44,8 @@
    targets with a trial request in flight are fewer than one plus this fraction
    (1/N) of all targets.  */
 #define TRIAL_TARGETS_DIVISOR 12
+/* A backlog that lasts this many times the typical latency is no burst.  */
+#define BACKLOG_FACTOR 1.5
 
 static bool
 was_tried (const struct ab_sched_slot_request *slot_request,
@@ -106,6 +108,8 @@
   summary->usable += state < AB_TARGET_SUSPECT;
   summary->under_trial
       += state != AB_TARGET_HEALTHY && target->trial_requests > 0;
+  if (state == AB_TARGET_HEALTHY)
+    summary->healthy_slots += ab_sched_target_slots (target, now_ms);
   summary->healthy_free += is_free && state == AB_TARGET_HEALTHY;
   summary->untested_free += is_free && state == AB_TARGET_UNTESTED;
   summary->suspect_free += is_free && state == AB_TARGET_SUSPECT;
@@ -123,6 +127,22 @@
     count_target (summary, target, now_ms);
 }
 
+/* Returns whether more requests have been queued for some time than the
+   healthy targets serve at once.  Some of them would be rejected, which is
+   worse than the risk of an untested target.  Not right after a start or a
+   burst: the first few trial requests tell which targets are healthy.  */
+static bool
+is_short_of_proven_slots (const struct ab_sched_service *service,
+                          const struct ab_sched_summary *summary,
+                          uint64_t now_ms)
+{
+  uint64_t since_ms = service->throughput.busy_since_ms;
+
+  return since_ms > 0 && service->waiting_count >= summary->healthy_slots
+         && (double)(now_ms - since_ms)
+                > BACKLOG_FACTOR * ab_sched_typical_latency_ms (service);
+}
+
 /* Returns the worst health state of a target that may be given SLOT_REQUEST,
    with REMAINING_MS until its deadline.
 
@@ -136,7 +156,7 @@
 worst_state (const struct ab_sched_service *service,
              const struct ab_sched_summary *summary,
              const struct ab_sched_slot_request *slot_request,
-             uint64_t remaining_ms)
+             uint64_t remaining_ms, uint64_t now_ms)
 {
   bool is_urgent = (double)remaining_ms
                    < URGENT_FACTOR * ab_sched_typical_latency_ms (service);
@@ -146,7 +166,7 @@
   if (!slot_request->may_spill && slot_request->may_wait
       && (is_urgent || summary->usable == 0))
     return AB_TARGET_SUSPECT;
-  if (is_urgent
+  if (is_urgent || is_short_of_proven_slots (service, summary, now_ms)
       || summary->under_trial < 1 + summary->ready / TRIAL_TARGETS_DIVISOR)
     return AB_TARGET_UNTESTED;
   return AB_TARGET_HEALTHY;
@@ -253,9 +273,9 @@
                      uint64_t waited_ms, uint64_t now_ms)
 {
   size_t free_targets = summary->healthy_free;
-  enum ab_target_health_state worst_allowed
-      = worst_state (service, summary, slot_request,
-                     subtract_waited (slot_request->timeout_ms, waited_ms));
+  enum ab_target_health_state worst_allowed = worst_state (
+      service, summary, slot_request,
+      subtract_waited (slot_request->timeout_ms, waited_ms), now_ms);
 
   if (worst_allowed >= AB_TARGET_UNTESTED)
     free_targets += summary->untested_free;
@@ -276,9 +296,9 @@
     .slot_request = slot_request,
     .host = ab_rendezvous_hash (ab_chunk_str (slot_request->host)),
     .objective_ms = subtract_waited (slot_request->objective_ms, waited_ms),
-    .worst_state
-    = worst_state (service, summary, slot_request,
-                   subtract_waited (slot_request->timeout_ms, waited_ms)),
+    .worst_state = worst_state (
+        service, summary, slot_request,
+        subtract_waited (slot_request->timeout_ms, waited_ms), now_ms),
     .local_only = local_only,
     .is_degraded = ab_sched_is_degraded (&service->failure_window, now_ms),
     .now_ms = now_ms
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -144,6 +144,14 @@
   struct ab_sched_slice slices[AB_SCHED_SLICES];
 };
 
+/* Slots that were granted while requests were queued.  */
+struct ab_sched_throughput
+{
+  uint64_t busy_since_ms; /* Since when requests have been queued; 0: none.  */
+  double per_ms;          /* Moving average since then.  */
+  uint64_t updated_ms;
+};
+
 /* The targets of a service in one shard, and the slot requests for them.  */
 struct ab_sched_service
 {
@@ -157,6 +165,7 @@
   /* Arrivals per millisecond of each priority class.  */
   double arrival_rates[AB_SCHED_PRIORITY_CLASSES];
   uint64_t arrival_rates_ms; /* When ARRIVAL_RATES was updated.  */
+  struct ab_sched_throughput throughput;
   struct ab_sched_bucket buckets[AB_SCHED_BUCKETS];
   uint64_t reserved_retries; /* Of queued requests.  */
   struct ab_sched_role role;
@@ -222,6 +231,8 @@
   size_t usable; /* Healthy or untested, free or not.  */
   /* Targets that are not healthy and have a trial request in flight.  */
   size_t under_trial;
+  /* Usable slots of healthy targets, free or not.  */
+  uint64_t healthy_slots;
   size_t healthy_free; /* Healthy with a free slot.  */
   size_t untested_free;
   size_t suspect_free;
@@ -263,6 +274,8 @@
   double tokens;
   /* The target whose rate limit takes away most slots, or null.  */
   const struct ab_sched_target *most_limited;
+  /* Whether this is what there would be without rate limits.  */
+  bool is_hypothetical;
 };
 
 void ab_sched_measure_capacity (const struct ab_sched_service *service,
@@ -306,6 +319,10 @@
                         const struct ab_sched_slot_request *slot_request,
                         size_t ahead, const struct ab_sched_capacity *capacity,
                         uint64_t now_ms);
+/* Records whether requests of SERVICE are queued, and a grant of a slot.  */
+void ab_sched_record_backlog (struct ab_sched_service *service,
+                              uint64_t now_ms);
+void ab_sched_record_grant (struct ab_sched_service *service, uint64_t now_ms);
 /* Returns how many queued requests are served before REQUEST.  */
 size_t ab_sched_count_ahead (const struct ab_sched_request *request,
                              uint64_t now_ms);
--- a/src/scheduler_queue.c
+++ b/src/scheduler_queue.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <utlist.h>
 
@@ -13,6 +14,13 @@
    rejected because of a short burst.  */
 #define CAPACITY_RESERVED_SHARE 0.1
 
+/* The throughput of a backlog is averaged over about this time, and is not
+   relied on before the backlog has lasted that long.  */
+#define THROUGHPUT_WINDOW_MS 600
+/* A backlog that gets hardly any slots is estimated to get this share of what
+   is expected: some target will recover.  */
+#define THROUGHPUT_MIN_SHARE 0.1
+
 uint64_t
 ab_sched_remaining_ms (uint64_t span_ms,
                        const struct ab_sched_request *request, uint64_t now_ms)
@@ -126,6 +134,58 @@
       += 1.0 / RATE_WINDOW_MS;
 }
 
+static void
+decay_throughput (struct ab_sched_throughput *throughput, uint64_t now_ms)
+{
+  double elapsed_ms = (double)(now_ms - throughput->updated_ms);
+
+  throughput->per_ms *= exp (-elapsed_ms / THROUGHPUT_WINDOW_MS);
+  throughput->updated_ms = now_ms;
+}
+
+void
+ab_sched_record_backlog (struct ab_sched_service *service, uint64_t now_ms)
+{
+  struct ab_sched_throughput *throughput = &service->throughput;
+
+  if (service->waiting_count == 0)
+    *throughput = (struct ab_sched_throughput){ .updated_ms = now_ms };
+  else if (throughput->busy_since_ms == 0)
+    *throughput = (struct ab_sched_throughput){ .busy_since_ms = now_ms,
+                                                .updated_ms = now_ms };
+}
+
+void
+ab_sched_record_grant (struct ab_sched_service *service, uint64_t now_ms)
+{
+  if (service->throughput.busy_since_ms == 0)
+    return;
+  decay_throughput (&service->throughput, now_ms);
+  service->throughput.per_ms += 1.0 / THROUGHPUT_WINDOW_MS;
+}
+
+/* Returns the requests per millisecond that CAPACITY serves in total: what
+   was served, once a backlog has lasted for a while.  A target that may be
+   gray counts in part, but may get nothing.  */
+static double
+total_rate (struct ab_sched_service *service,
+            const struct ab_sched_capacity *capacity, uint64_t now_ms)
+{
+  double expected = capacity->slots / ab_sched_typical_latency_ms (service);
+  struct ab_sched_throughput *throughput = &service->throughput;
+
+  if (capacity->most_limited || capacity->is_hypothetical
+      || throughput->busy_since_ms == 0
+      || now_ms - throughput->busy_since_ms < 2 * THROUGHPUT_WINDOW_MS)
+    return expected;
+  decay_throughput (throughput, now_ms);
+  if (throughput->per_ms > expected)
+    return expected;
+  return throughput->per_ms > expected * THROUGHPUT_MIN_SHARE
+             ? throughput->per_ms
+             : expected * THROUGHPUT_MIN_SHARE;
+}
+
 /* Returns the share of the arrival rate of higher priorities that is expected
    to continue.  A rate limit lasts longer than a burst, so that a service
    whose targets have limits counts on less.  */
@@ -146,7 +206,7 @@
               const struct ab_sched_slot_request *slot_request,
               const struct ab_sched_capacity *capacity, uint64_t now_ms)
 {
-  double total = capacity->slots / ab_sched_typical_latency_ms (service);
+  double total = total_rate (service, capacity, now_ms);
   double rate = total;
 
   decay_rates (service, now_ms);
