Test uncertain targets only with credit for a retry

Cause: an idempotent request prefers targets of which little is known, as a failure costs only a retry. Change: a request tests a target only while the budget has credit for it beside the tests in progress.

--- a/src/scheduler_budget.c
+++ b/src/scheduler_budget.c
@@ -44,6 +44,15 @@
              : AB_SCHED_PRIORITY_CLASSES - 1;
 }
 
+/* Returns the part of the budget that SLOT_REQUEST may use.  */
+static double
+budget_share (const struct ab_sched_service *service,
+              const struct ab_sched_slot_request *slot_request)
+{
+  (void)service;
+  return budget_by_priority[ab_sched_priority_class (slot_request)];
+}
+
 /* Returns the time for which one slot of the credit counts.  */
 static uint64_t
 credit_slot_ms (const struct ab_scheduler *s)
@@ -196,10 +205,11 @@
    SLOT_REQUEST; a retry of the lowest one is possible when all else is
    saved.  */
 static double
-credit_kept (const struct ab_sched_credit *credit,
+credit_kept (const struct ab_sched_service *service,
              const struct ab_sched_slot_request *slot_request)
 {
-  double share = budget_by_priority[ab_sched_priority_class (slot_request)];
+  const struct ab_sched_credit *credit = &service->credit;
+  double share = budget_share (service, slot_request);
   double kept = (1 - share) * credit->saved_max;
 
   if (kept > credit->saved_max - 1)
@@ -218,11 +228,10 @@
 
   update_credit (s, service, now_ms);
   if ((double)service->reserved_retries + 1
-              + credit_kept (&service->credit, slot_request)
+              + credit_kept (service, slot_request)
           > service->credit.amount + ROUNDING
       || count_retries (service, seconds, now) + 1
-             > OWN_BUDGET_SHARE
-                   * budget_by_priority[ab_sched_priority_class (slot_request)]
+             > OWN_BUDGET_SHARE * budget_share (service, slot_request)
                    * (s->config.retry_fraction
                           * count_first_attempts (service, seconds, now)
                       + own_additional_retries (s, service, slot_request)))
@@ -232,6 +241,14 @@
   return true;
 }
 
+double
+ab_sched_spare_credit (const struct ab_sched_service *service,
+                       const struct ab_sched_slot_request *slot_request)
+{
+  return service->credit.amount - (double)service->reserved_retries
+         - credit_kept (service, slot_request);
+}
+
 void
 ab_sched_return_retry (struct ab_sched_request *request)
 {
--- a/src/scheduler_choice.c
+++ b/src/scheduler_choice.c
@@ -25,6 +25,8 @@
    more informative the less certain the target's state is.  The negative
    factor makes it prefer targets of which little is known.  */
 #define RISK_FACTOR_IDEMPOTENT (-0.3)
+/* Credit for retries that each target under test may need.  */
+#define EXPLORE_CREDIT 0.5
 /* Cost of a target that sheds all requests.  */
 #define COST_SHED 0.5
 /* Cost of a target with all slots in use; among equal targets the one with
@@ -75,6 +77,7 @@
   uint64_t objective_ms; /* What remains of the objective.  */
   enum ab_target_health_state worst_state;
   bool local_only;
+  bool explores;    /* May test a target: a failure costs only a retry.  */
   bool is_degraded; /* Many requests of the service are not served.  */
   uint64_t now_ms;
 };
@@ -186,7 +189,7 @@
   if (target->trial_requests > 0)
     return false;
   if (choice->slot_request->idempotent)
-    return idle_ms > IDLE_MAX_IDEMPOTENT_MS && !choice->slot_request->is_retry;
+    return idle_ms > IDLE_MAX_IDEMPOTENT_MS && choice->explores;
   return idle_ms > IDLE_MAX_MS
          && (state == AB_TARGET_HEALTHY || choice->is_degraded);
 }
@@ -238,18 +241,16 @@
          enum ab_target_health_state state)
 {
   const struct ab_sched_slot_request *slot_request = choice->slot_request;
-  bool is_first_idempotent
-      = slot_request->idempotent && !slot_request->is_retry;
   double cost = ab_target_health_risk (&target->health, choice->now_ms);
 
   if (is_idle_too_long (choice, target, state))
     return COST_FIRST;
   if (state == AB_TARGET_UNTESTED && !target->used && !slot_request->is_retry
-      && (is_first_idempotent || choice->now_ms - target->joined_ms > JOIN_MS))
+      && (choice->explores || choice->now_ms - target->joined_ms > JOIN_MS))
     return COST_FIRST;
-  if (is_first_idempotent)
+  if (choice->explores)
     cost *= RISK_FACTOR_IDEMPOTENT;
-  if (is_first_idempotent && state != AB_TARGET_HEALTHY
+  if (choice->explores && state != AB_TARGET_HEALTHY
       && target->trial_requests > 0)
     cost += COST_LAST;
   if (!is_local (target, slot_request))
@@ -260,6 +261,19 @@
                / (double)ab_sched_target_slots (target, choice->now_ms);
 }
 
+/* Returns whether SLOT_REQUEST may test a target: it is a first attempt that
+   may be repeated, and the retry budget has credit for it beside the tests in
+   progress.  Without credit a failed test is a failed request.  */
+static bool
+may_explore (const struct ab_sched_service *service,
+             const struct ab_sched_summary *summary,
+             const struct ab_sched_slot_request *slot_request)
+{
+  return slot_request->idempotent && !slot_request->is_retry
+         && ab_sched_spare_credit (service, slot_request)
+                >= 1 + EXPLORE_CREDIT * (double)summary->under_trial;
+}
+
 static uint64_t
 subtract_waited (uint64_t span_ms, uint64_t waited_ms)
 {
@@ -300,6 +314,7 @@
         service, summary, slot_request,
         subtract_waited (slot_request->timeout_ms, waited_ms), now_ms),
     .local_only = local_only,
+    .explores = may_explore (service, summary, slot_request),
     .is_degraded = ab_sched_is_degraded (&service->failure_window, now_ms),
     .now_ms = now_ms
   };
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -342,6 +342,11 @@
 bool ab_sched_reserve_retry (const struct ab_scheduler *scheduler,
                              struct ab_sched_request *request,
                              uint64_t now_ms);
+/* Returns the credit that retries of SLOT_REQUEST may use, as of the last
+   tick.  */
+double
+ab_sched_spare_credit (const struct ab_sched_service *service,
+                       const struct ab_sched_slot_request *slot_request);
 /* Returns the retry that is set aside for REQUEST to the budget, if any.  */
 void ab_sched_return_retry (struct ab_sched_request *request);
 /* Returns whether REQUEST, if a retry is set aside for it, may still be
--- a/tests/test_scheduler_budget.c
+++ b/tests/test_scheduler_budget.c
@@ -29,6 +29,7 @@
   struct ab_scheduler *scheduler;
   bool primary;
   enum ab_sched_decision decision;
+  char target[AB_NAME_BYTES]; /* Of the latest grant.  */
 };
 
 struct fleet
@@ -38,6 +39,7 @@
   struct ab_rng rng;
   uint64_t now_ms;
   uint64_t next_id;
+  uint64_t priority; /* Of all requests.  */
   uint64_t requests[RUN_MS / STEP_MS];
   uint64_t retries[RUN_MS / STEP_MS];
 };
@@ -50,6 +52,7 @@
 
   (void)slot_request;
   host->decision = reply->decision;
+  memcpy (host->target, reply->target, sizeof host->target);
 }
 
 static bool
@@ -130,6 +133,7 @@
                                                 .idempotent = true,
                                                 .is_retry = is_retry,
                                                 .is_counted = is_counted,
+                                                .priority = fleet->priority,
                                                 .may_wait = true,
                                                 .objective_ms = 1000,
                                                 .timeout_ms = 3000 };
@@ -393,6 +397,36 @@
 }
 END_TEST
 
+/* Guards against tests of uncertain targets by requests that get no retry when
+   they fail there.  */
+START_TEST (tests_need_retry_credit)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  struct ab_fleet_target target = { .id = "t2",
+                                    .service = "shop",
+                                    .address = "127.0.0.1:2",
+                                    .failure_domain = "d",
+                                    .slots = SLOTS,
+                                    .state = AB_FLEET_TARGET_READY };
+  struct host *host;
+
+  begin (fleet, 1);
+  host = &fleet->hosts[0];
+  for (int i = 0; i < 20; i++)
+    request_slot (fleet, host, false, false);
+  while (request_slot (fleet, host, true, true))
+    ;
+  ab_scheduler_set_target (host->scheduler, &target, "", fleet->now_ms);
+  ck_assert (request_slot (fleet, host, false, false));
+  ck_assert_str_eq (host->target, "t1");
+  for (int i = 0; i < 20 && strcmp (host->target, "t2") != 0; i++)
+    request_slot (fleet, host, false, false);
+  ck_assert_str_eq (host->target, "t2");
+  end (fleet);
+  free (fleet);
+}
+END_TEST
+
 SUITE_MAIN ("scheduler_budget", 60, all_schedulers_share_one_budget,
             role_earns_additional_retries, savings_are_bounded_when_role_moves,
-            sides_share_additional_retries)
+            sides_share_additional_retries, tests_need_retry_credit)
