Keep retries only for priorities that a service gets requests of

Cause: a low priority may use 0.6 or 0.85 of the retry budget, also where the service gets no request of a higher one, so that 0.4 of the budget was never used there. Change: the shares go by the rank among the priorities of recent requests. Result: lone_priority_uses_whole_budget fails before (36 of 60 retries).

--- a/src/scheduler_budget.c
+++ b/src/scheduler_budget.c
@@ -44,13 +44,18 @@
              : AB_SCHED_PRIORITY_CLASSES - 1;
 }
 
-/* Returns the part of the budget that SLOT_REQUEST may use.  */
+/* Returns the part of the budget that SLOT_REQUEST may use.  Nothing is kept
+   for priorities of which the service got no request lately.  */
 static double
 budget_share (const struct ab_sched_service *service,
               const struct ab_sched_slot_request *slot_request)
 {
-  (void)service;
-  return budget_by_priority[ab_sched_priority_class (slot_request)];
+  size_t class = ab_sched_priority_class (slot_request);
+  size_t rank = 0;
+
+  for (size_t i = 0; i < class; i++)
+    rank += service->arrival_rates[i] > 0;
+  return budget_by_priority[rank];
 }
 
 /* Returns the time for which one slot of the credit counts.  */
--- a/tests/test_scheduler_budget.c
+++ b/tests/test_scheduler_budget.c
@@ -397,6 +397,39 @@
 }
 END_TEST
 
+/* Returns the retries that are granted in a window to requests of PRIORITY,
+   each of which asks for one.  */
+static unsigned
+count_retries_of (uint64_t priority)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  unsigned granted = 0;
+
+  begin (fleet, 1);
+  fleet->priority = priority;
+  for (uint64_t t = 0; t < 2 * (uint64_t)WINDOW_MS; t += STEP_MS)
+    {
+      request_slot (fleet, &fleet->hosts[0], false, false);
+      if (t >= WINDOW_MS)
+        granted += request_slot (fleet, &fleet->hosts[0], true, true);
+      pass_time (fleet, STEP_MS);
+    }
+  end (fleet);
+  free (fleet);
+  return granted;
+}
+
+/* Guards against a part of the budget that is kept for priorities of which a
+   service gets no requests.  */
+START_TEST (lone_priority_uses_whole_budget)
+{
+  unsigned urgent = count_retries_of (0);
+
+  ck_assert_uint_gt (urgent, 0);
+  ck_assert_uint_eq (count_retries_of (2), urgent);
+}
+END_TEST
+
 /* Guards against tests of uncertain targets by requests that get no retry when
    they fail there.  */
 START_TEST (tests_need_retry_credit)
@@ -429,4 +462,5 @@
 
 SUITE_MAIN ("scheduler_budget", 60, all_schedulers_share_one_budget,
             role_earns_additional_retries, savings_are_bounded_when_role_moves,
-            sides_share_additional_retries, tests_need_retry_credit)
+            sides_share_additional_retries, lone_priority_uses_whole_budget,
+            tests_need_retry_credit)
