Check the keys of teams at gateways

Cause: gateways forwarded requests without looking at the teams of the bundle, and forwarded keys to targets. Change: after the route is found, a request whose route needs a key gets 401 no-key or unknown-key unless it carries the key of a team in one header. The headers of the key and the team never reach a target; the team's name is set, and the slot request carries the team and its rank. With teams, header lines that are not valid (a name that ends in a space) are dropped, as a lenient target would read them as the dropped ones; evhttp rejects values with a carriage return with 400.

--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -6,6 +6,7 @@
 #include "attempt.h"
 #include "clock.h"
 #include "gateway_flow_internal.h"
+#include "gateway_team_task.h"
 #include "http_rules.h"
 #include "log.h"
 #include "target_notices.h"
@@ -251,9 +252,11 @@
   ab_gateway_reply_rejected (flow, failure.status, failure.code, 0);
 }
 
-/* Returns whether the header NAME is forwarded to a target unchanged.  */
+/* Returns whether the header NAME with VALUE is forwarded to a target
+   unchanged.  */
 static bool
-is_forwarded (const struct ab_gateway_flow *flow, const char *name)
+is_forwarded (const struct ab_gateway_flow *flow, const char *name,
+              const char *value)
 {
   const struct ab_header_names *names = &flow->env->settings->headers;
 
@@ -261,6 +264,7 @@
          && strcasecmp (name, names->incarnation) != 0
          && strcasecmp (name, "Content-Length") != 0
          && strcasecmp (name, "Expect") != 0
+         && ab_gateway_team_forwards (flow, name, value)
          && !ab_http_hop_by_hop (evhttp_request_get_input_headers (flow->req),
                                  name);
 }
@@ -272,11 +276,12 @@
   const struct evkeyval *item;
 
   TAILQ_FOREACH (item, evhttp_request_get_input_headers (flow->req), next)
-  if (is_forwarded (flow, item->key))
+  if (is_forwarded (flow, item->key, item->value))
     ab_buf_printf (lines, "%s: %s\r\n", item->key, item->value);
   ab_buf_printf (lines, "%s: %llu\r\n%s: %s\r\n", names->deadline,
                  (unsigned long long)ab_gateway_flow_time_left (flow),
                  names->incarnation, flow->grant.target);
+  ab_gateway_team_print (flow, lines);
   return lines->error;
 }
 
--- a/src/gateway_flow_internal.h
+++ b/src/gateway_flow_internal.h
@@ -1,8 +1,8 @@
 /* Declarations shared by the source files of the request flow in a gateway.
 
    gateway_flow_task.c accepts a request and ends it when its caller
-   disconnects or its deadline passes, gateway_attempt_task.c sends it to
-   targets, and gateway_reply_task.c sends the reply.  Each function that ends
+   disconnects or its deadline passes, gateway_team_task.c checks its key,
+   gateway_attempt_task.c sends it to targets, and gateway_reply_task.c sends the reply.  Each function that ends
    a flow frees it.  */
 
 #ifndef AB_GATEWAY_FLOW_INTERNAL_H
@@ -28,6 +28,8 @@
   struct ab_route_table *table;
   const struct ab_fleet_route *route;
   const struct ab_fleet_service *service;
+  /* Team of the caller, in TABLE; null if no key is needed.  */
+  const struct ab_fleet_team *team;
   char id[AB_GATEWAY_ID_BYTES];
   bool close;         /* The reply closes the caller's connection.  */
   bool awaits_bundle; /* No bundle was known when it arrived.  */
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "error.h"
 #include "gateway_flow_internal.h"
+#include "gateway_team_task.h"
 #include "http_rules.h"
 #include "request_content.h"
 
@@ -244,7 +245,7 @@
 {
   uint64_t route_ms;
 
-  if (choose_route (flow) < 0)
+  if (choose_route (flow) < 0 || ab_gateway_team_check (flow) < 0)
     return;
   route_ms = flow->begin_ms + flow->route->timeout_ms;
   if (route_ms < flow->deadline_ms)
--- a/src/gateway_reply_task.c
+++ b/src/gateway_reply_task.c
@@ -57,6 +57,7 @@
       ab_log_str ("verdict", ab_verdict_name (flow->verdict)),
       ab_log_str ("route", flow->route->name),
       ab_log_str ("service", flow->service->name),
+      ab_log_str ("team", flow->team ? flow->team->name : ""),
       ab_log_str ("target", flow->grant.target),
       ab_log_str ("trust",
                   flow->grant.target[0]
--- a/src/http_rules.c
+++ b/src/http_rules.c
@@ -131,13 +131,19 @@
   return true;
 }
 
+bool
+ab_http_header_valid (const char *name, const char *value)
+{
+  return is_token (name) && is_field_value (value);
+}
+
 bool
 ab_http_headers_valid (const struct evkeyvalq *headers)
 {
   const struct evkeyval *header;
 
   TAILQ_FOREACH (header, headers, next)
-  if (!is_token (header->key) || !is_field_value (header->value))
+  if (!ab_http_header_valid (header->key, header->value))
     return false;
   return true;
 }
--- a/src/http_rules.h
+++ b/src/http_rules.h
@@ -28,8 +28,9 @@
 int ab_http_framing (const struct evkeyvalq *headers, enum ab_framing *framing,
                      uint64_t *length);
 
-/* Returns whether each of HEADERS has a token as its name and a value without
-   control characters.  */
+/* Returns whether NAME is a token and VALUE has no control characters.  */
+bool ab_http_header_valid (const char *name, const char *value);
+/* Returns whether ab_http_header_valid holds for each of HEADERS.  */
 bool ab_http_headers_valid (const struct evkeyvalq *headers);
 
 /* Returns whether the comma-separated LIST, which may be null, contains the
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -207,6 +207,8 @@
       "stop_time: %dms\n",
       addresses[0], addresses[1], addresses[2], addresses[3], bind,
       fleet->stop_ms ? fleet->stop_ms : STOP_MS);
+  if (fleet->key_lifetime_ms)
+    ab_buf_printf (&text, "key_lifetime: %dms\n", fleet->key_lifetime_ms);
   if (fleet->retry_extra)
     ab_buf_printf (&text, "repeat_extra: %d\n", fleet->retry_extra);
   if (fleet->retry_fraction > 0)
@@ -546,7 +548,7 @@
                const char *extra)
 {
   bool two = fleet->services == 2;
-  char body[2048];
+  char body[4096];
 
   snprintf (
       body, sizeof body,
@@ -561,7 +563,7 @@
       "\"objective_ms\":1000,\"priority\":1,\"service\":\"shop\","
       "\"attempts\":2},{\"name\":\"large\",\"prefix\":\"/large/\",\"kind\":"
       "\"download\",\"timeout_ms\":3000,\"priority\":2,\"service\":\"shop\"}"
-      "%s]}]}",
+      "%s%s]}]%s%s}",
       version, base,
       two ? ",{\"name\":\"pay\",\"probe_path\":\"/h\",\"connections\":100}"
           : "",
@@ -570,7 +572,12 @@
       two ? ",{\"name\":\"pay\",\"prefix\":\"/pay/\",\"kind\":\"once\","
             "\"timeout_ms\":3000,\"objective_ms\":1000,\"priority\":0,"
             "\"service\":\"pay\",\"attempts\":2}"
-          : "");
+          : "",
+      fleet->teams ? ",{\"name\":\"open\",\"prefix\":\"/open/\",\"kind\":"
+                     "\"idempotent\",\"timeout_ms\":3000,\"service\":"
+                     "\"shop\",\"attempts\":2,\"no_key\":true}"
+                   : "",
+      fleet->teams ? ",\"teams\":" : "", fleet->teams ? fleet->teams : "");
   return fleet_http (gf_admin (fleet, control), "POST", "/v1/bundle",
                      "Content-Type: application/json\n", body, NULL);
 }
@@ -610,6 +617,18 @@
                      strcmp (method, "POST") == 0 ? "order" : NULL, body);
 }
 
+int
+gf_get_with (struct gf_fleet *fleet, int gateway, const char *path,
+             const char *id, const char *lines)
+{
+  char headers[512];
+
+  snprintf (headers, sizeof headers, "Host: x.example\nX-Request-Id: %s\n%s",
+            id, lines);
+  return fleet_http (gf_callers (fleet, gateway), "GET", path, headers, NULL,
+                     NULL);
+}
+
 bool
 gf_wait_status (struct gf_fleet *fleet, int gateway, const char *path,
                 int status, int timeout_ms)
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -53,19 +53,24 @@
   pid_t peer_proxy_pid; /* Proxy between the hosts; 0 if none.  */
   int proxied_gateways; /* It is in front of all control hosts and of this
                            many gateways.  */
-  int stop_ms;     /* stop_time of gateways started from now on; 0: 4 s.  */
-  int regions;     /* 2: even gateways and targets are in a second region,
-                      from their next start on.  3: processes are divided
-                      among GF_DOMAINS failure domains, two in each region.
-                      Otherwise there is one.  */
-  int services;    /* 2: each third target is of service "pay".  Otherwise
-                      all are of "shop".  */
-  int born_ms;     /* Start time that targets started from now on announce;
-                      0: 1000.  */
-  int idle_ms;     /* idle_time_ms of bundles put from now on; 0: 15 s.  */
-  int body_bytes;  /* body_bytes of bundles put from now on; 0: 1 MiB.  */
-  int retry_extra; /* repeat_extra of gateways started from now on; 0: the
-                      default.  */
+  int stop_ms;       /* stop_time of gateways started from now on; 0: 4 s.  */
+  int regions;       /* 2: even gateways and targets are in a second region,
+                        from their next start on.  3: processes are divided
+                        among GF_DOMAINS failure domains, two in each region.
+                        Otherwise there is one.  */
+  int services;      /* 2: each third target is of service "pay".  Otherwise
+                        all are of "shop".  */
+  int born_ms;       /* Start time that targets started from now on announce;
+                        0: 1000.  */
+  int idle_ms;       /* idle_time_ms of bundles put from now on; 0: 15 s.  */
+  int body_bytes;    /* body_bytes of bundles put from now on; 0: 1 MiB.  */
+  const char *teams; /* JSON list of the teams of bundles put from now on,
+                        which get the route "/open/" that needs no key; null:
+                        no teams.  */
+  int key_lifetime_ms; /* key_lifetime of gateways started from now on; 0: not
+                          set.  */
+  int retry_extra;     /* repeat_extra of gateways started from now on; 0: the
+                          default.  */
   double retry_fraction; /* Likewise repeat_fraction.  */
   char address[64];      /* Result of the last gf_admin or gf_callers.  */
 };
@@ -114,7 +119,8 @@
 /* Starts target NUMBER of service "shop", which announces itself until it is
    killed.  A request with GF_CRASH_PATH in its path ends it; the time goes to
    its file "crashes".  While its file "leaving" exists, its responses say that
-   it leaves; while "pause" exists, it rejects requests with Retry-After.  */
+   it leaves; while "pause" exists, it rejects requests with Retry-After; while
+   "record" exists, it appends the headers of requests to its file "heads".  */
 #define GF_CRASH_PATH "/crash"
 void gf_start_target (struct gf_fleet *fleet, int number, enum gf_fault fault);
 /* Addresses of targets; those behind a proxy listen at GF_PROXIED_OFFSET.  */
@@ -143,6 +149,10 @@
 bool gf_has_flag (const struct gf_fleet *fleet, int number, const char *kind);
 void gf_set_flag (const struct gf_fleet *fleet, int number, const char *kind,
                   bool on);
+/* Returns the value of the header NAME that target NUMBER recorded with the
+   request ID, which the caller frees; null if there is none.  */
+char *gf_recorded (const struct gf_fleet *fleet, int number, const char *id,
+                   const char *name);
 /* Makes target NUMBER name the rate limit TEXT, in requests per second, in its
    responses from now on; none if TEXT is null.  */
 void gf_set_rate_limit (const struct gf_fleet *fleet, int number,
@@ -194,6 +204,10 @@
    status, or -1.  Sets *BODY, which the caller frees, unless BODY is null.  */
 int gf_request (struct gf_fleet *fleet, int gateway, const char *method,
                 const char *path, const char *id, char **body);
+/* Likewise, a GET with the further header LINES, each of which ends in a
+   newline.  */
+int gf_get_with (struct gf_fleet *fleet, int gateway, const char *path,
+                 const char *id, const char *lines);
 /* Waits until a request to PATH through GATEWAY gets STATUS.  Returns false
    after TIMEOUT_MS.  */
 bool gf_wait_status (struct gf_fleet *fleet, int gateway, const char *path,
--- a/tests/gateway_target_lib.c
+++ b/tests/gateway_target_lib.c
@@ -10,7 +10,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/prctl.h>
+#include <sys/queue.h>
 #include <unistd.h>
 
 #include "clock.h"
@@ -295,6 +297,43 @@
   fclose (file);
 }
 
+/* Appends the headers of REQ to the file "heads" of TARGET.  */
+static void
+record_headers (const struct target *target, struct evhttp_request *req,
+                const char *id)
+{
+  FILE *file = open_file (target, "heads", "a");
+  const struct evkeyval *item;
+
+  if (!file)
+    return;
+  TAILQ_FOREACH (item, evhttp_request_get_input_headers (req), next)
+  fprintf (file, "%s %s: %s\n", id, item->key, item->value);
+  fclose (file);
+}
+
+char *
+gf_recorded (const struct gf_fleet *fleet, int number, const char *id,
+             const char *name)
+{
+  char path[256];
+  char wanted[256];
+  char line[1024];
+  char *value = NULL;
+  FILE *file;
+
+  snprintf (wanted, sizeof wanted, "%s %s: ", id, name);
+  gf_print_target_path (fleet, number, "heads", path, sizeof path);
+  file = fopen (path, "r");
+  while (file && !value && fgets (line, sizeof line, file))
+    if (strncasecmp (line, wanted, strlen (wanted)) == 0)
+      value = strndup (line + strlen (wanted),
+                       strcspn (line + strlen (wanted), "\n"));
+  if (file)
+    fclose (file);
+  return value;
+}
+
 static void
 on_target_request (struct evhttp_request *req, void *ctx)
 {
@@ -305,6 +344,8 @@
   fprintf (target->arrivals, "%llu\n",
            (unsigned long long)ab_clock_monotonic_ms (ab_clock_system ()));
   fflush (target->arrivals);
+  if (gf_has_flag (target->fleet, target->number, "record"))
+    record_headers (target, req, id ? id : "-");
   if (strstr (evhttp_request_get_uri (req), GF_CRASH_PATH))
     {
       record_crash (target);
