Replace stalled attempts of requests that may be repeated

Change: when the response has not begun after 0.75 of the latency objective, the gateway asks for a slot on another target as a retry, within the retry budget, and ends the first attempt only once there is one. Result: fleet_stalled_targets fails before (504) and passes, an order that hangs runs once; fleet_gateway, fleet_refusals, fleet_crashing_requests, fleet_once, fleet_path pass.

--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -1,4 +1,5 @@
 #include <event2/buffer.h>
+#include <event2/event.h>
 #include <event2/keyvalq_struct.h>
 #include <strings.h>
 #include <sys/queue.h>
@@ -29,6 +30,12 @@
 /* Minimum time to the deadline for a retry: a fraction of the typical
    latency.  */
 #define RETRY_MIN_MS 60
+/* An idempotent request whose response has not begun after this part of its
+   latency objective asks for a slot on another target: a gray target that
+   hangs would keep it until its deadline.  */
+#define STALL_OBJECTIVE_SHARE 0.75
+/* Part of the objective that must be left until the deadline.  */
+#define STALL_LEFT_SHARE 0.25
 /* Allowance for the network delay between caller and host, each way.  */
 #define NETWORK_DELAY_MS 10
 
@@ -222,6 +229,80 @@
             ab_log_str ("value", retry_after));
 }
 
+/* Stops waiting for a chance to replace the attempt.  */
+static void
+stop_stall_timer (struct ab_gateway_flow *flow)
+{
+  if (flow->stall_timer)
+    event_free (flow->stall_timer);
+  flow->stall_timer = NULL;
+}
+
+static void
+cancel_slot_call (struct ab_gateway_flow *flow)
+{
+  if (flow->slot_call)
+    ab_schedule_cancel (flow->slot_call);
+  flow->slot_call = NULL;
+}
+
+static void request_slot (struct ab_gateway_flow *flow);
+
+/* Requests a slot on another target.  The attempt goes on until there is one,
+   as its response may still come.  */
+static void
+on_stall (evutil_socket_t fd, short what, void *arg)
+{
+  struct ab_gateway_flow *flow = arg;
+
+  (void)fd;
+  (void)what;
+  stop_stall_timer (flow);
+  if (!flow->attempt || flow->slot_call || !ab_upstream_written (flow->attempt)
+      || ab_upstream_response_started (flow->attempt)
+      || ab_gateway_flow_quarantined_ms (flow) > 0)
+    return;
+  record_tried_target (flow);
+  flow->slot_request.is_retry = true;
+  ++*ab_gateway_flow_counter (flow, "ab_gateway_stalled_attempts_total");
+  request_slot (flow);
+}
+
+/* Starts to watch the attempt of FLOW if the request may be sent to another
+   target.  */
+static void
+watch_stall (struct ab_gateway_flow *flow)
+{
+  uint64_t objective_ms = flow->route->objective_ms;
+  uint64_t stall_ms = (uint64_t)(STALL_OBJECTIVE_SHARE * (double)objective_ms);
+  uint64_t left_ms = (uint64_t)(STALL_LEFT_SHARE * (double)objective_ms);
+  struct timeval tv = { .tv_sec = (time_t)(stall_ms / 1000),
+                        .tv_usec = (suseconds_t)(stall_ms % 1000 * 1000) };
+
+  stop_stall_timer (flow);
+  if (!flow->route->idempotent || flow->route->large
+      || flow->may_have_run + 1 >= flow->route->attempts
+      || flow->sends >= SENDS_MAX
+      || flow->slot_request.tried_count == AB_SCHED_TRIED_MAX
+      || ab_gateway_flow_time_left (flow) < stall_ms + left_ms)
+    return;
+  flow->stall_timer = evtimer_new (flow->env->daemon->base, on_stall, flow);
+  if (flow->stall_timer)
+    evtimer_add (flow->stall_timer, &tv);
+}
+
+/* Ends the stalled attempt of FLOW, for which there is another target now.  */
+static void
+replace_attempt (struct ab_gateway_flow *flow)
+{
+  struct ab_attempt attempt = ab_upstream_cancel (flow->attempt);
+
+  attempt.end = AB_ATTEMPT_TIMEOUT;
+  record_attempt_end (flow, &attempt,
+                      ab_clock_monotonic_us () - flow->attempt_began_us, 0);
+  ++*ab_gateway_flow_counter (flow, "ab_gateway_repeats_total");
+}
+
 static void
 on_result (void *ctx, const struct ab_upstream_result *result)
 {
@@ -230,6 +311,8 @@
   bool response = attempt->end == AB_ATTEMPT_RESPONSE && !attempt->shed;
   struct ab_failure failure;
 
+  stop_stall_timer (flow);
+  cancel_slot_call (flow);
   report_rate_limit (flow, result);
   report_notices (flow, result);
   record_attempt_end (flow, attempt, result->latency_us,
@@ -365,6 +448,8 @@
   ab_buf_free (&lines);
   if (flow->attempt)
     {
+      flow->attempt_began_us = ab_clock_monotonic_us ();
+      watch_stall (flow);
       if (flow->route->large)
         ab_link_load_begin (&flow->env->link);
       return;
@@ -390,6 +475,13 @@
 
   flow->slot_call = NULL;
   flow->slot_wait_us += ab_clock_monotonic_us () - flow->slot_requested_us;
+  if (flow->attempt)
+    {
+      /* The stalled attempt is all there is without a slot elsewhere.  */
+      if (decision != AB_SCHED_GRANTED)
+        return;
+      replace_attempt (flow);
+    }
   if (decision != AB_SCHED_GRANTED)
     {
       ab_gateway_reply_rejected (flow, 503, ab_sched_decision_name (decision),
@@ -410,26 +502,33 @@
     send_request (flow);
 }
 
-void
-ab_gateway_attempt_start (struct ab_gateway_flow *flow)
+static void
+request_slot (struct ab_gateway_flow *flow)
 {
   uint64_t elapsed_ms = now_ms () - flow->begin_ms + NETWORK_DELAY_MS;
-  uint64_t quarantined_ms = ab_gateway_flow_quarantined_ms (flow);
 
   flow->slot_request.objective_ms
       = flow->route->objective_ms > elapsed_ms + NETWORK_DELAY_MS
             ? flow->route->objective_ms - elapsed_ms - NETWORK_DELAY_MS
             : 0;
-  if (quarantined_ms > 0)
-    {
-      ab_gateway_reply_quarantined (flow, quarantined_ms);
-      return;
-    }
   flow->slot_request.timeout_ms = ab_gateway_flow_time_left (flow);
   flow->slot_requested_us = ab_clock_monotonic_us ();
   flow->slot_call = ab_schedule_request_slot (
       flow->env->schedule, &flow->slot_request, on_grant, flow);
   flow->slot_request.is_counted = true;
+}
+
+void
+ab_gateway_attempt_start (struct ab_gateway_flow *flow)
+{
+  uint64_t quarantined_ms = ab_gateway_flow_quarantined_ms (flow);
+
+  if (quarantined_ms > 0)
+    {
+      ab_gateway_reply_quarantined (flow, quarantined_ms);
+      return;
+    }
+  request_slot (flow);
   if (!flow->slot_call)
     ab_gateway_reply_rejected (flow, 503, "memory", AB_GATEWAY_RETRY_MS);
 }
@@ -439,9 +538,8 @@
 {
   struct ab_attempt attempt;
 
-  if (flow->slot_call)
-    ab_schedule_cancel (flow->slot_call);
-  flow->slot_call = NULL;
+  stop_stall_timer (flow);
+  cancel_slot_call (flow);
   if (!flow->attempt)
     return;
   attempt = ab_upstream_cancel (flow->attempt);
--- a/src/gateway_flow_internal.h
+++ b/src/gateway_flow_internal.h
@@ -2,8 +2,8 @@
 
    gateway_flow_task.c accepts a request and ends it when its caller
    disconnects or its deadline passes, gateway_team_task.c checks its key,
-   gateway_attempt_task.c sends it to targets, and gateway_reply_task.c sends the reply.  Each function that ends
-   a flow frees it.  */
+   gateway_attempt_task.c sends it to targets, and gateway_reply_task.c sends
+   the reply.  Each function that ends a flow frees it.  */
 
 #ifndef AB_GATEWAY_FLOW_INTERNAL_H
 #define AB_GATEWAY_FLOW_INTERNAL_H
@@ -40,6 +40,8 @@
   struct ab_schedule_call *slot_call;
   struct ab_schedule_grant grant;
   struct ab_upstream_call *attempt;
+  struct event *stall_timer; /* While ATTEMPT may be replaced; or null.  */
+  uint64_t attempt_began_us;
   uint64_t slot_requested_us;
   uint64_t slot_wait_us; /* Total duration of slot requests.  */
   uint64_t body_bytes;
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -85,6 +85,8 @@
   ab_caller_watch_free (flow->caller_watch);
   if (flow->timer)
     event_free (flow->timer);
+  if (flow->stall_timer)
+    event_free (flow->stall_timer);
   if (flow->kept_body)
     evbuffer_free (flow->kept_body);
   ab_buf_free (&flow->kept_headers);
--- a/src/upstream_task.c
+++ b/src/upstream_task.c
@@ -650,6 +650,12 @@
   return call->connection && call->connection->written;
 }
 
+bool
+ab_upstream_response_started (const struct ab_upstream_call *call)
+{
+  return call->connection && call->connection->response_started;
+}
+
 int
 ab_upstream_new (struct ab_daemon *daemon, uint64_t body_bytes,
                  uint64_t header_bytes, struct ab_upstream **upstream)
--- a/src/upstream_task.h
+++ b/src/upstream_task.h
@@ -109,6 +109,8 @@
 
 /* Returns whether some byte of CALL's request was handed to the kernel.  */
 bool ab_upstream_written (const struct ab_upstream_call *call);
+/* Returns whether some byte of CALL's response has arrived.  */
+bool ab_upstream_response_started (const struct ab_upstream_call *call);
 
 /* State dump: numbers of all and of idle connections for each address.  */
 json_t *ab_upstream_state (const struct ab_upstream *upstream);
