scheduler: ranks, shares of ranks and teams, admission in a lasting backlog

Cause: the queue knew only the priority of routes. Change: the order, the estimates and the retry budget use (team priority, route priority). scheduler_shares.c gives each rank and team credit for a part of the share of all requests; a request with credit goes first, bounded to 0.4 of the slots. Teams of a rank take turns. After 600 ms of backlog a request is queued only if its turn is expected within 0.6 of the time to its objective, all arrivals of more urgent ranks are counted, and an empty queue ends no backlog within 500 ms of a rejection.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -75,6 +75,7 @@
   while (service)
     {
       struct ab_sched_service *next = service->hh.next;
+      ab_sched_shares_clear (&service->shares);
       free (service);
       service = next;
     }
@@ -141,6 +142,8 @@
   target->trial_requests += request->is_trial;
   target->used = true;
   ab_rate_bucket_take (&target->rate, now_ms);
+  ab_sched_shares_grant (&service->shares, &request->slot_request,
+                         &request->place, now_ms);
   ab_sched_record_grant (service, now_ms);
   ab_sched_spend_retry (request, now_ms);
   decide (s, request, AB_SCHED_GRANTED, target, 0, now_ms);
@@ -251,6 +254,10 @@
   if (decision != AB_SCHED_SPILL)
     ab_sched_failure_window_record (&request->service->failure_window, true,
                                     now_ms);
+  if (decision == AB_SCHED_FULL)
+    request->service->last_full_ms = now_ms;
+  ab_sched_shares_reject (&request->service->shares, &request->slot_request,
+                          &request->place, decision == AB_SCHED_SPILL, now_ms);
   decide (s, request, decision, limited_by,
           wait_ms < RETRY_AFTER_MIN_MS ? RETRY_AFTER_MIN_MS : wait_ms, now_ms);
   free_request (s, request);
@@ -272,11 +279,9 @@
 
   if (!capacity->most_limited)
     return NULL;
-  response_ms
-      = ab_sched_queue_wait_ms (request->service, &request->slot_request,
-                                ahead, &unlimited, now_ms)
-        + ab_sched_typical_latency_ms (request->service)
-        + AB_SCHED_REPLY_MARGIN_MS;
+  response_ms = ab_sched_queue_wait_ms (request, ahead, &unlimited, now_ms)
+                + ab_sched_typical_latency_ms (request->service)
+                + AB_SCHED_REPLY_MARGIN_MS;
   return response_ms > remaining_ms ? NULL : capacity->most_limited;
 }
 
@@ -317,10 +322,8 @@
       return;
     }
   ab_sched_summarise (request->service, now_ms, &summary);
-  wait = (uint64_t)ab_sched_queue_wait_ms (request->service, slot_request,
-                                           ahead, &capacity, now_ms);
-  if ((double)wait + typical_ms + AB_SCHED_REPLY_MARGIN_MS
-          > (double)slot_request->timeout_ms
+  wait = (uint64_t)ab_sched_queue_wait_ms (request, ahead, &capacity, now_ms);
+  if ((double)wait > ab_sched_admission_limit_ms (request, now_ms)
       || request->service->waiting_count > QUEUE_MAX)
     reject (s, request, AB_SCHED_FULL,
             binding_limit (request, &capacity, ahead,
@@ -385,7 +388,8 @@
   request = add_request (s, slot_request, now_ms);
   if (!request)
     return; /* Without a reply the requester tries another host.  */
-  ab_sched_count_arrival (request->service, slot_request, now_ms);
+  ab_sched_shares_arrival (&request->service->shares, slot_request,
+                           &request->place, now_ms);
   ab_sched_check_role (s, request->service, now_ms);
   if (!slot_request->is_retry && !slot_request->is_counted)
     ab_sched_count_first_attempt (s, request->service, now_ms);
@@ -581,8 +585,7 @@
   for (size_t i = 0; list && i < count; i++)
     {
       struct ab_sched_request *request = list[i];
-      double wait = ab_sched_queue_wait_ms (service, &request->slot_request,
-                                            ahead, &capacity, now_ms);
+      double wait = ab_sched_queue_wait_ms (request, ahead, &capacity, now_ms);
       double remaining_ms = (double)ab_sched_remaining_ms (
           request->slot_request.timeout_ms, request, now_ms);
       uint64_t pause = too_long_pause_ms (request, now_ms);
--- a/src/scheduler_budget.c
+++ b/src/scheduler_budget.c
@@ -20,9 +20,10 @@
 #define ROLE_CHECK_MS 1000
 /* Allows for the rounding of sums of fractions.  */
 #define ROUNDING 1e-6
-/* Part of that share that each priority class may use: when attempts fail or
+/* Part of that share that each class of ranks may use: when attempts fail or
    are rejected everywhere, urgent requests are retried first.  */
-static const double budget_by_priority[] = { 1, 0.85, 0.6, 0.6 };
+static const double budget_by_class[] = { 1, 0.85, 0.6, 0.6 };
+#define BUDGET_CLASSES (sizeof budget_by_class / sizeof budget_by_class[0])
 
 static struct ab_sched_bucket *
 bucket_at (struct ab_sched_service *service, uint64_t now_ms)
@@ -36,12 +37,12 @@
   return bucket;
 }
 
-size_t
-ab_sched_priority_class (const struct ab_sched_slot_request *slot_request)
+static double
+budget_share (const struct ab_sched_service *service,
+              const struct ab_sched_slot_request *slot_request)
 {
-  return slot_request->priority < AB_SCHED_PRIORITY_CLASSES
-             ? (size_t)slot_request->priority
-             : AB_SCHED_PRIORITY_CLASSES - 1;
+  return budget_by_class[ab_sched_shares_class (&service->shares, slot_request,
+                                                BUDGET_CLASSES)];
 }
 
 /* Returns the time for which one slot of the credit counts.  */
@@ -192,14 +193,15 @@
   return first_attempts;
 }
 
-/* Returns the credit that is kept for requests of higher priority than
-   SLOT_REQUEST; a retry of the lowest one is possible when all else is
+/* Returns the credit that is kept for requests of more urgent ranks than
+   SLOT_REQUEST; a retry of the last one is possible when all else is
    saved.  */
 static double
-credit_kept (const struct ab_sched_credit *credit,
+credit_kept (const struct ab_sched_service *service,
              const struct ab_sched_slot_request *slot_request)
 {
-  double share = budget_by_priority[ab_sched_priority_class (slot_request)];
+  const struct ab_sched_credit *credit = &service->credit;
+  double share = budget_share (service, slot_request);
   double kept = (1 - share) * credit->saved_max;
 
   if (kept > credit->saved_max - 1)
@@ -218,11 +220,10 @@
 
   update_credit (s, service, now_ms);
   if ((double)service->reserved_retries + 1
-              + credit_kept (&service->credit, slot_request)
+              + credit_kept (service, slot_request)
           > service->credit.amount + ROUNDING
       || count_retries (service, seconds, now) + 1
-             > OWN_BUDGET_SHARE
-                   * budget_by_priority[ab_sched_priority_class (slot_request)]
+             > OWN_BUDGET_SHARE * budget_share (service, slot_request)
                    * (s->config.retry_fraction
                           * count_first_attempts (service, seconds, now)
                       + own_additional_retries (s, service, slot_request)))
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -3,6 +3,7 @@
    - scheduler_targets.c keeps the state of targets.
    - scheduler_choice.c chooses a target for a request.
    - scheduler_queue.c orders queued requests and estimates their waiting time.
+   - scheduler_shares.c measures the shares of ranks and teams.
    - scheduler_budget.c enforces the retry budget.
    - scheduler_failure_window.c measures the failure rate of a service.
    - scheduler.c handles slot requests and outcomes.  */
@@ -14,14 +15,12 @@
 
 #include "rate_bucket.h"
 #include "scheduler.h"
+#include "scheduler_shares.h"
 
 #define AB_SCHED_PATHS_MAX 8
 /* A host whose pause is not recorded rejects grants of the target itself.  */
 #define AB_SCHED_PAUSES_MAX 64
 #define AB_SCHED_BUCKETS 32
-/* Number of priority classes with an arrival rate of their own; the last one
-   takes all lower priorities.  */
-#define AB_SCHED_PRIORITY_CLASSES 4
 /* The failure rate of a service is measured over this many slices of time,
    each of AB_SCHED_SLICE_MS.  */
 #define AB_SCHED_SLICES 8
@@ -74,6 +73,7 @@
   struct ab_sched_request *next;
   struct ab_sched_service *service;
   struct ab_sched_target *target; /* Null while queued.  */
+  struct ab_sched_place place;
   uint64_t arrived_ms;
   uint64_t granted_ms;
   bool is_trial;
@@ -162,10 +162,10 @@
   struct ab_sched_request *granted;
   double latency_ms;
   struct ab_sched_failure_window failure_window;
-  /* Arrivals per millisecond of each priority class.  */
-  double arrival_rates[AB_SCHED_PRIORITY_CLASSES];
-  uint64_t arrival_rates_ms; /* When ARRIVAL_RATES was updated.  */
+  struct ab_sched_shares shares;
   struct ab_sched_throughput throughput;
+  /* When a request was last rejected because no slot was expected in time.  */
+  uint64_t last_full_ms;
   struct ab_sched_bucket buckets[AB_SCHED_BUCKETS];
   uint64_t reserved_retries; /* Of queued requests.  */
   struct ab_sched_role role;
@@ -308,17 +308,19 @@
 struct ab_sched_request **
 ab_sched_list_waiting (const struct ab_sched_service *service,
                        uint64_t now_ms);
-void ab_sched_count_arrival (struct ab_sched_service *service,
-                             const struct ab_sched_slot_request *slot_request,
-                             uint64_t now_ms);
-/* Returns the milliseconds until it is the turn of a request with AHEAD others
-   before it, given CAPACITY with some slots.  New arrivals of higher priority
-   take their part of the slots first.  */
-double
-ab_sched_queue_wait_ms (struct ab_sched_service *service,
-                        const struct ab_sched_slot_request *slot_request,
-                        size_t ahead, const struct ab_sched_capacity *capacity,
-                        uint64_t now_ms);
+/* Returns the milliseconds until it is the turn of REQUEST with AHEAD others
+   before it, given CAPACITY with some slots.  New arrivals of more urgent
+   ranks take their part of the slots first.  */
+double ab_sched_queue_wait_ms (const struct ab_sched_request *request,
+                               size_t ahead,
+                               const struct ab_sched_capacity *capacity,
+                               uint64_t now_ms);
+/* Returns the longest wait in milliseconds with which REQUEST, which has just
+   arrived, is queued.  In a burst that is what its deadline leaves.  In a
+   lasting backlog requests that miss their objective are overtaken by those
+   that come later, so that only one that can make it is queued.  */
+double ab_sched_admission_limit_ms (const struct ab_sched_request *request,
+                                    uint64_t now_ms);
 /* Records whether requests of SERVICE are queued, and a grant of a slot.  */
 void ab_sched_record_backlog (struct ab_sched_service *service,
                               uint64_t now_ms);
@@ -329,8 +331,6 @@
 
 /* Functions of scheduler_budget.c.  */
 
-size_t
-ab_sched_priority_class (const struct ab_sched_slot_request *slot_request);
 void ab_sched_count_first_attempt (const struct ab_scheduler *scheduler,
                                    struct ab_sched_service *service,
                                    uint64_t now_ms);
