scheduler: test idle targets with orders, at a bounded rate

Change: an order may take an untested target that was idle for 9.5 s, one at a time, four in a row and then one in 8 s.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -135,9 +135,11 @@
   DL_APPEND (service->granted, request);
   request->target = target;
   request->granted_ms = now_ms;
-  target->last_granted_ms = now_ms;
   request->is_trial
       = ab_target_health_state (&target->health, now_ms) != AB_TARGET_HEALTHY;
+  if (request->is_trial && !request->slot_request.idempotent)
+    ab_sched_record_order_test (service, target, now_ms);
+  target->last_granted_ms = now_ms;
   target->in_flight++;
   target->trial_requests += request->is_trial;
   target->used = true;
--- a/src/scheduler_choice.c
+++ b/src/scheduler_choice.c
@@ -10,6 +10,19 @@
    some are lost.  */
 #define IDLE_MAX_MS 1500
 #define IDLE_MAX_IDEMPOTENT_MS 900
+/* In a service of orders alone nothing else tests recovered targets while
+   others have free slots, and an order that does fails in about one of four
+   cases.  So a target is tested with one only when it was idle for
+   ORDER_TEST_IDLE_MS, as it is then more likely to have recovered, at most one
+   in ORDER_TEST_MS over time and ORDER_TESTS_SAVED in a row.  Tests after
+   1.5 s, at most one a second, cost 0.85 in 100 orders at a third of the
+   capacity and found no room in bursts (bench_orders): untested targets get
+   orders then anyway.  */
+#define ORDER_TEST_IDLE_MS 9500
+#define ORDER_TEST_MS 8000
+#define ORDER_TESTS_SAVED 4
+/* At least this long between two such tests.  */
+#define ORDER_TEST_GAP_MS 300
 /* A new target that has had no request yet is preferred for idempotent first
    attempts, and once this time has passed since it joined, for all first
    attempts.  */
@@ -70,6 +83,7 @@
 struct choice
 {
   const struct ab_sched_service *service;
+  const struct ab_sched_summary *summary;
   const struct ab_sched_slot_request *slot_request;
   uint64_t host;
   uint64_t objective_ms; /* What remains of the objective.  */
@@ -172,10 +186,40 @@
   return AB_TARGET_HEALTHY;
 }
 
+/* Returns whether an order may test an untested target that was idle for
+   IDLE_MS.  Only one at a time is tested that way.  */
+static bool
+may_test_with_order (const struct choice *choice, uint64_t idle_ms)
+{
+  const struct ab_sched_order_tests *tests = &choice->service->order_tests;
+  uint64_t since_ms = choice->now_ms - tests->last_ms;
+
+  return choice->summary->under_trial == 0 && !choice->slot_request->is_retry
+         && idle_ms > ORDER_TEST_IDLE_MS && since_ms >= ORDER_TEST_GAP_MS
+         && tests->used * ORDER_TEST_MS
+                < (double)since_ms + (ORDER_TESTS_SAVED - 1) * ORDER_TEST_MS;
+}
+
+void
+ab_sched_record_order_test (struct ab_sched_service *service,
+                            const struct ab_sched_target *target,
+                            uint64_t now_ms)
+{
+  struct ab_sched_order_tests *tests = &service->order_tests;
+
+  if (now_ms - target->last_granted_ms <= ORDER_TEST_IDLE_MS)
+    return;
+  tests->used -= (double)(now_ms - tests->last_ms) / ORDER_TEST_MS;
+  tests->used = tests->used < 0 ? 1 : tests->used + 1;
+  if (tests->used > ORDER_TESTS_SAVED)
+    tests->used = ORDER_TESTS_SAVED;
+  tests->last_ms = now_ms;
+}
+
 /* Returns whether TARGET has been idle so long that it gets the next request.
-   A request that is not idempotent goes to a target that is not healthy only
-   while the service is degraded, when relying on the few healthy targets would
-   leave most of the service idle.  */
+   A request that is not idempotent goes to a suspect target only while the
+   service is degraded, when relying on the few healthy targets would leave
+   most of the service idle, and to an untested one also as a test.  */
 static bool
 is_idle_too_long (const struct choice *choice,
                   const struct ab_sched_target *target,
@@ -188,7 +232,9 @@
   if (choice->slot_request->idempotent)
     return idle_ms > IDLE_MAX_IDEMPOTENT_MS && !choice->slot_request->is_retry;
   return idle_ms > IDLE_MAX_MS
-         && (state == AB_TARGET_HEALTHY || choice->is_degraded);
+         && (state == AB_TARGET_HEALTHY || choice->is_degraded
+             || (state == AB_TARGET_UNTESTED
+                 && may_test_with_order (choice, idle_ms)));
 }
 
 static bool
@@ -293,6 +339,7 @@
 {
   const struct choice choice = {
     .service = service,
+    .summary = summary,
     .slot_request = slot_request,
     .host = ab_rendezvous_hash (ab_chunk_str (slot_request->host)),
     .objective_ms = subtract_waited (slot_request->objective_ms, waited_ms),
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -152,6 +152,14 @@
   uint64_t updated_ms;
 };
 
+/* Requests that must not repeat and were sent to targets that were idle for
+   long, to test them.  */
+struct ab_sched_order_tests
+{
+  double used; /* At LAST_MS, of those that may follow each other.  */
+  uint64_t last_ms;
+};
+
 /* The targets of a service in one shard, and the slot requests for them.  */
 struct ab_sched_service
 {
@@ -166,6 +174,7 @@
   struct ab_sched_throughput throughput;
   /* When a request was last rejected because no slot was expected in time.  */
   uint64_t last_full_ms;
+  struct ab_sched_order_tests order_tests;
   struct ab_sched_bucket buckets[AB_SCHED_BUCKETS];
   uint64_t reserved_retries; /* Of queued requests.  */
   struct ab_sched_role role;
@@ -262,6 +271,11 @@
                         const struct ab_sched_summary *summary,
                         const struct ab_sched_slot_request *slot_request,
                         uint64_t waited_ms, bool local_only, uint64_t now_ms);
+/* Records that TARGET, which is not healthy, gets a request that must not
+   repeat; counted if it was idle for long.  */
+void ab_sched_record_order_test (struct ab_sched_service *service,
+                                 const struct ab_sched_target *target,
+                                 uint64_t now_ms);
 /* What the targets of a service that are not ejected can serve, each weighted
    by the probability that its target is healthy.  */
 struct ab_sched_capacity
