scheduler: report who gets no slot and why

Cause: nothing told an operator which ranks and teams an overloaded service turns away. Change: a scheduler reports refusals of each rank at most once a second (event slots_refused, counters ab_slots_refused_total by reason) with the team that has most of them and the shares of the rank and of all; `shares` in the state dump.

--- a/src/schedule_serve_task.c
+++ b/src/schedule_serve_task.c
@@ -1,4 +1,5 @@
 #include <event2/event.h>
+#include <stdio.h>
 
 #include "clock.h"
 #include "error.h"
@@ -113,11 +114,50 @@
       ab_log_int ("view_age_ms", (int64_t)ab_fleet_view_age_ms (task->view)));
 }
 
+static void
+count_refused (struct ab_schedule_task *task, const char *reason,
+               uint64_t count)
+{
+  char name[64];
+
+  if (count == 0)
+    return;
+  snprintf (name, sizeof name, "ab_slots_refused_total{reason=\"%s\"}",
+            reason);
+  *ab_counter (task->daemon->counters, name) += count;
+}
+
+static void
+on_refused (void *ctx, const char *service, const char *shard,
+            const struct ab_sched_refusals *refusals)
+{
+  struct ab_schedule_task *task = ctx;
+
+  count_refused (task, "full", refusals->full);
+  count_refused (task, "rate-limit", refusals->rate_limited);
+  count_refused (task, "none", refusals->no_target);
+  count_refused (task, "budget", refusals->budget);
+  AB_LOG (AB_LOG_INFO, "slots_refused", ab_log_str ("service", service),
+          ab_log_str ("shard", shard),
+          ab_log_int ("team_priority", (int64_t)refusals->team_priority),
+          ab_log_int ("priority", (int64_t)refusals->priority),
+          ab_log_int ("full", (int64_t)refusals->full),
+          ab_log_int ("rate_limited", (int64_t)refusals->rate_limited),
+          ab_log_int ("no_target", (int64_t)refusals->no_target),
+          ab_log_int ("budget", (int64_t)refusals->budget),
+          ab_log_str ("team", refusals->team),
+          ab_log_int ("team_refused", (int64_t)refusals->team_refused),
+          ab_log_real ("share", refusals->share),
+          ab_log_real ("share_of_all", refusals->share_of_all),
+          ab_log_int ("waiting", (int64_t)refusals->waiting));
+}
+
 static const struct ab_scheduler_ops scheduler_ops
     = { .decide = on_decision,
         .count_schedulers = count_schedulers,
         .is_primary = is_primary,
-        .role_changed = on_role_changed };
+        .role_changed = on_role_changed,
+        .refused = on_refused };
 
 /* Returns whether SLOT_REQUEST comes from this host and another host schedules
    its shard.  */
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -678,9 +678,10 @@
 
   DL_COUNT (task->calls, call, calls);
   return json_pack (
-      "{s:i, s:o, s:o, s:o, s:o}", "asks", calls, "targets",
+      "{s:i, s:o, s:o, s:o, s:o, s:o}", "asks", calls, "targets",
       ab_scheduler_state (task->scheduler, now_ms ()), "retry_budgets",
-      ab_scheduler_budgets (task->scheduler, now_ms ()), "rate_limits",
+      ab_scheduler_budgets (task->scheduler, now_ms ()), "shares",
+      ab_scheduler_shares (task->scheduler), "rate_limits",
       ab_rate_limit_task_state (task->rate_limits), "notices",
       ab_target_notices_state (task->notices, now_ms ()));
 }
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -263,7 +263,7 @@
     request->service->last_full_ms = now_ms;
   ab_sched_shares_reject (
       &request->service->shares, &request->slot_request, &request->place,
-      decision == AB_SCHED_SPILL || !request->slot_request.may_wait, now_ms);
+      limited_by ? AB_SCHED_RATE_LIMITED : decision, now_ms);
   decide (s, request, decision, limited_by,
           wait_ms < RETRY_AFTER_MIN_MS ? RETRY_AFTER_MIN_MS : wait_ms, now_ms);
   free_request (s, request);
@@ -661,24 +661,6 @@
       serve_queue (s, service, now_ms);
       reject_unservable (s, service, now_ms);
       ab_sched_record_backlog (service, now_ms);
+      ab_sched_report_refusals (s, service, now_ms);
     }
 }
-
-json_t *
-ab_scheduler_state (const struct ab_scheduler *s, uint64_t now_ms)
-{
-  json_t *list = json_array ();
-
-  for (const struct ab_sched_target *t = s->targets; t; t = t->hh.next)
-    json_array_append_new (
-        list, json_pack ("{s:s, s:s, s:s, s:s, s:I, s:I, s:f, s:f}", "target",
-                         t->fleet_target.id, "service", t->service->key,
-                         "address", t->fleet_target.address, "trust",
-                         ab_target_health_state_name (
-                             ab_target_health_state (&t->health, now_ms)),
-                         "in_flight", (json_int_t)t->in_flight, "failures",
-                         (json_int_t)t->health.failures, "risk",
-                         ab_target_health_risk (&t->health, now_ms),
-                         "latency_ms", t->health.latency_ms));
-  return list;
-}
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -115,6 +115,25 @@
   uint64_t waiting; /* Requests queued for the service.  */
 };
 
+/* Why requests of a rank got no slot in the last second or more.  */
+struct ab_sched_refusals
+{
+  uint64_t team_priority;
+  uint64_t priority; /* Of the route.  */
+  uint64_t full;     /* No slot was expected in time.  */
+  uint64_t rate_limited;
+  uint64_t no_target;
+  uint64_t budget; /* Retries beyond the budget.  */
+  /* The team of this rank with most of the refusals, over all its routes;
+     empty without teams.  */
+  char team[AB_NAME_BYTES];
+  uint64_t team_refused;
+  /* Shares of this rank and of all requests that recently got a slot.  */
+  double share;
+  double share_of_all;
+  uint64_t waiting; /* Requests queued for the service.  */
+};
+
 struct ab_scheduler_ops
 {
   void (*decide) (void *ctx, const struct ab_sched_slot_request *slot_request,
@@ -129,6 +148,10 @@
      May be null.  */
   void (*role_changed) (void *ctx, const char *service, const char *shard,
                         bool is_regular);
+  /* Reports refusals of one rank, at most once a second for each.  May be
+     null.  */
+  void (*refused) (void *ctx, const char *service, const char *shard,
+                   const struct ab_sched_refusals *refusals);
 };
 
 struct ab_scheduler_config
@@ -186,6 +209,9 @@
 /* Returns the targets as a new JSON array, for the state dump.  */
 json_t *ab_scheduler_state (const struct ab_scheduler *scheduler,
                             uint64_t now_ms);
+/* Returns the shares of the ranks of each service and shard as a new JSON
+   array.  */
+json_t *ab_scheduler_shares (const struct ab_scheduler *scheduler);
 /* Returns the retry budget of each service and shard as a new JSON array.  */
 json_t *ab_scheduler_budgets (const struct ab_scheduler *scheduler,
                               uint64_t now_ms);
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -5,6 +5,7 @@
    - scheduler_queue.c orders queued requests and estimates their waiting time.
    - scheduler_shares.c measures the shares of ranks and teams.
    - scheduler_budget.c enforces the retry budget.
+   - scheduler_report.c reports state and refusals.
    - scheduler_failure_window.c measures the failure rate of a service.
    - scheduler.c handles slot requests and outcomes.  */
 
@@ -174,6 +175,7 @@
   struct ab_sched_throughput throughput;
   /* When a request was last rejected because no slot was expected in time.  */
   uint64_t last_full_ms;
+  uint64_t last_report_ms; /* Of refusals.  */
   /* When queued requests were last checked for whether they can be served.  */
   uint64_t last_checked_ms;
   struct ab_sched_order_tests order_tests;
@@ -351,6 +353,13 @@
 size_t ab_sched_count_ahead (const struct ab_sched_request *request,
                              uint64_t now_ms);
 
+/* Functions of scheduler_report.c.  */
+
+/* Reports refusals to the caller of the scheduler, if it is time.  */
+void ab_sched_report_refusals (const struct ab_scheduler *scheduler,
+                               struct ab_sched_service *service,
+                               uint64_t now_ms);
+
 /* Functions of scheduler_budget.c.  */
 
 void ab_sched_count_first_attempt (const struct ab_scheduler *scheduler,
--- a/src/scheduler_shares.c
+++ b/src/scheduler_shares.c
@@ -328,11 +328,27 @@
     use_credit (&team->credit);
 }
 
+static enum ab_sched_reason
+reason_of (enum ab_sched_decision decision)
+{
+  switch (decision)
+    {
+    case AB_SCHED_RATE_LIMITED:
+      return AB_SCHED_REASON_LIMIT;
+    case AB_SCHED_NO_TARGET:
+      return AB_SCHED_REASON_NO_TARGET;
+    case AB_SCHED_BUDGET_USED_UP:
+      return AB_SCHED_REASON_BUDGET;
+    default:
+      return AB_SCHED_REASON_FULL;
+    }
+}
+
 void
 ab_sched_shares_reject (struct ab_sched_shares *shares,
                         const struct ab_sched_slot_request *slot_request,
-                        const struct ab_sched_place *place, bool moves_on,
-                        uint64_t now_ms)
+                        const struct ab_sched_place *place,
+                        enum ab_sched_decision decision, uint64_t now_ms)
 {
   struct ab_sched_rank *rank = find_rank (shares, slot_request);
   struct ab_sched_team *team = find_team (shares, slot_request);
@@ -348,12 +364,11 @@
       if (team)
         add_credit (&team->credit, 1);
     }
-  if (!moves_on)
+  if (decision != AB_SCHED_SPILL && slot_request->may_wait)
     {
-      rank->rejected_ms = now_ms;
-      rank->rejected_count++;
+      rank->refused[reason_of (decision)]++;
       if (team)
-        team->rejected_count++;
+        team->refused++;
     }
   else if (!slot_request->is_retry && slot_request->may_wait
            && shares->requested > 1 && rank->requested > 1)
@@ -413,3 +428,78 @@
 
   return class < classes ? (size_t) class : classes - 1;
 }
+
+/* Names the team of RANK with most refusals in REFUSALS.  */
+static void
+find_refused_team (const struct ab_sched_shares *shares,
+                   const struct ab_sched_rank *rank,
+                   struct ab_sched_refusals *refusals)
+{
+  for (const struct ab_sched_team *team = shares->teams; team;
+       team = team->hh.next)
+    if (team->priority == rank->team_priority
+        && team->refused > refusals->team_refused)
+      {
+        memcpy (refusals->team, team->name, sizeof refusals->team);
+        refusals->team_refused = team->refused;
+      }
+}
+
+/* Returns the next rank with refusals to report, or null.  */
+static struct ab_sched_rank *
+next_refused (struct ab_sched_shares *shares)
+{
+  for (size_t i = 0; i < shares->rank_count; i++)
+    for (size_t reason = 0; reason < AB_SCHED_REASONS; reason++)
+      if (shares->ranks[i].refused[reason] > 0)
+        return &shares->ranks[i];
+  return NULL;
+}
+
+bool
+ab_sched_shares_take_refusals (struct ab_sched_shares *shares,
+                               struct ab_sched_refusals *refusals,
+                               uint64_t now_ms)
+{
+  struct ab_sched_rank *rank = next_refused (shares);
+
+  decay (shares, now_ms);
+  if (!rank)
+    {
+      for (struct ab_sched_team *team = shares->teams; team;
+           team = team->hh.next)
+        team->refused = 0;
+      return false;
+    }
+  *refusals = (struct ab_sched_refusals){
+    .team_priority = rank->team_priority,
+    .priority = rank->priority,
+    .full = rank->refused[AB_SCHED_REASON_FULL],
+    .rate_limited = rank->refused[AB_SCHED_REASON_LIMIT],
+    .no_target = rank->refused[AB_SCHED_REASON_NO_TARGET],
+    .budget = rank->refused[AB_SCHED_REASON_BUDGET],
+    .share = granted_share (rank->granted, rank->requested),
+    .share_of_all = granted_share (shares->granted, shares->requested)
+  };
+  find_refused_team (shares, rank, refusals);
+  memset (rank->refused, 0, sizeof rank->refused);
+  return true;
+}
+
+json_t *
+ab_sched_shares_state (const struct ab_sched_shares *shares)
+{
+  json_t *list = json_array ();
+
+  for (size_t i = 0; i < shares->rank_count; i++)
+    {
+      const struct ab_sched_rank *rank = &shares->ranks[i];
+      json_array_append_new (
+          list,
+          json_pack ("{s:I, s:I, s:f, s:f, s:f}", "team_priority",
+                     (json_int_t)rank->team_priority, "priority",
+                     (json_int_t)rank->priority, "requested", rank->requested,
+                     "granted", rank->granted, "credit", rank->credit));
+    }
+  return list;
+}
--- a/src/scheduler_shares.h
+++ b/src/scheduler_shares.h
@@ -33,6 +33,16 @@
    more, its turns in one of them start anew.  */
 #define AB_SCHED_TEAM_KINDS 4
 
+/* Why requests got no slot.  */
+enum ab_sched_reason
+{
+  AB_SCHED_REASON_FULL,  /* No slot was expected in time.  */
+  AB_SCHED_REASON_LIMIT, /* The same, because of targets' rate limits.  */
+  AB_SCHED_REASON_NO_TARGET,
+  AB_SCHED_REASON_BUDGET, /* Retries beyond the budget.  */
+  AB_SCHED_REASONS
+};
+
 struct ab_sched_rank
 {
   uint64_t team_priority;
@@ -44,10 +54,8 @@
   double requested;
   double granted;
   double credit;
-  /* When a request was last rejected; 0: never.  */
-  uint64_t rejected_ms;
-  uint64_t round;          /* In which a slot was last granted.  */
-  uint64_t rejected_count; /* Since the last report.  */
+  uint64_t round;                     /* In which a slot was last granted.  */
+  uint64_t refused[AB_SCHED_REASONS]; /* Since the last report.  */
 };
 
 /* Rounds of a team in one rank.  */
@@ -64,7 +72,7 @@
   struct ab_sched_team_kind kinds[AB_SCHED_TEAM_KINDS];
   size_t next_kind; /* The next to be replaced.  */
   double credit;
-  uint64_t rejected_count; /* Since the last report.  */
+  uint64_t refused; /* Since the last report.  */
   UT_hash_handle hh;
 };
 
@@ -112,12 +120,13 @@
                             const struct ab_sched_place *place,
                             uint64_t now_ms);
 
-/* Records that a request got no slot; with MOVES_ON, its host asks in another
-   shard, and may come back.  */
+/* Records that a request got no slot because of DECISION.  With
+   AB_SCHED_SPILL, or if it may not wait, its host asks in another shard, and
+   may come back.  */
 void ab_sched_shares_reject (struct ab_sched_shares *shares,
                              const struct ab_sched_slot_request *slot_request,
-                             const struct ab_sched_place *place, bool moves_on,
-                             uint64_t now_ms);
+                             const struct ab_sched_place *place,
+                             enum ab_sched_decision decision, uint64_t now_ms);
 
 /* Returns the recent arrival rate, per millisecond, of all ranks that are more
    urgent than that of SLOT_REQUEST.  */
@@ -139,6 +148,15 @@
                              const struct ab_sched_place *place,
                              uint64_t now_ms);
 
+/* Takes the refusals of one rank since the last report, with its shares, and
+   begins anew.  Returns false when there are none.  */
+bool ab_sched_shares_take_refusals (struct ab_sched_shares *shares,
+                                    struct ab_sched_refusals *refusals,
+                                    uint64_t now_ms);
+
+/* Returns the ranks as a new JSON array, for the state dump.  */
+json_t *ab_sched_shares_state (const struct ab_sched_shares *shares);
+
 /* Returns the class, from 0 to CLASSES - 1, of a slot request by its rank: its
    route priority without a team, else the position of its rank among those
    that occur.  */
