scheduler: keep the queue in its order between passes

Change: a pass keeps its order in the queue and the next one only moves what has another place. All scheduler tests pass.

--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -330,8 +330,7 @@
 /* Returns the queued requests in the order in which they are served, as an
    array that the caller frees, or null without memory.  */
 struct ab_sched_request **
-ab_sched_list_waiting (const struct ab_sched_service *service,
-                       uint64_t now_ms);
+ab_sched_list_waiting (struct ab_sched_service *service, uint64_t now_ms);
 /* Returns the milliseconds until it is the turn of REQUEST with AHEAD others
    before it, given CAPACITY with some slots.  New arrivals of more urgent
    ranks take their part of the slots first.  */
--- a/src/scheduler_queue.c
+++ b/src/scheduler_queue.c
@@ -26,6 +26,8 @@
    requests when other teams' turns come first.  */
 #define TURNS_SHARE 0.1
 
+/* Moves per queued request after which sorting anew costs less.  */
+#define MOVES_FACTOR 8
 /* A queue that is empty for a moment ends no backlog while requests were
    rejected this recently: else a next burst of requests would be queued and
    rejected later.  */
@@ -128,8 +130,47 @@
   return 0;
 }
 
+/* Sorts the COUNT requests of LIST.  Few have another place than in the pass
+   before, so that moving these costs less than sorting anew; with many, the
+   rest is sorted anew.  */
+static void
+sort_waiting (struct ab_sched_request **list, size_t count)
+{
+  size_t moves = 0;
+
+  for (size_t i = 1; i < count; i++)
+    {
+      struct ab_sched_request *request = list[i];
+      size_t place = i;
+      for (; place > 0 && compare_turn (&request, &list[place - 1]) < 0;
+           place--)
+        list[place] = list[place - 1];
+      list[place] = request;
+      moves += i - place;
+      if (moves > MOVES_FACTOR * count)
+        {
+          qsort (list, count, sizeof (struct ab_sched_request *),
+                 compare_turn);
+          return;
+        }
+    }
+}
+
+/* Puts the queue of SERVICE into the order of LIST, with all its requests.  */
+static void
+keep_order (struct ab_sched_service *service, struct ab_sched_request **list,
+            size_t count)
+{
+  service->waiting = list[0];
+  for (size_t i = 0; i < count; i++)
+    {
+      list[i]->prev = list[i > 0 ? i - 1 : count - 1];
+      list[i]->next = i + 1 < count ? list[i + 1] : NULL;
+    }
+}
+
 struct ab_sched_request **
-ab_sched_list_waiting (const struct ab_sched_service *service, uint64_t now_ms)
+ab_sched_list_waiting (struct ab_sched_service *service, uint64_t now_ms)
 {
   struct ab_sched_request **list
       = calloc (service->waiting_count, sizeof (struct ab_sched_request *));
@@ -147,7 +188,11 @@
         request, now_ms);
     list[count++] = request;
   }
-  qsort (list, count, sizeof (struct ab_sched_request *), compare_turn);
+  if (count > 0)
+    {
+      sort_waiting (list, count);
+      keep_order (service, list, count);
+    }
   return list;
 }
 
