--- a/src/scheduler_choice.c
+++ b/src/scheduler_choice.c
@@ -396,12 +396,12 @@
                           uint64_t waited_ms, uint64_t now_ms)
 {
   struct ab_sched_summary summary;
-  struct choice choice
-      = make_choice (service, &summary, slot_request, waited_ms, now_ms);
+  struct choice choice;
 
   ab_sched_summarise (service, now_ms, &summary);
   if (summary.untested_free == 0)
     return NULL;
+  choice = make_choice (service, &summary, slot_request, waited_ms, now_ms);
   choice.worst_state = AB_TARGET_UNTESTED;
   return choose (&choice);
 }
