--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -22,6 +22,9 @@
 /* Shortest retry delay that is sent with a rejection.  */
 #define RETRY_AFTER_MIN_MS 50
 #define QUEUE_MAX 4096
+/* Shortest time between two passes over the queue because of new requests,
+   which bounds their processor time.  */
+#define CHECK_GAP_MS 10
 /* A request waits at most this long for the end of a pause that all targets
    asked its host for.  Its caller comes back in time after a rejection, and
    may find another host.  */
@@ -75,6 +78,7 @@
   while (service)
     {
       struct ab_sched_service *next = service->hh.next;
+      ab_sched_shares_clear (&service->shares);
       free (service);
       service = next;
     }
@@ -134,13 +138,17 @@
   DL_APPEND (service->granted, request);
   request->target = target;
   request->granted_ms = now_ms;
-  target->last_granted_ms = now_ms;
   request->is_trial
       = ab_target_health_state (&target->health, now_ms) != AB_TARGET_HEALTHY;
+  if (request->is_trial && !request->slot_request.idempotent)
+    ab_sched_record_order_test (service, target, now_ms);
+  target->last_granted_ms = now_ms;
   target->in_flight++;
   target->trial_requests += request->is_trial;
   target->used = true;
   ab_rate_bucket_take (&target->rate, now_ms);
+  ab_sched_shares_grant (&service->shares, &request->slot_request,
+                         &request->place, now_ms);
   ab_sched_record_grant (service, now_ms);
   ab_sched_spend_retry (request, now_ms);
   decide (s, request, AB_SCHED_GRANTED, target, 0, now_ms);
@@ -251,6 +259,11 @@
   if (decision != AB_SCHED_SPILL)
     ab_sched_failure_window_record (&request->service->failure_window, true,
                                     now_ms);
+  if (decision == AB_SCHED_FULL)
+    request->service->last_full_ms = now_ms;
+  ab_sched_shares_reject (
+      &request->service->shares, &request->slot_request, &request->place,
+      limited_by ? AB_SCHED_RATE_LIMITED : decision, now_ms);
   decide (s, request, decision, limited_by,
           wait_ms < RETRY_AFTER_MIN_MS ? RETRY_AFTER_MIN_MS : wait_ms, now_ms);
   free_request (s, request);
@@ -272,11 +285,9 @@
 
   if (!capacity->most_limited)
     return NULL;
-  response_ms
-      = ab_sched_queue_wait_ms (request->service, &request->slot_request,
-                                ahead, &unlimited, now_ms)
-        + ab_sched_typical_latency_ms (request->service)
-        + AB_SCHED_REPLY_MARGIN_MS;
+  response_ms = ab_sched_queue_wait_ms (request, ahead, &unlimited, now_ms)
+                + ab_sched_typical_latency_ms (request->service)
+                + AB_SCHED_REPLY_MARGIN_MS;
   return response_ms > remaining_ms ? NULL : capacity->most_limited;
 }
 
@@ -291,6 +302,79 @@
   return pause > PAUSE_WAIT_MS ? pause : 0;
 }
 
+/* Measures the capacity of SERVICE, counting one slot when all targets are
+   ejected: one of them may return.  */
+static void
+measure_some_capacity (const struct ab_sched_service *service, uint64_t now_ms,
+                       struct ab_sched_capacity *capacity)
+{
+  ab_sched_measure_capacity (service, now_ms, capacity);
+  if (capacity->slots <= 0)
+    *capacity = (struct ab_sched_capacity){ .slots = 1, .unlimited_slots = 1 };
+}
+
+/* Grants an order that would be rejected a slot of an untested target, if
+   there is one.  A rejected order is lost; the target fails one in four.
+   Returns whether it did.  */
+static bool
+grant_untested (struct ab_scheduler *s, struct ab_sched_request *request,
+                uint64_t now_ms)
+{
+  struct ab_sched_target *target;
+
+  if (request->slot_request.idempotent
+      || !ab_sched_may_spend_retry (s, request, now_ms))
+    return false;
+  target = ab_sched_choose_untested (request->service, &request->slot_request,
+                                     now_ms - request->arrived_ms, now_ms);
+  if (target)
+    grant (s, request, target, now_ms);
+  return target;
+}
+
+/* Rejects queued requests as soon as it is known that they cannot be served in
+   time, or that no target takes requests any more.  */
+static void
+reject_unservable (struct ab_scheduler *s, struct ab_sched_service *service,
+                   uint64_t now_ms)
+{
+  double typical_ms = ab_sched_typical_latency_ms (service);
+  size_t count = service->waiting_count;
+  struct ab_sched_request **list
+      = count > 0 ? ab_sched_list_waiting (service, now_ms) : NULL;
+  struct ab_sched_summary summary;
+  struct ab_sched_capacity capacity;
+  size_t ahead = 0;
+
+  service->last_checked_ms = now_ms;
+  if (list)
+    {
+      ab_sched_summarise (service, now_ms, &summary);
+      measure_some_capacity (service, now_ms, &capacity);
+    }
+  for (size_t i = 0; list && i < count; i++)
+    {
+      struct ab_sched_request *request = list[i];
+      double wait = ab_sched_queue_wait_ms (request, ahead, &capacity, now_ms);
+      double remaining_ms = (double)ab_sched_remaining_ms (
+          request->slot_request.timeout_ms, request, now_ms);
+      uint64_t pause = too_long_pause_ms (request, now_ms);
+      bool too_late = ab_sched_too_late (request, now_ms);
+      if (pause > 0 || summary.ready == 0)
+        reject (s, request, AB_SCHED_NO_TARGET, NULL,
+                pause > 0 ? pause : (uint64_t)typical_ms, now_ms);
+      else if (!too_late
+               && wait + typical_ms + AB_SCHED_REPLY_MARGIN_MS <= remaining_ms)
+        ahead++;
+      else if (too_late || !grant_untested (s, request, now_ms))
+        reject (
+            s, request, AB_SCHED_FULL,
+            binding_limit (request, &capacity, ahead, remaining_ms, now_ms),
+            (uint64_t)wait, now_ms);
+    }
+  free (list);
+}
+
 /* Queues or rejects a request for which there is no free slot.  */
 static void
 queue_or_reject (struct ab_scheduler *s, struct ab_sched_request *request,
@@ -301,6 +385,7 @@
   struct ab_sched_capacity capacity;
   double typical_ms = ab_sched_typical_latency_ms (request->service);
   size_t ahead = ab_sched_count_ahead (request, now_ms);
+  bool may_come_back;
   uint64_t wait;
 
   ab_sched_measure_capacity (request->service, now_ms, &capacity);
@@ -317,15 +402,20 @@
       return;
     }
   ab_sched_summarise (request->service, now_ms, &summary);
-  wait = (uint64_t)ab_sched_queue_wait_ms (request->service, slot_request,
-                                           ahead, &capacity, now_ms);
-  if ((double)wait + typical_ms + AB_SCHED_REPLY_MARGIN_MS
-          > (double)slot_request->timeout_ms
-      || request->service->waiting_count > QUEUE_MAX)
-    reject (s, request, AB_SCHED_FULL,
-            binding_limit (request, &capacity, ahead,
-                           (double)slot_request->timeout_ms, now_ms),
-            wait, now_ms);
+  wait = (uint64_t)ab_sched_queue_wait_ms (request, ahead, &capacity, now_ms);
+  /* An order comes back from other shards for an untested target here.  */
+  may_come_back = slot_request->may_spill && !slot_request->idempotent
+                  && summary.untested_free > 0;
+  if (!may_come_back
+      && ((double)wait > ab_sched_admission_limit_ms (request, now_ms)
+          || request->service->waiting_count > QUEUE_MAX))
+    {
+      if (!grant_untested (s, request, now_ms))
+        reject (s, request, AB_SCHED_FULL,
+                binding_limit (request, &capacity, ahead,
+                               (double)slot_request->timeout_ms, now_ms),
+                wait, now_ms);
+    }
   else if (!slot_request->may_wait
            || (slot_request->may_spill && !slot_request->idempotent
                && summary.untested_free + summary.suspect_free > 0)
@@ -337,7 +427,14 @@
                            (double)slot_request->objective_ms, now_ms),
             wait, now_ms);
   else
-    decide (s, request, AB_SCHED_WAITING, NULL, wait, now_ms);
+    {
+      struct ab_sched_service *service = request->service;
+      decide (s, request, AB_SCHED_WAITING, NULL, wait, now_ms);
+      /* Others may have to give way.  */
+      if (ahead + 1 < service->waiting_count
+          && now_ms - service->last_checked_ms >= CHECK_GAP_MS)
+        reject_unservable (s, service, now_ms);
+    }
 }
 
 static struct ab_sched_request *
@@ -385,7 +482,8 @@
   request = add_request (s, slot_request, now_ms);
   if (!request)
     return; /* Without a reply the requester tries another host.  */
-  ab_sched_count_arrival (request->service, slot_request, now_ms);
+  ab_sched_shares_arrival (&request->service->shares, slot_request,
+                           &request->place, now_ms);
   ab_sched_check_role (s, request->service, now_ms);
   if (!slot_request->is_retry && !slot_request->is_counted)
     ab_sched_count_first_attempt (s, request->service, now_ms);
@@ -552,54 +650,6 @@
   }
 }
 
-/* Measures the capacity of SERVICE, counting one slot when all targets are
-   ejected: one of them may return.  */
-static void
-measure_some_capacity (const struct ab_sched_service *service, uint64_t now_ms,
-                       struct ab_sched_capacity *capacity)
-{
-  ab_sched_measure_capacity (service, now_ms, capacity);
-  if (capacity->slots <= 0)
-    *capacity = (struct ab_sched_capacity){ .slots = 1, .unlimited_slots = 1 };
-}
-
-/* Rejects queued requests as soon as it is known that they cannot be served in
-   time.  */
-static void
-reject_unservable (struct ab_scheduler *s, struct ab_sched_service *service,
-                   uint64_t now_ms)
-{
-  double typical_ms = ab_sched_typical_latency_ms (service);
-  size_t count = service->waiting_count;
-  struct ab_sched_request **list
-      = count > 0 ? ab_sched_list_waiting (service, now_ms) : NULL;
-  struct ab_sched_capacity capacity;
-  size_t ahead = 0;
-
-  if (list)
-    measure_some_capacity (service, now_ms, &capacity);
-  for (size_t i = 0; list && i < count; i++)
-    {
-      struct ab_sched_request *request = list[i];
-      double wait = ab_sched_queue_wait_ms (service, &request->slot_request,
-                                            ahead, &capacity, now_ms);
-      double remaining_ms = (double)ab_sched_remaining_ms (
-          request->slot_request.timeout_ms, request, now_ms);
-      uint64_t pause = too_long_pause_ms (request, now_ms);
-      if (pause > 0)
-        reject (s, request, AB_SCHED_NO_TARGET, NULL, pause, now_ms);
-      else if (ab_sched_too_late (request, now_ms)
-               || wait + typical_ms + AB_SCHED_REPLY_MARGIN_MS > remaining_ms)
-        reject (
-            s, request, AB_SCHED_FULL,
-            binding_limit (request, &capacity, ahead, remaining_ms, now_ms),
-            (uint64_t)wait, now_ms);
-      else
-        ahead++;
-    }
-  free (list);
-}
-
 void
 ab_scheduler_tick (struct ab_scheduler *s, uint64_t now_ms)
 {
@@ -611,24 +661,6 @@
       serve_queue (s, service, now_ms);
       reject_unservable (s, service, now_ms);
       ab_sched_record_backlog (service, now_ms);
+      ab_sched_report_refusals (s, service, now_ms);
     }
 }
-
-json_t *
-ab_scheduler_state (const struct ab_scheduler *s, uint64_t now_ms)
-{
-  json_t *list = json_array ();
-
-  for (const struct ab_sched_target *t = s->targets; t; t = t->hh.next)
-    json_array_append_new (
-        list, json_pack ("{s:s, s:s, s:s, s:s, s:I, s:I, s:f, s:f}", "target",
-                         t->fleet_target.id, "service", t->service->key,
-                         "address", t->fleet_target.address, "trust",
-                         ab_target_health_state_name (
-                             ab_target_health_state (&t->health, now_ms)),
-                         "in_flight", (json_int_t)t->in_flight, "failures",
-                         (json_int_t)t->health.failures, "risk",
-                         ab_target_health_risk (&t->health, now_ms),
-                         "latency_ms", t->health.latency_ms));
-  return list;
-}
--- a/src/scheduler_budget.c
+++ b/src/scheduler_budget.c
@@ -20,9 +20,10 @@
 #define ROLE_CHECK_MS 1000
 /* Allows for the rounding of sums of fractions.  */
 #define ROUNDING 1e-6
-/* Part of that share that each priority class may use: when attempts fail or
+/* Part of that share that each class of ranks may use: when attempts fail or
    are rejected everywhere, urgent requests are retried first.  */
-static const double budget_by_priority[] = { 1, 0.85, 0.6, 0.6 };
+static const double budget_by_class[] = { 1, 0.85, 0.6, 0.6 };
+#define BUDGET_CLASSES (sizeof budget_by_class / sizeof budget_by_class[0])
 
 static struct ab_sched_bucket *
 bucket_at (struct ab_sched_service *service, uint64_t now_ms)
@@ -36,26 +37,14 @@
   return bucket;
 }
 
-size_t
-ab_sched_priority_class (const struct ab_sched_slot_request *slot_request)
-{
-  return slot_request->priority < AB_SCHED_PRIORITY_CLASSES
-             ? (size_t)slot_request->priority
-             : AB_SCHED_PRIORITY_CLASSES - 1;
-}
-
 /* Returns the part of the budget that SLOT_REQUEST may use.  Nothing is kept
-   for priorities of which the service got no request lately.  */
+   for ranks of which the service got no request lately.  */
 static double
 budget_share (const struct ab_sched_service *service,
               const struct ab_sched_slot_request *slot_request)
 {
-  size_t class = ab_sched_priority_class (slot_request);
-  size_t rank = 0;
-
-  for (size_t i = 0; i < class; i++)
-    rank += service->arrival_rates[i] > 0;
-  return budget_by_priority[rank];
+  return budget_by_class[ab_sched_shares_class (&service->shares, slot_request,
+                                                BUDGET_CLASSES)];
 }
 
 /* Returns the time for which one slot of the credit counts.  */
@@ -206,8 +195,8 @@
   return first_attempts;
 }
 
-/* Returns the credit that is kept for requests of higher priority than
-   SLOT_REQUEST; a retry of the lowest one is possible when all else is
+/* Returns the credit that is kept for requests of more urgent ranks than
+   SLOT_REQUEST; a retry of the last one is possible when all else is
    saved.  */
 static double
 credit_kept (const struct ab_sched_service *service,
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -3,7 +3,9 @@
    - scheduler_targets.c keeps the state of targets.
    - scheduler_choice.c chooses a target for a request.
    - scheduler_queue.c orders queued requests and estimates their waiting time.
+   - scheduler_shares.c measures the shares of ranks and teams.
    - scheduler_budget.c enforces the retry budget.
+   - scheduler_report.c reports state and refusals.
    - scheduler_failure_window.c measures the failure rate of a service.
    - scheduler.c handles slot requests and outcomes.  */
 
@@ -14,14 +16,12 @@
 
 #include "rate_bucket.h"
 #include "scheduler.h"
+#include "scheduler_shares.h"
 
 #define AB_SCHED_PATHS_MAX 8
 /* A host whose pause is not recorded rejects grants of the target itself.  */
 #define AB_SCHED_PAUSES_MAX 64
 #define AB_SCHED_BUCKETS 32
-/* Number of priority classes with an arrival rate of their own; the last one
-   takes all lower priorities.  */
-#define AB_SCHED_PRIORITY_CLASSES 4
 /* The failure rate of a service is measured over this many slices of time,
    each of AB_SCHED_SLICE_MS.  */
 #define AB_SCHED_SLICES 8
@@ -74,6 +74,7 @@
   struct ab_sched_request *next;
   struct ab_sched_service *service;
   struct ab_sched_target *target; /* Null while queued.  */
+  struct ab_sched_place place;
   uint64_t arrived_ms;
   uint64_t granted_ms;
   bool is_trial;
@@ -152,6 +153,14 @@
   uint64_t updated_ms;
 };
 
+/* Requests that must not repeat and were sent to targets that were idle for
+   long, to test them.  */
+struct ab_sched_order_tests
+{
+  double used; /* At LAST_MS, of those that may follow each other.  */
+  uint64_t last_ms;
+};
+
 /* The targets of a service in one shard, and the slot requests for them.  */
 struct ab_sched_service
 {
@@ -162,10 +171,14 @@
   struct ab_sched_request *granted;
   double latency_ms;
   struct ab_sched_failure_window failure_window;
-  /* Arrivals per millisecond of each priority class.  */
-  double arrival_rates[AB_SCHED_PRIORITY_CLASSES];
-  uint64_t arrival_rates_ms; /* When ARRIVAL_RATES was updated.  */
+  struct ab_sched_shares shares;
   struct ab_sched_throughput throughput;
+  /* When a request was last rejected because no slot was expected in time.  */
+  uint64_t last_full_ms;
+  uint64_t last_report_ms; /* Of refusals.  */
+  /* When queued requests were last checked for whether they can be served.  */
+  uint64_t last_checked_ms;
+  struct ab_sched_order_tests order_tests;
   struct ab_sched_bucket buckets[AB_SCHED_BUCKETS];
   uint64_t reserved_retries; /* Of queued requests.  */
   struct ab_sched_role role;
@@ -262,6 +275,17 @@
                         const struct ab_sched_summary *summary,
                         const struct ab_sched_slot_request *slot_request,
                         uint64_t waited_ms, bool local_only, uint64_t now_ms);
+/* Returns the best untested target with a free slot for a slot request that
+   has waited for WAITED_MS and would be rejected otherwise, or null.  */
+struct ab_sched_target *
+ab_sched_choose_untested (const struct ab_sched_service *service,
+                          const struct ab_sched_slot_request *slot_request,
+                          uint64_t waited_ms, uint64_t now_ms);
+/* Records that TARGET, which is not healthy, gets a request that must not
+   repeat; counted if it was idle for long.  */
+void ab_sched_record_order_test (struct ab_sched_service *service,
+                                 const struct ab_sched_target *target,
+                                 uint64_t now_ms);
 /* What the targets of a service that are not ejected can serve, each weighted
    by the probability that its target is healthy.  */
 struct ab_sched_capacity
@@ -306,19 +330,20 @@
 /* Returns the queued requests in the order in which they are served, as an
    array that the caller frees, or null without memory.  */
 struct ab_sched_request **
-ab_sched_list_waiting (const struct ab_sched_service *service,
-                       uint64_t now_ms);
-void ab_sched_count_arrival (struct ab_sched_service *service,
-                             const struct ab_sched_slot_request *slot_request,
-                             uint64_t now_ms);
-/* Returns the milliseconds until it is the turn of a request with AHEAD others
-   before it, given CAPACITY with some slots.  New arrivals of higher priority
-   take their part of the slots first.  */
-double
-ab_sched_queue_wait_ms (struct ab_sched_service *service,
-                        const struct ab_sched_slot_request *slot_request,
-                        size_t ahead, const struct ab_sched_capacity *capacity,
-                        uint64_t now_ms);
+ab_sched_list_waiting (struct ab_sched_service *service, uint64_t now_ms);
+/* Returns the milliseconds until it is the turn of REQUEST with AHEAD others
+   before it, given CAPACITY with some slots.  New arrivals of more urgent
+   ranks take their part of the slots first.  */
+double ab_sched_queue_wait_ms (const struct ab_sched_request *request,
+                               size_t ahead,
+                               const struct ab_sched_capacity *capacity,
+                               uint64_t now_ms);
+/* Returns the longest wait in milliseconds with which REQUEST, which has just
+   arrived, is queued.  In a burst that is what its deadline leaves.  In a
+   lasting backlog requests that miss their objective are overtaken by those
+   that come later, so that only one that can make it is queued.  */
+double ab_sched_admission_limit_ms (const struct ab_sched_request *request,
+                                    uint64_t now_ms);
 /* Records whether requests of SERVICE are queued, and a grant of a slot.  */
 void ab_sched_record_backlog (struct ab_sched_service *service,
                               uint64_t now_ms);
@@ -327,10 +352,15 @@
 size_t ab_sched_count_ahead (const struct ab_sched_request *request,
                              uint64_t now_ms);
 
+/* Functions of scheduler_report.c.  */
+
+/* Reports refusals to the caller of the scheduler, if it is time.  */
+void ab_sched_report_refusals (const struct ab_scheduler *scheduler,
+                               struct ab_sched_service *service,
+                               uint64_t now_ms);
+
 /* Functions of scheduler_budget.c.  */
 
-size_t
-ab_sched_priority_class (const struct ab_sched_slot_request *slot_request);
 void ab_sched_count_first_attempt (const struct ab_scheduler *scheduler,
                                    struct ab_sched_service *service,
                                    uint64_t now_ms);
