Refuse keys that a later bundle may have removed

Cause: a gateway that is cut off, frozen or reads delayed messages would honour revoked keys without end: the age of its view counts from the arrival of a frame. Change: control hosts confirm their state with majority reads, at most two a second and only while a follower asks; watch frames carry the gateway's own time and views echo it with the age of the confirmation, so that a delay makes what arrives older. The fields are left out unless the bundle has teams and key_lifetime is set, as earlier versions cannot read them. Above 0.9 of key_lifetime keyed requests get 503 keys-stale; requests that come before the first confirmation wait for it as for the first bundle. A bundle that cannot be read keeps the view from being confirmed.

--- a/src/fleet_control_internal.h
+++ b/src/fleet_control_internal.h
@@ -3,7 +3,8 @@
    fleet_control_task.c forwards operations to the leader of the control group
    and returns the results, fleet_api_task.c is the HTTP API for targets and
    operators, fleet_watch_task.c sends views of the fleet to entry hosts,
-   fleet_reports_task.c takes their reports.  */
+   fleet_confirm_task.c confirms how old the state of this host can be,
+   fleet_reports_task.c takes reports of entry hosts.  */
 
 #ifndef AB_FLEET_CONTROL_INTERNAL_H
 #define AB_FLEET_CONTROL_INTERNAL_H
@@ -19,6 +20,7 @@
 #include "peer_task.h"
 
 struct ab_fleet_api;
+struct ab_fleet_confirm;
 struct ab_fleet_reports;
 struct ab_fleet_watch;
 
@@ -43,6 +45,7 @@
   struct ab_buf data;
   uint64_t deadline_ms;
   uint64_t next_try_ms;
+  bool once; /* It is not sent again when there is no reply.  */
   /* Log index that this host must have applied before a read is answered; 0
      until the leader has sent it.  */
   uint64_t wait_index;
@@ -71,6 +74,7 @@
   struct ab_fleet_state *state;
   struct ab_fleet_api *api;
   struct ab_fleet_watch *watch;
+  struct ab_fleet_confirm *confirm;
   struct ab_fleet_reports *reports;
   struct ab_fleet_op *ops;
   struct ab_fleet_leader_op *leader_ops;
@@ -92,6 +96,10 @@
 int ab_fleet_control_read (struct ab_fleet_control *control,
                            uint64_t timeout_ms, ab_fleet_op_callback callback,
                            void *ctx);
+/* Likewise, with one message to the leader, which may be lost.  */
+int ab_fleet_control_read_once (struct ab_fleet_control *control,
+                                uint64_t timeout_ms,
+                                ab_fleet_op_callback callback, void *ctx);
 
 /* Returns for how many milliseconds no leader has been known; 0 while one
    is.  */
@@ -113,6 +121,9 @@
 /* Sends every entry host the changes it lacks, immediately or after a short
    delay: pushes are rate limited.  */
 void ab_fleet_watch_push (struct ab_fleet_watch *watch);
+/* Returns whether an entry host that follows this control host wants to know
+   how old the state here can be.  */
+bool ab_fleet_watch_wants_confirmation (const struct ab_fleet_watch *watch);
 /* Returns the admin address of a control host in FAILURE_DOMAIN; empty when
    none is known.  */
 const char *ab_fleet_watch_admin (const struct ab_fleet_watch *watch,
@@ -120,6 +131,16 @@
 /* Returns an array of the entry hosts that follow this control host.  */
 json_t *ab_fleet_watch_state (const struct ab_fleet_watch *watch);
 
+/* fleet_confirm_task.c */
+int ab_fleet_confirm_new (struct ab_fleet_control *control,
+                          struct ab_fleet_confirm **confirm);
+void ab_fleet_confirm_free (struct ab_fleet_confirm *confirm);
+/* Starts a read if one is due and wanted; to be called often.  */
+void ab_fleet_confirm_tick (struct ab_fleet_confirm *confirm);
+/* Returns the time since the state of this host had every change that was
+   acknowledged; UINT64_MAX if no read has confirmed that yet.  */
+uint64_t ab_fleet_confirm_age_ms (const struct ab_fleet_confirm *confirm);
+
 /* fleet_reports_task.c */
 int ab_fleet_reports_new (struct ab_fleet_control *control,
                           struct ab_fleet_reports **reports);
--- a/src/fleet_control_task.c
+++ b/src/fleet_control_task.c
@@ -49,6 +49,8 @@
     return;
   op->next_try_ms
       = now + (op->data.len > LARGE_BYTES ? RETRY_LARGE_MS : RETRY_MS);
+  if (op->once)
+    op->next_try_ms = op->deadline_ms;
   ab_pack_array (&body, 2);
   ab_pack_u64 (&body, op->id);
   ab_pack_bytes (&body, ab_buf_chunk (&op->data));
@@ -63,7 +65,7 @@
 
 static int
 start_op (struct ab_fleet_control *control, enum ab_fleet_op_kind kind,
-          struct ab_chunk data, uint64_t timeout_ms,
+          bool once, struct ab_chunk data, uint64_t timeout_ms,
           ab_fleet_op_callback callback, void *ctx)
 {
   struct ab_fleet_op *op = calloc (1, sizeof *op);
@@ -76,6 +78,7 @@
     }
   op->id = ++control->next_id;
   op->kind = kind;
+  op->once = once;
   op->deadline_ms = now + timeout_ms;
   op->callback = callback;
   op->ctx = ctx;
@@ -89,16 +92,25 @@
                          struct ab_chunk data, uint64_t timeout_ms,
                          ab_fleet_op_callback callback, void *ctx)
 {
-  return start_op (control, AB_FLEET_OP_CHANGE, data, timeout_ms, callback,
-                   ctx);
+  return start_op (control, AB_FLEET_OP_CHANGE, false, data, timeout_ms,
+                   callback, ctx);
 }
 
 int
 ab_fleet_control_read (struct ab_fleet_control *control, uint64_t timeout_ms,
                        ab_fleet_op_callback callback, void *ctx)
 {
-  return start_op (control, AB_FLEET_OP_READ, ab_chunk ("", 0), timeout_ms,
-                   callback, ctx);
+  return start_op (control, AB_FLEET_OP_READ, false, ab_chunk ("", 0),
+                   timeout_ms, callback, ctx);
+}
+
+int
+ab_fleet_control_read_once (struct ab_fleet_control *control,
+                            uint64_t timeout_ms, ab_fleet_op_callback callback,
+                            void *ctx)
+{
+  return start_op (control, AB_FLEET_OP_READ, true, ab_chunk ("", 0),
+                   timeout_ms, callback, ctx);
 }
 
 /* Ends the reads whose index has been applied on this host.  */
@@ -150,6 +162,7 @@
     else if (now >= op->next_try_ms && !op->wait_index)
       try_op (control, op, now);
   }
+  ab_fleet_confirm_tick (control->confirm);
 }
 
 static void
@@ -403,6 +416,8 @@
                             &control->group, error);
   if (rc == 0)
     rc = ab_fleet_watch_new (control, &control->watch);
+  if (rc == 0)
+    rc = ab_fleet_confirm_new (control, &control->confirm);
   if (rc == 0)
     rc = ab_fleet_reports_new (control, &control->reports);
   if (rc == 0)
@@ -441,6 +456,7 @@
   remove_leader_ops (control);
   if (control->timer)
     event_free (control->timer);
+  ab_fleet_confirm_free (control->confirm);
   ab_fleet_state_free (control->state);
   free (control);
 }
@@ -456,8 +472,9 @@
 ab_fleet_control_state (const struct ab_fleet_control *control)
 {
   return json_pack (
-      "{s:o, s:I, s:I, s:o, s:o}", "group",
-      ab_group_state_dump (control->group), "bundle_version",
+      "{s:o, s:I, s:I, s:I, s:o, s:o}", "group",
+      ab_group_state_dump (control->group), "confirmed_age_ms",
+      (json_int_t)ab_fleet_confirm_age_ms (control->confirm), "bundle_version",
       (json_int_t)ab_fleet_state_version (control->state), "targets",
       (json_int_t)ab_fleet_state_target_count (control->state), "watchers",
       ab_fleet_watch_state (control->watch), "quarantine",
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "compress.h"
+#include "confirmation.h"
 #include "error.h"
 #include "log.h"
 #include "pack.h"
@@ -65,7 +66,12 @@
   uint64_t started_ms;
   uint64_t index;
   uint64_t confirmed_ms; /* When the view was last known to be current.  */
+  struct ab_confirmation confirmation;
+  bool keys_expired;     /* The confirmation is too old to honour keys.  */
   uint64_t bundle_index; /* Log index of the bundle in force.  */
+  /* Log index of the last bundle that this host could not read.  Above
+     BUNDLE_INDEX, the view lacks the changes of that bundle.  */
+  uint64_t unusable_index;
   struct ab_route_table *table;
   uint64_t hosts_version;
   struct ab_fleet_host *hosts;
@@ -118,6 +124,14 @@
     }
 }
 
+/* Returns whether this host must know how old its view can be.  */
+static bool
+needs_confirmation (const struct ab_fleet_view *view)
+{
+  return view->settings->key_lifetime_ms && view->table
+         && ab_route_table_has_teams (view->table);
+}
+
 /* Reason for sending a watch frame.  */
 enum watch_reason
 {
@@ -136,7 +150,8 @@
           .missed = reason == WATCH_MISSED,
           .listed = view->stage != AB_FLEET_STOPPING,
           .index = view->index,
-          .hosts_version = view->hosts_version };
+          .hosts_version = view->hosts_version,
+          .time_ms = needs_confirmation (view) ? now_ms () : 0 };
   struct ab_buf body = AB_BUF_INIT;
 
   ab_chunk_copy (ab_chunk_str (view->daemon->settings->host), watch.host.peer,
@@ -241,6 +256,26 @@
           ab_log_int ("view_index", (int64_t)view->index));
 }
 
+/* Logs when the view becomes too old to honour keys, and when it is confirmed
+   again.  */
+static void
+update_keys (struct ab_fleet_view *view)
+{
+  uint64_t age = ab_fleet_view_confirmed_age_ms (view);
+  bool expired
+      = needs_confirmation (view)
+        && ab_confirmation_expired (age, view->settings->key_lifetime_ms);
+
+  if (expired == view->keys_expired)
+    return;
+  view->keys_expired = expired;
+  AB_LOG (expired ? AB_LOG_WARN : AB_LOG_INFO,
+          expired ? "keys_stale" : "keys_confirmed",
+          ab_log_int ("confirmed_age_ms", (int64_t)age),
+          ab_log_int ("view_age_ms", (int64_t)ab_fleet_view_age_ms (view)),
+          ab_log_str ("control", ab_fleet_view_control (view)));
+}
+
 static size_t
 find_local_control (const struct ab_fleet_view *view)
 {
@@ -327,6 +362,7 @@
       poll_other_control (view);
     }
   update_freshness (view);
+  update_keys (view);
 }
 
 /* Views.  */
@@ -345,21 +381,29 @@
   return rc;
 }
 
-static void
+/* Puts a bundle into force.  Returns 0 also for one that cannot be used, which
+   must not hold up other changes, or AB_ERR_MEMORY: it is requested again.  */
+static int
 apply_bundle (struct ab_fleet_view *view, uint64_t index,
               struct ab_chunk packed)
 {
   struct ab_route_table *table = NULL;
   char error[AB_CONF_ERROR_BYTES];
+  int rc;
 
   if (packed.len == 0 || index <= view->bundle_index)
-    return;
-  if (parse_bundle (packed, &table, error) < 0)
+    return 0;
+  rc = parse_bundle (packed, &table, error);
+  if (rc < 0)
     {
       AB_LOG (AB_LOG_ERROR, "accepted_bundle_unusable",
               ab_log_str ("error", error));
-      return;
+      view->unusable_index = index;
+      return rc == AB_ERR_MEMORY ? rc : 0;
     }
+  /* Nothing has been confirmed while the bundle had no teams.  */
+  if (!needs_confirmation (view))
+    view->confirmation = (struct ab_confirmation){ 0 };
   ab_route_table_unref (view->table);
   view->table = table;
   view->bundle_index = index;
@@ -368,6 +412,7 @@
           ab_log_int ("index", (int64_t)index),
           ab_log_int ("packed_bytes", (int64_t)packed.len));
   view->ops->bundle (view->ctx, table);
+  return 0;
 }
 
 /* Reads the list of targets and passes on those that changed.  Returns the
@@ -456,34 +501,37 @@
   return count;
 }
 
-/* Applies the lists of FRAME.  Returns whether they held changes.  */
-static bool
+/* Applies the lists of FRAME.  Sets *CHANGED to whether they held changes;
+   returns 0 or a negative code.  */
+static int
 apply_lists (struct ab_fleet_view *view, struct ab_reader *reader,
-             const struct ab_fleet_view_frame *frame)
+             const struct ab_fleet_view_frame *frame, bool *changed)
 {
   uint64_t bundle_index;
   struct ab_chunk bundle;
   uint64_t unheard = 0;
-  bool changed;
+  int rc;
 
   ab_reader_enter (reader, LISTS_MAX);
   bundle_index = ab_reader_u64 (reader);
   bundle = ab_reader_bytes (reader, AB_FLEET_COMPRESSED_BYTES);
-  if (ab_reader_error (reader) < 0)
-    return false;
-  apply_bundle (view, bundle_index, bundle);
-  changed
+  rc = ab_reader_error (reader);
+  if (rc == 0)
+    rc = apply_bundle (view, bundle_index, bundle);
+  if (rc < 0)
+    return rc;
+  *changed
       = apply_targets (view, reader) > 0 || bundle.len > 0 || frame->has_hosts;
   apply_hosts (view, reader, frame);
   apply_controls (view, reader);
   if (ab_reader_has_more (reader))
-    changed = apply_quarantine (view, reader) > 0 || changed;
+    *changed = apply_quarantine (view, reader) > 0 || *changed;
   if (ab_reader_has_more (reader))
     unheard = ab_reader_u64 (reader);
   /* A reply to a poll is not from the followed control host.  */
   if (frame->after_index != UINT64_MAX)
     view->unheard_controls = unheard;
-  return changed;
+  return ab_reader_error (reader);
 }
 
 /* Decompresses LISTS if FRAME says so, and applies them.  Sets *CHANGED to
@@ -505,8 +553,7 @@
     rc = ab_reader_init (&reader, lists);
   if (rc < 0)
     goto out;
-  *changed = apply_lists (view, &reader, frame);
-  rc = ab_reader_error (&reader);
+  rc = apply_lists (view, &reader, frame, changed);
   ab_reader_free (&reader);
 out:
   ab_buf_free (&text);
@@ -514,16 +561,24 @@
 }
 
 /* Updates the index and the age of the view after all lists of FRAME were
-   applied.  */
-static void
+   applied, so that the view has all that the control host had.  Returns
+   whether the view is confirmed for the first time.  */
+static bool
 advance_view (struct ab_fleet_view *view,
               const struct ab_fleet_view_frame *frame, uint64_t now)
 {
+  bool known = ab_fleet_view_confirmed_age_ms (view) != UINT64_MAX;
+
   if (frame->last_index > view->index)
     view->index = frame->last_index;
   if (frame->last_index >= view->index && frame->age_ms < now
       && now - frame->age_ms > view->confirmed_ms)
     view->confirmed_ms = now - frame->age_ms;
+  if (!needs_confirmation (view) || view->unusable_index > view->bundle_index)
+    return false;
+  return ab_confirmation_echoed (&view->confirmation, view->started_ms, now,
+                                 frame->echo_ms, frame->confirmed_age_ms)
+         && !known;
 }
 
 static int
@@ -535,6 +590,7 @@
   struct ab_chunk lists;
   bool poll_reply;
   bool changed = false;
+  bool newly_confirmed;
   int rc;
 
   ab_reader_enter (reader, 2);
@@ -556,12 +612,16 @@
   rc = decode_lists (view, lists, &frame, &changed);
   if (rc < 0 || poll_reply)
     return rc;
-  advance_view (view, &frame, now);
+  newly_confirmed = advance_view (view, &frame, now);
   if (changed)
-    {
-      send_watch (view, control, WATCH_ACK);
-      view->ops->applied (view->ctx);
-    }
+    send_watch (view, control, WATCH_ACK);
+  /* The next regular frame may be most of an interval away.  */
+  if (changed && needs_confirmation (view)
+      && ab_fleet_view_confirmed_age_ms (view) == UINT64_MAX)
+    send_watch (view, control, WATCH_REGULAR);
+  update_keys (view);
+  if (changed || newly_confirmed)
+    view->ops->applied (view->ctx);
   return 0;
 }
 
@@ -663,6 +723,12 @@
   return view->confirmed_ms ? now_ms () - view->confirmed_ms : UINT64_MAX;
 }
 
+uint64_t
+ab_fleet_view_confirmed_age_ms (const struct ab_fleet_view *view)
+{
+  return ab_confirmation_age_ms (&view->confirmation, now_ms ());
+}
+
 uint64_t
 ab_fleet_view_index (const struct ab_fleet_view *view)
 {
@@ -689,9 +755,13 @@
     json_object_set_new (controls, view->controls[i].address,
                          json_string (view->controls[i].failure_domain));
   return json_pack (
-      "{s:I, s:I, s:I, s:s, s:o, s:I, s:o}", "index", (json_int_t)view->index,
-      "age_ms", (json_int_t)ab_fleet_view_age_ms (view), "bundle_version",
+      "{s:I, s:I, s:I, s:I, s:I, s:s, s:o, s:I, s:o}", "index",
+      (json_int_t)view->index, "age_ms",
+      (json_int_t)ab_fleet_view_age_ms (view), "confirmed_age_ms",
+      (json_int_t)ab_fleet_view_confirmed_age_ms (view), "bundle_version",
       (json_int_t)(view->table ? ab_route_table_version (view->table) : 0),
+      "teams",
+      (json_int_t)(view->table ? ab_route_table_team_count (view->table) : 0),
       "control", ab_fleet_view_control (view), "control_domains", controls,
       "unheard_controls", (json_int_t)view->unheard_controls, "hosts", hosts);
 }
--- a/src/fleet_view_task.h
+++ b/src/fleet_view_task.h
@@ -27,7 +27,9 @@
   void (*hosts) (void *ctx);
   /* The times of RECORD are Unix milliseconds.  */
   void (*quarantine) (void *ctx, const struct ab_quarantine_record *record);
-  void (*applied) (void *ctx); /* After all changes of one view frame.  */
+  /* After all changes of one view frame, and after the view was confirmed for
+     the first time since the bundle has teams.  */
+  void (*applied) (void *ctx);
 };
 
 /* Starts following the control hosts.  Returns 0 or AB_ERR_MEMORY.  */
@@ -62,6 +64,11 @@
 /* Returns the time since the view was last known to be current; UINT64_MAX if
    it never was.  */
 uint64_t ab_fleet_view_age_ms (const struct ab_fleet_view *view);
+/* Returns the time since the view certainly had every change that was
+   acknowledged, counting from the confirmation of a control host
+   (confirmation.h); UINT64_MAX if that is not known.  It is kept up only while
+   the bundle has teams and key_lifetime is set.  */
+uint64_t ab_fleet_view_confirmed_age_ms (const struct ab_fleet_view *view);
 /* Returns the log index up to which the view has all changes.  */
 uint64_t ab_fleet_view_index (const struct ab_fleet_view *view);
 
--- a/src/fleet_watch.c
+++ b/src/fleet_watch.c
@@ -3,8 +3,11 @@
 #include "error.h"
 #include "rendezvous.h"
 
+/* Fields without and with the times that confirm how old a view can be.  */
 #define WATCH_FIELDS 7
+#define WATCH_TIMED_FIELDS 8
 #define VIEW_FIELDS 7
+#define VIEW_TIMED_FIELDS 9
 #define HOST_FIELDS 6
 
 void
@@ -37,7 +40,7 @@
 ab_fleet_pack_watch (struct ab_buf *out,
                      const struct ab_fleet_watch_frame *watch)
 {
-  ab_pack_array (out, WATCH_FIELDS);
+  ab_pack_array (out, watch->time_ms ? WATCH_TIMED_FIELDS : WATCH_FIELDS);
   ab_fleet_pack_host (out, &watch->host);
   ab_pack_bool (out, watch->follow);
   ab_pack_bool (out, watch->ack);
@@ -45,6 +48,8 @@
   ab_pack_bool (out, watch->listed);
   ab_pack_u64 (out, watch->index);
   ab_pack_u64 (out, watch->hosts_version);
+  if (watch->time_ms)
+    ab_pack_u64 (out, watch->time_ms);
 }
 
 int
@@ -55,7 +60,7 @@
 
   if (rc < 0)
     return rc;
-  ab_reader_enter (&reader, WATCH_FIELDS);
+  ab_reader_enter (&reader, WATCH_TIMED_FIELDS);
   ab_fleet_read_host (&reader, &watch->host);
   watch->follow = ab_reader_bool (&reader);
   watch->ack = ab_reader_bool (&reader);
@@ -63,6 +68,7 @@
   watch->listed = ab_reader_bool (&reader);
   watch->index = ab_reader_u64 (&reader);
   watch->hosts_version = ab_reader_u64 (&reader);
+  watch->time_ms = ab_reader_has_more (&reader) ? ab_reader_u64 (&reader) : 0;
   rc = ab_reader_error (&reader);
   ab_reader_free (&reader);
   return rc;
@@ -71,7 +77,9 @@
 void
 ab_fleet_pack_view (struct ab_buf *out, const struct ab_fleet_view_frame *view)
 {
-  ab_pack_array (out, VIEW_FIELDS);
+  bool timed = view->echo_ms && view->confirmed_age_ms != UINT64_MAX;
+
+  ab_pack_array (out, timed ? VIEW_TIMED_FIELDS : VIEW_FIELDS);
   ab_pack_bytes (out, ab_chunk_str (view->failure_domain));
   ab_pack_u64 (out, view->after_index);
   ab_pack_u64 (out, view->last_index);
@@ -79,12 +87,16 @@
   ab_pack_u64 (out, view->hosts_version);
   ab_pack_bool (out, view->has_hosts);
   ab_pack_bool (out, view->compressed);
+  if (!timed)
+    return;
+  ab_pack_u64 (out, view->echo_ms);
+  ab_pack_u64 (out, view->confirmed_age_ms);
 }
 
 void
 ab_fleet_read_view (struct ab_reader *reader, struct ab_fleet_view_frame *view)
 {
-  ab_reader_enter (reader, VIEW_FIELDS);
+  ab_reader_enter (reader, VIEW_TIMED_FIELDS);
   ab_reader_str (reader, view->failure_domain, sizeof view->failure_domain);
   view->after_index = ab_reader_u64 (reader);
   view->last_index = ab_reader_u64 (reader);
@@ -92,6 +104,13 @@
   view->hosts_version = ab_reader_u64 (reader);
   view->has_hosts = ab_reader_bool (reader);
   view->compressed = ab_reader_bool (reader);
+  view->echo_ms = 0;
+  view->confirmed_age_ms = UINT64_MAX;
+  if (ab_reader_has_more (reader))
+    {
+      view->echo_ms = ab_reader_u64 (reader);
+      view->confirmed_age_ms = ab_reader_u64 (reader);
+    }
   ab_reader_leave (reader);
 }
 
--- a/src/fleet_watch.h
+++ b/src/fleet_watch.h
@@ -37,6 +37,10 @@
   bool listed; /* List it in the directory; false while it shuts down.  */
   uint64_t index;         /* It has all changes up to this log index.  */
   uint64_t hosts_version; /* Version of its list of hosts.  */
+  /* Its own time, to be echoed, when it has to know how old a view can be; 0
+     otherwise.  A control host of an earlier version cannot read a frame with
+     it, so it is sent only while the bundle has teams.  */
+  uint64_t time_ms;
 };
 
 /* The header of a view frame.  The lists after it are read one by one.  */
@@ -52,6 +56,13 @@
   uint64_t hosts_version;
   bool has_hosts;
   bool compressed; /* Whether the lists after the header are compressed.  */
+  /* The last time that the entry host sent; 0, and not in the frame, if it
+     sent none or the sender's state is not confirmed.  Entry hosts of earlier
+     versions send none and cannot read it.  */
+  uint64_t echo_ms;
+  /* At the time of sending, the sender's state had every change that was
+     acknowledged until this long ago; UINT64_MAX: not confirmed.  */
+  uint64_t confirmed_age_ms;
 };
 
 /* Encoding and decoding.  The functions that take a struct ab_reader leave
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -47,6 +47,7 @@
   bool behind;              /* There are further changes to send.  */
   uint64_t hosts_version;
   uint64_t heard_ms;
+  uint64_t time_ms; /* Its own time in its last frame; 0 if not sent.  */
   UT_hash_handle hh;
 };
 
@@ -341,7 +342,9 @@
   struct ab_fleet_control *control = watch->control;
   const char *domain = watcher->host.failure_domain;
   struct ab_raft_status status;
-  struct ab_fleet_view_frame view = { 0 };
+  struct ab_fleet_view_frame view
+      = { .echo_ms = watcher->time_ms,
+          .confirmed_age_ms = ab_fleet_confirm_age_ms (control->confirm) };
   struct ab_buf body = AB_BUF_INIT;
 
   ab_group_status (control->group, &status);
@@ -516,6 +519,8 @@
   watcher->host = message.host;
   watcher->listed = message.listed;
   watcher->heard_ms = now;
+  watcher->time_ms = message.time_ms;
+  ab_fleet_confirm_tick (watch->control->confirm);
   if (!message.ack && !message.missed && is_in_flight (watcher, now))
     {
       watcher->behind = true;
@@ -672,6 +677,15 @@
     }
 }
 
+bool
+ab_fleet_watch_wants_confirmation (const struct ab_fleet_watch *watch)
+{
+  for (const struct watcher *w = watch->watchers; w; w = w->hh.next)
+    if (w->time_ms)
+      return true;
+  return false;
+}
+
 const char *
 ab_fleet_watch_admin (const struct ab_fleet_watch *watch,
                       const char *failure_domain)
--- a/src/gateway_flow_internal.h
+++ b/src/gateway_flow_internal.h
@@ -2,8 +2,8 @@
 
    gateway_flow_task.c accepts a request and ends it when its caller
    disconnects or its deadline passes, gateway_team_task.c checks its key,
-   gateway_attempt_task.c sends it to targets, and gateway_reply_task.c sends the reply.  Each function that ends
-   a flow frees it.  */
+   gateway_attempt_task.c sends it to targets, and gateway_reply_task.c sends
+   the reply.  Each function that ends a flow frees it.  */
 
 #ifndef AB_GATEWAY_FLOW_INTERNAL_H
 #define AB_GATEWAY_FLOW_INTERNAL_H
@@ -24,15 +24,17 @@
   struct ab_gateway_env *env;
   struct evhttp_request *req; /* Null once the caller has disconnected.  */
   struct ab_caller_watch *caller_watch;
-  struct event *timer; /* Deadline, or end of the wait for a bundle.  */
+  struct event *timer; /* Deadline, or end of the wait for the view.  */
   struct ab_route_table *table;
   const struct ab_fleet_route *route;
   const struct ab_fleet_service *service;
   /* Team of the caller, in TABLE; null if no key is needed.  */
   const struct ab_fleet_team *team;
   char id[AB_GATEWAY_ID_BYTES];
-  bool close;         /* The reply closes the caller's connection.  */
-  bool awaits_bundle; /* No bundle was known when it arrived.  */
+  bool close; /* The reply closes the caller's connection.  */
+  /* It waits for the fleet's view, and this is the code of its rejection if
+     that does not come in time; null if it does not wait.  */
+  const char *awaits;
   uint64_t begin_us;
   uint64_t begin_ms;
   uint64_t deadline_ms;
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -18,9 +18,9 @@
    start, the control group has elected a leader and distributed the bundle.
    Requests that arrive earlier wait for it.  */
 #define BUNDLE_WAIT_MS 2500
-/* Retry-After when there is no bundle after BUNDLE_WAIT_MS: the host does
-   not know when it will get one.  */
-#define NO_BUNDLE_RETRY_MS 1000
+/* Retry-After when there is no bundle after BUNDLE_WAIT_MS, or no confirmation
+   of one with teams: the host does not know when it will get one.  */
+#define NO_VIEW_RETRY_MS 1000
 /* Part of a request's timeout that is reserved for the attempt that follows a
    wait for the bundle.  */
 #define ATTEMPT_MIN_MS 300
@@ -99,10 +99,9 @@
 
   (void)fd;
   (void)what;
-  if (flow->awaits_bundle)
+  if (flow->awaits)
     {
-      flow->awaits_bundle = false;
-      ab_gateway_reply_error (flow, 503, "no-bundle", NO_BUNDLE_RETRY_MS);
+      ab_gateway_reply_error (flow, 503, flow->awaits, NO_VIEW_RETRY_MS);
       return;
     }
   /* An attempt has a timer of its own with the same deadline.  */
@@ -239,17 +238,43 @@
          && flow->deadline_ms > env->end_ms;
 }
 
+/* Waits for the fleet's view, which is due BUNDLE_WAIT_MS after SINCE_MS, but
+   leaves ATTEMPT_MIN_MS until the deadline for the attempt.  Rejects FLOW with
+   CODE at the end of the wait, or at once when no time to wait is left.  */
+static void
+await_view (struct ab_gateway_flow *flow, const char *code, uint64_t since_ms)
+{
+  uint64_t due_ms = since_ms + BUNDLE_WAIT_MS;
+  uint64_t now = now_ms ();
+  uint64_t left = ab_gateway_flow_time_left (flow);
+  uint64_t wait = due_ms > now ? due_ms - now : 0;
+
+  if (wait + ATTEMPT_MIN_MS > left)
+    wait = left > ATTEMPT_MIN_MS && wait > 0 ? left - ATTEMPT_MIN_MS : 0;
+  if (wait > 0 && arm_timer (flow, wait))
+    flow->awaits = code;
+  else
+    ab_gateway_reply_error (flow, 503, code, NO_VIEW_RETRY_MS);
+}
+
 /* Chooses a route, arms the deadline timer and starts the first attempt.  */
 static void
 start_first_attempt (struct ab_gateway_flow *flow)
 {
   uint64_t route_ms;
 
-  if (choose_route (flow) < 0 || ab_gateway_team_check (flow) < 0)
+  if (choose_route (flow) < 0)
     return;
   route_ms = flow->begin_ms + flow->route->timeout_ms;
   if (route_ms < flow->deadline_ms)
     flow->deadline_ms = route_ms;
+  if (ab_gateway_team_awaits_view (flow))
+    {
+      await_view (flow, "keys-stale", flow->env->keys_since_ms);
+      return;
+    }
+  if (ab_gateway_team_check (flow) < 0)
+    return;
   if (is_past_admission (flow))
     {
       reject (flow, 503, "stopping", AB_GATEWAY_RETRY_MS);
@@ -262,23 +287,6 @@
     ab_gateway_reply_error (flow, 503, "memory", AB_GATEWAY_RETRY_MS);
 }
 
-/* Waits for the first bundle, which is due soon after this host's start, but
-   leaves ATTEMPT_MIN_MS until the deadline for the attempt.  Rejects FLOW at
-   once when no time to wait is left.  */
-static void
-await_bundle (struct ab_gateway_flow *flow)
-{
-  uint64_t due_ms = flow->env->started_ms + BUNDLE_WAIT_MS;
-  uint64_t left = ab_gateway_flow_time_left (flow);
-  uint64_t wait = due_ms > flow->begin_ms ? due_ms - flow->begin_ms : 0;
-
-  if (wait + ATTEMPT_MIN_MS > left)
-    wait = left > ATTEMPT_MIN_MS && wait > 0 ? left - ATTEMPT_MIN_MS : 0;
-  flow->awaits_bundle = wait > 0 && arm_timer (flow, wait);
-  if (!flow->awaits_bundle)
-    ab_gateway_reply_error (flow, 503, "no-bundle", NO_BUNDLE_RETRY_MS);
-}
-
 void
 ab_gateway_flow_start (struct ab_gateway_env *env, struct evhttp_request *req)
 {
@@ -311,7 +319,7 @@
   else if (ab_fleet_view_table (env->view))
     start_first_attempt (flow);
   else
-    await_bundle (flow);
+    await_view (flow, "no-bundle", env->started_ms);
 }
 
 void
@@ -323,9 +331,12 @@
   if (!ab_fleet_view_table (env->view))
     return;
   DL_FOREACH_SAFE (env->flows, flow, next)
-  if (flow->awaits_bundle)
+  if (flow->awaits)
     {
-      flow->awaits_bundle = false;
+      flow->awaits = NULL;
+      ab_route_table_unref (flow->table);
+      flow->table = NULL;
+      flow->route = NULL;
       start_first_attempt (flow);
     }
 }
--- a/src/gateway_flow_task.h
+++ b/src/gateway_flow_task.h
@@ -37,7 +37,9 @@
   size_t flow_count;
   struct ab_link_load link;
   uint64_t started_ms; /* Start of the process.  */
-  uint64_t end_ms;     /* Planned end of the process; 0: not stopping.  */
+  uint64_t
+      keys_since_ms; /* Since when the bundle has teams; 0: it has none.  */
+  uint64_t end_ms;   /* Planned end of the process; 0: not stopping.  */
   /* Requests that arrive later must end before END_MS.  */
   uint64_t admit_until_ms;
   bool stopping; /* Replies close their connections.  */
@@ -46,8 +48,9 @@
 /* Starts the flow of REQ, which ends with a reply.  */
 void ab_gateway_flow_start (struct ab_gateway_env *env,
                             struct evhttp_request *req);
-/* Continues the requests that wait for the first bundle, once there is one.
-   To be called after an update of the fleet view.  */
+/* Continues the requests that wait for the first bundle, or for the first
+   confirmation of one with teams, once it is there.  To be called after an
+   update of the fleet view.  */
 void ab_gateway_flow_resume (struct ab_gateway_env *env);
 /* Rejects all requests that have not been sent to a target: the process ends
    before a target could be chosen and respond.  */
--- a/src/gateway_reply_task.c
+++ b/src/gateway_reply_task.c
@@ -73,7 +73,9 @@
       ab_log_int ("took_us", (int64_t)duration_us),
       ab_log_int ("bundle", bundle_version (flow)),
       ab_log_int ("view_age_ms",
-                  (int64_t)ab_fleet_view_age_ms (flow->env->view)));
+                  (int64_t)ab_fleet_view_age_ms (flow->env->view)),
+      ab_log_int ("confirmed_age_ms",
+                  (int64_t)ab_fleet_view_confirmed_age_ms (flow->env->view)));
 }
 
 static void
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -102,6 +102,10 @@
                                (ev_ssize_t)limits->header_bytes);
   evhttp_set_max_body_size (gateway->callers, (ev_ssize_t)limits->body_bytes);
   evhttp_set_timeout_tv (gateway->callers, &idle);
+  if (!ab_route_table_has_teams (table))
+    gateway->env.keys_since_ms = 0;
+  else if (!gateway->env.keys_since_ms)
+    gateway->env.keys_since_ms = ab_clock_monotonic_ms (ab_clock_system ());
   if (!gateway->stop_began_ms)
     ab_fleet_view_set_stage (gateway->env.view, AB_FLEET_SERVING);
 }
--- a/src/gateway_team_task.h
+++ b/src/gateway_team_task.h
@@ -10,9 +10,14 @@
 
 #include "gateway_flow_internal.h"
 
+/* Returns whether FLOW, whose route is chosen, carries a key that cannot be
+   checked yet because the bundle was never confirmed.  */
+bool ab_gateway_team_awaits_view (const struct ab_gateway_flow *flow);
+
 /* Finds the team of FLOW, whose route is chosen, and fills in what its slot
    request says about the team.  Returns 0, or AB_ERR_INVALID after the flow
-   was rejected with status 401 and thereby freed.  */
+   was rejected and thereby freed: with status 401 for its key, or with 503
+   when the bundle is not confirmed to be recent enough to honour keys.  */
 int ab_gateway_team_check (struct ab_gateway_flow *flow);
 
 /* Returns whether the caller's header NAME with VALUE may be forwarded to a
--- a/tests/test_fleet_frames.c
+++ b/tests/test_fleet_frames.c
@@ -140,6 +140,44 @@
 }
 END_TEST
 
+/* Guards against a time that is lost on its way, and against frames that hosts
+   of an earlier version cannot read although nobody needs a confirmation.  */
+START_TEST (confirmation_round_trip)
+{
+  struct ab_fleet_watch_frame watch = { .time_ms = 12345 };
+  struct ab_fleet_view_frame view
+      = { .last_index = 7, .echo_ms = 12345, .confirmed_age_ms = 60 };
+  struct ab_fleet_view_frame read = { 0 };
+  struct ab_buf body = AB_BUF_INIT;
+  struct ab_reader reader;
+  uint64_t const echoes[] = { 12345, 0, 12345 };
+  uint64_t const ages[] = { 60, 60, UINT64_MAX };
+
+  ab_fleet_pack_watch (&body, &watch);
+  ck_assert_int_eq (ab_fleet_read_watch (ab_buf_chunk (&body), &watch), 0);
+  ck_assert_uint_eq (watch.time_ms, 12345);
+  for (int i = 0; i < 3; i++)
+    {
+      bool timed = echoes[i] && ages[i] != UINT64_MAX;
+      ab_buf_clear (&body);
+      view.echo_ms = echoes[i];
+      view.confirmed_age_ms = ages[i];
+      ab_fleet_pack_view (&body, &view);
+      ck_assert_int_eq (ab_reader_init (&reader, ab_buf_chunk (&body)), 0);
+      ck_assert_uint_eq (ab_reader_enter (&reader, 9), timed ? 9 : 7);
+      ab_reader_free (&reader);
+      ck_assert_int_eq (ab_reader_init (&reader, ab_buf_chunk (&body)), 0);
+      ab_fleet_read_view (&reader, &read);
+      ck_assert_int_eq (ab_reader_error (&reader), 0);
+      ck_assert_uint_eq (read.last_index, 7);
+      ck_assert_uint_eq (read.echo_ms, timed ? 12345 : 0);
+      ck_assert_uint_eq (read.confirmed_age_ms, timed ? 60 : UINT64_MAX);
+      ab_reader_free (&reader);
+    }
+  ab_buf_free (&body);
+}
+END_TEST
+
 #define GATEWAY                                                               \
   "host: h1\nrole: gateway\nregion: r\nfailure_domain: d\n"                   \
   "listen: {callers: 127.0.0.1:1, peers: 127.0.0.1:2}\n"                      \
@@ -222,4 +260,5 @@
 
 SUITE_MAIN ("fleet_frames", 10, slot_request_round_trip,
             slot_request_keeps_its_team, reply_and_outcome_round_trip,
-            rate_limit_round_trip, watch_round_trip, settings_are_checked)
+            rate_limit_round_trip, watch_round_trip, confirmation_round_trip,
+            settings_are_checked)
--- a/tests/test_fleet_watch.c
+++ b/tests/test_fleet_watch.c
@@ -63,6 +63,9 @@
 static struct gateway gateways[GATEWAYS];
 static uint64_t index_now;
 static struct ab_rng rng;
+static uint64_t held_ms; /* Delay of views, in addition to the link's.  */
+static bool views_lost;
+static uint64_t confirmed_age_ms; /* Of the control host's state.  */
 static bool has_other; /* Whether the group has a second control host.  */
 
 static uint64_t
@@ -131,6 +134,11 @@
   struct timeval tv;
 
   ck_assert_ptr_nonnull (to);
+  if (type == AB_FRAME_FLEET_VIEW && views_lost)
+    {
+      free (transit);
+      return 0;
+    }
   transit->to = to;
   transit->type = type;
   ab_chunk_copy (ab_chunk_str (task->address), transit->sender,
@@ -141,6 +149,8 @@
   to->link_free_ms += body.len / LINK_BYTES_PER_MS;
   to->bytes += body.len;
   after = to->link_free_ms - now + 1;
+  if (type == AB_FRAME_FLEET_VIEW)
+    after += held_ms;
   tv.tv_sec = (time_t)(after / 1000);
   tv.tv_usec = (suseconds_t)(after % 1000 * 1000);
   transit->timer = evtimer_new (base, on_arrival, transit);
@@ -198,6 +208,19 @@
   return 0;
 }
 
+uint64_t
+ab_fleet_confirm_age_ms (const struct ab_fleet_confirm *confirm)
+{
+  (void)confirm;
+  return confirmed_age_ms;
+}
+
+void
+ab_fleet_confirm_tick (struct ab_fleet_confirm *confirm)
+{
+  (void)confirm;
+}
+
 /* Gateways.  */
 
 static void
@@ -290,6 +313,9 @@
 {
   base = event_base_new ();
   index_now = 0;
+  held_ms = 0;
+  views_lost = false;
+  confirmed_age_ms = 0;
   ab_rng_init_seeded (&rng, 7);
   start_control ();
 }
@@ -530,6 +556,157 @@
 }
 END_TEST
 
+static void
+put_teams (void)
+{
+  static const char text[] = "{\"version\":1,\"base_version\":0,\"services\":["
+                             "],\"hosts\":[],\"teams\":[{\"name\":"
+                             "\"t\",\"keys\":[\"k\"]}]}";
+  enum ab_fleet_result result;
+  struct ab_buf data = AB_BUF_INIT;
+
+  ck_assert_int_eq (ab_fleet_pack_bundle (&data, 1, 0, ab_chunk_str (text)),
+                    0);
+  ck_assert_int_eq (ab_fleet_state_apply (control.state, ++index_now,
+                                          ab_buf_chunk (&data), &result),
+                    0);
+  ab_buf_free (&data);
+}
+
+/* Starts the gateways with a limited lifetime of keys and a bundle with
+   teams.  */
+static void
+start_keyed (void)
+{
+  put_teams ();
+  start_gateways ();
+  for (int i = 0; i < GATEWAYS; i++)
+    gateways[i].settings.key_lifetime_ms = 5000;
+  run_ms (1500);
+  assert_delivered_in_time ();
+}
+
+/* Returns the lowest and, in *MOST, the highest confirmed age.  */
+static uint64_t
+confirmed_ages (uint64_t *most)
+{
+  uint64_t least = UINT64_MAX;
+
+  *most = 0;
+  for (int i = 0; i < GATEWAYS; i++)
+    {
+      uint64_t age = ab_fleet_view_confirmed_age_ms (gateways[i].view);
+      least = age < least ? age : least;
+      *most = age > *most ? age : *most;
+    }
+  return least;
+}
+
+/* Guards against a view that counts as new although it was held up or its
+   sender has not confirmed it lately, and against ages near the lifetime in
+   calm.  */
+START_TEST (confirmed_age_counts_delays)
+{
+  uint64_t most;
+
+  /* Nearly the longest age at a control host in calm: its interval and two
+     round trips between regions.  */
+  confirmed_age_ms = 600;
+  start_keyed ();
+  for (int i = 0; i < 100; i++)
+    {
+      run_ms (STEP_MS);
+      ck_assert_uint_ge (confirmed_ages (&most), 600);
+      ck_assert_uint_lt (most, 2500);
+    }
+  held_ms = 1500;
+  run_ms (held_ms);
+  for (int i = 0; i < 100; i++)
+    {
+      run_ms (STEP_MS);
+      ck_assert_uint_ge (confirmed_ages (&most), 600 + held_ms);
+      ck_assert_uint_lt (most, UINT64_MAX);
+    }
+}
+END_TEST
+
+/* Guards against a view that counts as complete although changes are missing:
+   views with the changes are lost, and later ones are refused for the gap.  */
+START_TEST (lost_changes_stay_unconfirmed)
+{
+  uint64_t changed_ms;
+  uint64_t end;
+  uint64_t most;
+
+  start_keyed ();
+  views_lost = true;
+  changed_ms = now_ms ();
+  add_targets (1);
+  run_ms (300);
+  views_lost = false;
+  end = now_ms () + IN_FORCE_MS;
+  while (!all_have_index (index_now) && now_ms () < end)
+    {
+      run_ms (STEP_MS);
+      for (int i = 0; i < GATEWAYS; i++)
+        if (ab_fleet_view_index (gateways[i].view) < index_now)
+          ck_assert_uint_ge (ab_fleet_view_confirmed_age_ms (gateways[i].view),
+                             now_ms () - changed_ms - 1);
+    }
+  run_ms (1000);
+  ck_assert (all_have_index (index_now));
+  confirmed_ages (&most);
+  ck_assert_uint_lt (most, 2500);
+}
+END_TEST
+
+/* Delivers to the first gateway a view without changes after AFTER_INDEX that
+   confirms the present.  */
+static void
+deliver_view (uint64_t after_index)
+{
+  struct ab_peer_task *peer = &gateways[0].peer;
+  struct ab_fleet_view_frame view = { .failure_domain = "d1",
+                                      .after_index = after_index,
+                                      .last_index = index_now,
+                                      .echo_ms = now_ms () };
+  struct ab_frame frame = { .type = AB_FRAME_FLEET_VIEW,
+                            .sender = ab_chunk_str (CONTROL_ADDRESS) };
+  struct ab_buf lists = AB_BUF_INIT;
+  struct ab_buf body = AB_BUF_INIT;
+
+  ab_pack_array (&lists, 5);
+  ab_pack_u64 (&lists, 1);
+  ab_pack_bytes (&lists, ab_chunk ("", 0));
+  for (int i = 0; i < 3; i++)
+    ab_pack_array (&lists, 0);
+  ab_pack_array (&body, 2);
+  ab_fleet_pack_view (&body, &view);
+  ab_pack_bytes (&body, ab_buf_chunk (&lists));
+  frame.body = ab_buf_chunk (&body);
+  peer->handlers[frame.type].handle (peer->handlers[frame.type].ctx, &frame);
+  ab_buf_free (&lists);
+  ab_buf_free (&body);
+}
+
+/* Guards against a confirmation from frames that bring no changes: the reply
+   to a poll, and a view that follows one that is missing.  */
+START_TEST (incomplete_views_confirm_nothing)
+{
+  struct ab_fleet_view *view;
+
+  confirmed_age_ms = 600;
+  start_keyed ();
+  view = gateways[0].view;
+  deliver_view (UINT64_MAX);
+  ck_assert_uint_ge (ab_fleet_view_confirmed_age_ms (view), 600);
+  deliver_view (index_now + 1);
+  ck_assert_uint_ge (ab_fleet_view_confirmed_age_ms (view), 600);
+  deliver_view (index_now);
+  ck_assert_uint_lt (ab_fleet_view_confirmed_age_ms (view), 600);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -544,6 +721,9 @@
   tcase_add_test (tcase, crashing_requests_are_sent_once);
   tcase_add_test (tcase, changes_are_sent_alone);
   tcase_add_test (tcase, cut_control_host_is_counted);
+  tcase_add_test (tcase, confirmed_age_counts_delays);
+  tcase_add_test (tcase, lost_changes_stay_unconfirmed);
+  tcase_add_test (tcase, incomplete_views_confirm_nothing);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
