fleet_view: leave a control host that cannot confirm its state

Cause: a gateway follows a control host that hears the leader, although its own messages do not reach the leader: it never confirms its state, and keyed requests would be refused while other control hosts could confirm theirs.

--- a/tests/test_fleet_watch.c
+++ b/tests/test_fleet_watch.c
@@ -133,12 +133,13 @@
   uint64_t after;
   struct timeval tv;
 
-  ck_assert_ptr_nonnull (to);
-  if (type == AB_FRAME_FLEET_VIEW && views_lost)
+  if (ab_chunk_equal (host, AB_CHUNK (OTHER_ADDRESS))
+      || (type == AB_FRAME_FLEET_VIEW && views_lost))
     {
       free (transit);
       return 0;
     }
+  ck_assert_ptr_nonnull (to);
   transit->to = to;
   transit->type = type;
   ab_chunk_copy (ab_chunk_str (task->address), transit->sender,
@@ -660,18 +661,18 @@
 }
 END_TEST
 
-/* Delivers to the first gateway a view without changes after AFTER_INDEX that
-   confirms the present.  */
+/* Delivers to the first gateway a view of SENDER without changes after
+   AFTER_INDEX that confirms the present.  */
 static void
-deliver_view (uint64_t after_index)
+deliver_view (const char *sender, uint64_t after_index)
 {
   struct ab_peer_task *peer = &gateways[0].peer;
   struct ab_fleet_view_frame view = { .failure_domain = "d1",
                                       .after_index = after_index,
                                       .last_index = index_now,
                                       .echo_ms = now_ms () };
-  struct ab_frame frame = { .type = AB_FRAME_FLEET_VIEW,
-                            .sender = ab_chunk_str (CONTROL_ADDRESS) };
+  struct ab_frame frame
+      = { .type = AB_FRAME_FLEET_VIEW, .sender = ab_chunk_str (sender) };
   struct ab_buf lists = AB_BUF_INIT;
   struct ab_buf body = AB_BUF_INIT;
 
@@ -698,15 +699,36 @@
   confirmed_age_ms = 600;
   start_keyed ();
   view = gateways[0].view;
-  deliver_view (UINT64_MAX);
+  deliver_view (CONTROL_ADDRESS, UINT64_MAX);
   ck_assert_uint_ge (ab_fleet_view_confirmed_age_ms (view), 600);
-  deliver_view (index_now + 1);
+  deliver_view (CONTROL_ADDRESS, index_now + 1);
   ck_assert_uint_ge (ab_fleet_view_confirmed_age_ms (view), 600);
-  deliver_view (index_now);
+  deliver_view (CONTROL_ADDRESS, index_now);
   ck_assert_uint_lt (ab_fleet_view_confirmed_age_ms (view), 600);
 }
 END_TEST
 
+/* Guards against keyed requests that are refused without end because the
+   followed control host, which hears the leader, cannot confirm its state
+   while another could, and against leaving one that does.  */
+START_TEST (control_without_confirmation_is_left)
+{
+  start_keyed ();
+  for (int i = 0; i < 60; i++)
+    {
+      deliver_view (OTHER_ADDRESS, UINT64_MAX);
+      run_ms (100);
+      if (i == 29)
+        {
+          ck_assert_str_eq (ab_fleet_view_control (gateways[0].view),
+                            CONTROL_ADDRESS);
+          confirmed_age_ms = UINT64_MAX;
+        }
+    }
+  ck_assert_str_eq (ab_fleet_view_control (gateways[0].view), OTHER_ADDRESS);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -724,6 +746,7 @@
   tcase_add_test (tcase, confirmed_age_counts_delays);
   tcase_add_test (tcase, lost_changes_stay_unconfirmed);
   tcase_add_test (tcase, incomplete_views_confirm_nothing);
+  tcase_add_test (tcase, control_without_confirmation_is_left);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
