--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -340,7 +340,8 @@
   if (changed && ab_fleet_view_needs_confirmation (view)
       && ab_fleet_view_confirmed_age_ms (view) == UINT64_MAX)
     ab_fleet_view_send_watch (view, control, AB_WATCH_REGULAR);
-  update_keys (view);
+  if (view->keys_expired)
+    update_keys (view);
   if (changed || newly_confirmed)
     view->ops->applied (view->ctx);
   return 0;
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -92,6 +92,16 @@
   free (flow);
 }
 
+/* Rejects FLOW, which waited in vain for the view.  */
+static void
+end_wait (struct ab_gateway_flow *flow, const char *code)
+{
+  /* Only a request that waits for the confirmation of its key has a route. */
+  if (flow->route)
+    ab_gateway_team_count_refusal (flow, code);
+  ab_gateway_reply_error (flow, 503, code, NO_VIEW_RETRY_MS);
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -101,7 +111,7 @@
   (void)what;
   if (flow->awaits)
     {
-      ab_gateway_reply_error (flow, 503, flow->awaits, NO_VIEW_RETRY_MS);
+      end_wait (flow, flow->awaits);
       return;
     }
   /* An attempt has a timer of its own with the same deadline.  */
@@ -254,7 +264,7 @@
   if (wait > 0 && arm_timer (flow, wait))
     flow->awaits = code;
   else
-    ab_gateway_reply_error (flow, 503, code, NO_VIEW_RETRY_MS);
+    end_wait (flow, code);
 }
 
 /* Chooses a route, arms the deadline timer and starts the first attempt.  */
--- a/src/gateway_team_task.c
+++ b/src/gateway_team_task.c
@@ -45,15 +45,22 @@
   return find_header (flow, flow->env->settings->headers.key, key) <= 1;
 }
 
-static int
-refuse (struct ab_gateway_flow *flow, int status, const char *code,
-        uint64_t retry_ms)
+void
+ab_gateway_team_count_refusal (const struct ab_gateway_flow *flow,
+                               const char *code)
 {
   char name[64];
 
   snprintf (name, sizeof name, "ab_gateway_keys_refused_total{code=\"%s\"}",
             code);
   ++*ab_gateway_flow_counter (flow, name);
+}
+
+static int
+refuse (struct ab_gateway_flow *flow, int status, const char *code,
+        uint64_t retry_ms)
+{
+  ab_gateway_team_count_refusal (flow, code);
   ab_gateway_reply_error (flow, status, code, retry_ms);
   return AB_ERR_INVALID;
 }
--- a/src/gateway_team_task.h
+++ b/src/gateway_team_task.h
@@ -20,6 +20,10 @@
    when the bundle is not confirmed to be recent enough to honour keys.  */
 int ab_gateway_team_check (struct ab_gateway_flow *flow);
 
+/* Counts a request that was refused with CODE for its key.  */
+void ab_gateway_team_count_refusal (const struct ab_gateway_flow *flow,
+                                    const char *code);
+
 /* Returns whether the caller's header NAME with VALUE may be forwarded to a
    target.  With teams, the headers of the key and of the team are dropped, and
    so are headers that a target might read as one of them.  */
