route_table: quote no text of a bundle that is no JSON

Cause: the reason why a bundle is not JSON quoted the text at the error, and was logged: "']' expected near '"hidden-2"'" showed a key.

Conclusion: keys appear in no reason for a rejected bundle.

--- a/src/route_table.c
+++ b/src/route_table.c
@@ -470,6 +470,20 @@
   return rc;
 }
 
+/* Tells where TEXT of a bundle is no JSON object.  JSON_ERROR quotes the text
+   there, which may be a key and must not be logged.  */
+static int
+fail_json (const json_error_t *json_error, char *error)
+{
+  const char *quote = strstr (json_error->text, " near ");
+  size_t len
+      = quote ? (size_t)(quote - json_error->text) : strlen (json_error->text);
+
+  return fail (error, "not a JSON object: %.*s at line %d, column %d",
+               (int)len, json_error->text, json_error->line,
+               json_error->column);
+}
+
 int
 ab_route_table_parse (struct ab_chunk text, struct ab_route_table **table,
                       char error[AB_CONF_ERROR_BYTES])
@@ -488,8 +502,7 @@
   if (json_is_object (root))
     rc = read_table (result, root, error);
   else
-    rc = fail (error, "not a JSON object: %s at line %d", json_error.text,
-               json_error.line);
+    rc = fail_json (&json_error, error);
   json_decref (root);
   if (rc < 0)
     ab_route_table_unref (result);
--- a/tests/test_route_table.c
+++ b/tests/test_route_table.c
@@ -216,6 +216,30 @@
 }
 END_TEST
 
+/* Guards against a key in the log: the reason why a bundle is invalid is
+   logged and sent to the operator.  */
+START_TEST (reasons_hold_no_key)
+{
+  static const char *const texts[]
+      = { "{\"teams\":[{\"keys\":[\"hidden-1\" \"hidden-2\"]}]}",
+          "{\"teams\":[{\"keys\":[\"hidden-1\\q\"]}]}",
+          "{\"teams\":[{\"keys\":{\"hidden-1\":1,\"hidden-1\":2}}]}",
+          "{\"teams\":[{\"keys\":[hidden-1]}]}",
+          "{\"teams\":[{\"keys\":[\"hidden-1" };
+
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      struct ab_route_table *table;
+      char error[AB_CONF_ERROR_BYTES];
+      ck_assert_int_eq (
+          ab_route_table_parse (ab_chunk_str (texts[i]), &table, error),
+          AB_ERR_INVALID);
+      ck_assert_msg (!strstr (error, "hidden"), "%s", error);
+      ck_assert_ptr_nonnull (strstr (error, "line 1"));
+    }
+}
+END_TEST
+
 SUITE_MAIN ("route_table", 10, finds_longest_prefix, splits_by_weight,
             accepts_all_kinds, rejects_invalid, accepts_unusual_but_valid,
-            finds_teams_by_key, rejects_invalid_teams)
+            finds_teams_by_key, rejects_invalid_teams, reasons_hold_no_key)
