--- a/src/gateway_team_task.h
+++ b/src/gateway_team_task.h
@@ -10,11 +10,20 @@
 
 #include "gateway_flow_internal.h"
 
+/* Returns whether FLOW, whose route is chosen, carries a key that cannot be
+   checked yet because the bundle was never confirmed.  */
+bool ab_gateway_team_awaits_view (const struct ab_gateway_flow *flow);
+
 /* Finds the team of FLOW, whose route is chosen, and fills in what its slot
    request says about the team.  Returns 0, or AB_ERR_INVALID after the flow
-   was rejected with status 401 and thereby freed.  */
+   was rejected and thereby freed: with status 401 for its key, or with 503
+   when the bundle is not confirmed to be recent enough to honour keys.  */
 int ab_gateway_team_check (struct ab_gateway_flow *flow);
 
+/* Counts a request that was refused with CODE for its key.  */
+void ab_gateway_team_count_refusal (const struct ab_gateway_flow *flow,
+                                    const char *code);
+
 /* Returns whether the caller's header NAME with VALUE may be forwarded to a
    target.  With teams, the headers of the key and of the team are dropped, and
    so are headers that a target might read as one of them.  */
