limiter: move the token bucket and the division by demand out

Team limits of gateways need the same token bucket and max-min division as the owner and holder in limiter.c.

Both move to token_bucket.c and limit_division.c, without a change of what the limiter does.

The new code can use the common part instead of a copy.

--- a/src/limiter.c
+++ b/src/limiter.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "error.h"
+#include "limit_division.h"
 #include "settings.h"
 
 /* Size of the token bucket, as the time in which it fills.  Longer bursts
@@ -14,8 +15,6 @@
 #define EVENLY_DIVIDED_FRACTION 0.05
 /* While the limit suffices, hosts get their demand multiplied by this.  */
 #define DEMAND_HEADROOM 1.25
-/* Bound on the iterations of max_min_level.  */
-#define LEVEL_ROUNDS_MAX 8
 
 struct lease
 {
@@ -96,47 +95,20 @@
 }
 
 static double
-demand_rate (const struct lease *lease)
+demand_rate (const void *ctx, size_t index)
 {
-  return lease->demand.rate * DEMAND_HEADROOM;
-}
+  const struct ab_limit_owner *owner = ctx;
 
-static double
-demand_concurrency (const struct lease *lease)
-{
-  return ceil ((double)lease->demand.concurrency * DEMAND_HEADROOM);
+  return owner->leases[index].demand.rate * DEMAND_HEADROOM;
 }
 
-/* Returns the level of a max-min fair division of TOTAL: hosts that demand
-   less than the level get all of their demand, the others get the level.  */
 static double
-max_min_level (const struct ab_limit_owner *owner, double total,
-               double (*demand_of) (const struct lease *))
+demand_concurrency (const void *ctx, size_t index)
 {
-  double level = total;
+  const struct ab_limit_owner *owner = ctx;
 
-  for (int round = 0; round < LEVEL_ROUNDS_MAX; round++)
-    {
-      double small_sum = 0;
-      size_t large_count = 0;
-      double next;
-
-      for (size_t i = 0; i < owner->count; i++)
-        if (demand_of (&owner->leases[i]) < level)
-          small_sum += demand_of (&owner->leases[i]);
-        else
-          large_count++;
-      if (large_count == 0)
-        {
-          /* Every demand is met; the caller divides the rest equally.  */
-          return level;
-        }
-      next = (total - small_sum) / (double)large_count;
-      if (fabs (next - level) < 1e-9)
-        break;
-      level = next;
-    }
-  return level;
+  return ceil ((double)owner->leases[index].demand.concurrency
+               * DEMAND_HEADROOM);
 }
 
 /* Returns the part of TOTAL that the holder of LEASE gets while other holders
@@ -145,14 +117,16 @@
 static double
 compute_share (const struct ab_limit_owner *owner, const struct lease *lease,
                size_t host_count, double total, double used,
-               double (*demand_of) (const struct lease *))
+               ab_limit_demand_of demand_of)
 {
-  double level = max_min_level (owner, total, demand_of);
-  double share = fmin (demand_of (lease), level);
+  double level
+      = ab_limit_division_level (owner->count, total, demand_of, owner);
+  double share
+      = fmin (demand_of (owner, (size_t)(lease - owner->leases)), level);
   double sum = 0;
 
   for (size_t i = 0; i < owner->count; i++)
-    sum += demand_of (&owner->leases[i]);
+    sum += demand_of (owner, i);
   if (sum < total)
     share += (total - sum)
              / (double)(host_count > owner->count ? host_count : owner->count);
@@ -234,10 +208,11 @@
                       const struct ab_limit *limit, size_t host_count,
                       size_t rank, uint64_t now_ms)
 {
-  *holder = (struct ab_limit_holder){ .refilled_ms = now_ms,
-                                      .counting_since_ms = now_ms };
+  *holder = (struct ab_limit_holder){
+    .bucket = { .capacity = 1, .tokens = 1, .updated_ms = now_ms },
+    .counting_since_ms = now_ms
+  };
   ab_limit_holder_configure (holder, limit, host_count, rank);
-  holder->tokens = 1;
 }
 
 void
@@ -272,27 +247,6 @@
     share->concurrency = holder->share.concurrency;
 }
 
-static void
-refill_bucket (struct ab_limit_holder *holder, double rate, uint64_t now_ms)
-{
-  double size = fmax (1, rate * BURST_MS / 1000);
-
-  holder->tokens = fmin (
-      size,
-      holder->tokens + rate * (double)(now_ms - holder->refilled_ms) / 1000);
-  holder->refilled_ms = now_ms;
-}
-
-/* Returns the time until the next token, at most AB_LIMIT_LEASE_MS.  */
-static uint64_t
-token_wait_ms (const struct ab_limit_holder *holder, double rate)
-{
-  if (rate <= 0)
-    return AB_LIMIT_LEASE_MS;
-  return (uint64_t)fmin (AB_LIMIT_LEASE_MS,
-                         ceil ((1 - holder->tokens) / rate * 1000));
-}
-
 int
 ab_limit_holder_acquire (struct ab_limit_holder *holder, uint64_t now_ms,
                          uint64_t *retry_after_ms)
@@ -300,7 +254,10 @@
   struct ab_limit_share share;
 
   ab_limit_holder_current_share (holder, now_ms, &share);
-  refill_bucket (holder, share.rate, now_ms);
+  /* The time since the last request counts at the share in use now.  */
+  holder->bucket.rate = share.rate;
+  holder->bucket.capacity = fmax (1, share.rate * BURST_MS / 1000);
+  ab_token_bucket_refill (&holder->bucket, now_ms);
   holder->arrivals++;
   if (holder->in_flight + 1 > holder->max_in_flight)
     holder->max_in_flight = holder->in_flight + 1;
@@ -309,13 +266,13 @@
       *retry_after_ms = AB_LIMIT_LEASE_MS / 2;
       return AB_ERR_FULL;
     }
-  if (holder->limit.rate > 0 && holder->tokens < 1)
+  if (holder->limit.rate > 0
+      && ab_token_bucket_take (&holder->bucket, 1, now_ms) == 0)
     {
-      *retry_after_ms = token_wait_ms (holder, share.rate);
+      *retry_after_ms
+          = ab_token_bucket_wait_ms (&holder->bucket, AB_LIMIT_LEASE_MS);
       return AB_ERR_FULL;
     }
-  if (holder->limit.rate > 0)
-    holder->tokens -= 1;
   holder->in_flight++;
   return 0;
 }
--- a/src/limiter.h
+++ b/src/limiter.h
@@ -22,6 +22,7 @@
 #include <stdint.h>
 
 #include "chunk.h"
+#include "token_bucket.h"
 
 #define AB_LIMIT_LEASE_MS 2000
 #define AB_LIMIT_HOSTS_MAX 4096
@@ -81,8 +82,7 @@
   /* Position of this host among all hosts, less than HOST_COUNT.  In an equal
      split, the hosts with the lowest ranks get the remainder.  */
   size_t rank;
-  double tokens;
-  uint64_t refilled_ms;
+  struct ab_token_bucket bucket;
   uint64_t in_flight;
   /* Counted since the demand was last collected, at COUNTING_SINCE_MS.  */
   uint64_t arrivals;
