Serve tokens of teams with a rate limit

Teams' limits are read from the bundle and bind nothing yet.

A gateway asks a control host for a token of a team with a limit before the first slot request, with one message for all waiting requests. The control host takes it from its bucket or from the leader's pool, and reports demand to the leader once a second. Above the limit the answer is 429 team-limit; without an answer of three control hosts it is 503 limit-unknown. A token of a request that was never sent goes back.

--- a/src/fleet_api_task.c
+++ b/src/fleet_api_task.c
@@ -334,6 +334,13 @@
             ab_log_str ("error", error));
 }
 
+const struct ab_route_table *
+ab_fleet_api_table (struct ab_fleet_api *api)
+{
+  update_table (api);
+  return api->table;
+}
+
 static bool
 known_service (struct ab_fleet_api *api, const char *name)
 {
--- a/src/fleet_control_internal.h
+++ b/src/fleet_control_internal.h
@@ -3,7 +3,8 @@
    fleet_control_task.c forwards operations to the leader of the control group
    and returns the results, fleet_api_task.c is the HTTP API for targets and
    operators, fleet_watch_task.c sends views of the fleet to entry hosts,
-   fleet_reports_task.c takes their reports.  */
+   fleet_reports_task.c takes their reports, fleet_teams_task.c grants tokens
+   of teams with a rate limit.  */
 
 #ifndef AB_FLEET_CONTROL_INTERNAL_H
 #define AB_FLEET_CONTROL_INTERNAL_H
@@ -17,9 +18,11 @@
 #include "group_task.h"
 #include "log.h"
 #include "peer_task.h"
+#include "route_table.h"
 
 struct ab_fleet_api;
 struct ab_fleet_reports;
+struct ab_fleet_teams;
 struct ab_fleet_watch;
 
 /* Reports the end of an operation.  RC is 0 or AB_ERR_TIMEOUT; RESULT is
@@ -72,6 +75,7 @@
   struct ab_fleet_api *api;
   struct ab_fleet_watch *watch;
   struct ab_fleet_reports *reports;
+  struct ab_fleet_teams *teams;
   struct ab_fleet_op *ops;
   struct ab_fleet_leader_op *leader_ops;
   struct event *timer;
@@ -103,6 +107,9 @@
                       struct ab_fleet_api **api,
                       char error[AB_CONF_ERROR_BYTES]);
 void ab_fleet_api_free (struct ab_fleet_api *api);
+/* Returns the table of the current bundle, parsed when it has changed; null
+   before the first.  */
+const struct ab_route_table *ab_fleet_api_table (struct ab_fleet_api *api);
 /* Returns the number of API requests that wait for the control group.  */
 size_t ab_fleet_api_pending (const struct ab_fleet_api *api);
 
@@ -125,6 +132,16 @@
                           struct ab_fleet_reports **reports);
 void ab_fleet_reports_free (struct ab_fleet_reports *reports);
 
+/* fleet_teams_task.c */
+int ab_fleet_teams_new (struct ab_fleet_control *control,
+                        struct ab_fleet_teams **teams);
+void ab_fleet_teams_free (struct ab_fleet_teams *teams);
+/* Completes the group read TOKEN with RC and INDEX; returns false if it is not
+   one of TEAMS, which may be null.  */
+bool ab_fleet_teams_read_ready (struct ab_fleet_teams *teams, uint64_t token,
+                                int rc, uint64_t index);
+json_t *ab_fleet_teams_state (const struct ab_fleet_teams *teams);
+
 static inline uint64_t
 ab_fleet_now_ms (void)
 {
--- a/src/fleet_control_task.c
+++ b/src/fleet_control_task.c
@@ -348,6 +348,8 @@
   struct ab_fleet_control *control = ctx;
   struct ab_fleet_leader_op *leader_op;
 
+  if (ab_fleet_teams_read_ready (control->teams, request, rc, index))
+    return;
   DL_FOREACH (control->leader_ops, leader_op)
   if (leader_op->kind == AB_FLEET_OP_READ && leader_op->token == request)
     break;
@@ -407,6 +409,8 @@
     rc = ab_fleet_reports_new (control, &control->reports);
   if (rc == 0)
     rc = ab_fleet_api_new (control, &control->api, error);
+  if (rc == 0)
+    rc = ab_fleet_teams_new (control, &control->teams);
   if (rc == 0)
     rc = start_timer (control);
   if (rc < 0)
@@ -432,6 +436,7 @@
 
   if (!control)
     return;
+  ab_fleet_teams_free (control->teams);
   ab_fleet_api_free (control->api);
   ab_fleet_reports_free (control->reports);
   ab_fleet_watch_free (control->watch);
@@ -456,11 +461,12 @@
 ab_fleet_control_state (const struct ab_fleet_control *control)
 {
   return json_pack (
-      "{s:o, s:I, s:I, s:o, s:o}", "group",
+      "{s:o, s:I, s:I, s:o, s:o, s:o}", "group",
       ab_group_state_dump (control->group), "bundle_version",
       (json_int_t)ab_fleet_state_version (control->state), "targets",
       (json_int_t)ab_fleet_state_target_count (control->state), "watchers",
       ab_fleet_watch_state (control->watch), "quarantine",
       ab_fleet_quarantine_state (ab_fleet_state_quarantine (control->state),
-                                 ab_clock_wall_ms (ab_clock_system ())));
+                                 ab_clock_wall_ms (ab_clock_system ())),
+      "team_limits", ab_fleet_teams_state (control->teams));
 }
--- /dev/null
+++ b/src/fleet_teams_task.c
@@ -0,0 +1,795 @@
+/* Rate limits of teams at a control host: grants tokens to gateways, asks the
+   leader's pool for those that its own buckets lack, and serves the pool and
+   leases while it is the leader.  team_limit.h makes the decisions.  */
+
+#include "fleet_control_internal.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "pack.h"
+#include "rng.h"
+#include "route_table.h"
+#include "team_frame.h"
+
+#define TIMER_MS 50
+/* Interval of the reports of demand.  */
+#define REPORT_MS 1000
+/* A gateway waits 60 ms for an answer: a pool that does not answer in this
+   time is not waited for.  The round trip between regions takes 42 ms.  */
+#define POOL_WAIT_MS 52
+/* Gateways' requests are answered at once for this time after the pool did not
+   answer or its host was not serving.  */
+#define POOL_PAUSE_MS 100
+/* A longer "no" of the pool is not remembered: leases and returned tokens
+   change it.  */
+#define POOL_DENIAL_MAX_MS 500
+/* Interval of the reads that confirm the leader, while there were messages
+   about teams within USED_MS.  */
+#define READ_MS 200
+#define USED_MS 60000
+/* The leader of a group that a majority confirmed up to this part of an
+   election timeout ago may grant.  A new one waits for a whole one.  */
+#define VALID_PART 0.66
+#define WAITING_MAX 4096
+#define STATE_TEAMS_MAX 200
+
+/* A gateway's message that waits for the pool.  */
+struct waiting
+{
+  struct waiting *prev;
+  struct waiting *next;
+  char gateway[AB_ADDRESS_BYTES];
+  uint64_t id;
+  uint64_t count;
+  uint64_t due_ms;
+  bool asked; /* Its tokens are part of the message to the pool.  */
+};
+
+/* What this host knows of a team's pool.  */
+struct pool
+{
+  char team[AB_NAME_BYTES];
+  struct waiting *waiting;
+  uint64_t ask_id; /* Of the message to the leader; 0: none.  */
+  uint64_t asked_ms;
+  uint64_t denied_until_ms;
+  uint64_t paused_until_ms;
+  UT_hash_handle hh;
+};
+
+struct ab_fleet_teams
+{
+  struct ab_fleet_control *control;
+  struct ab_team_limits *limits;
+  struct event *timer;
+  struct event *wait_timer; /* Ends the wait for the pool.  */
+  struct pool *pools;
+  size_t waiting_count;
+  uint64_t life;
+  uint64_t next_number;
+  uint64_t table_index;
+  size_t hosts;
+  uint64_t used_ms;
+  /* As a control host.  */
+  uint64_t reported_ms;
+  uint64_t first_number;          /* Of the last report's messages.  */
+  struct ab_team_contact pending; /* Awaits that the log is applied.  */
+  uint64_t pending_as_of_ms;
+  /* As the leader.  */
+  uint64_t read_token; /* 0: no read is under way.  */
+  uint64_t read_term;
+  uint64_t read_ms;
+  uint64_t confirmed_index;
+  bool serves;
+};
+
+static uint64_t *
+counter (const struct ab_fleet_teams *teams, const char *name)
+{
+  return ab_counter (teams->control->daemon->counters, name);
+}
+
+/* The bundle.  */
+
+static bool
+rate_of (void *ctx, struct ab_chunk name, struct ab_team_rate *rate)
+{
+  const struct ab_fleet_teams *teams = ctx;
+  const struct ab_route_table *table
+      = ab_fleet_api_table (teams->control->api);
+  const struct ab_fleet_team *team
+      = table ? ab_route_table_find_team (table, name) : NULL;
+
+  if (!team)
+    return false;
+  *rate = (struct ab_team_rate){ .rate_per_s = team->rate_per_s,
+                                 .burst = team->burst };
+  return true;
+}
+
+static const struct ab_team_limits_ops limits_ops = { .rate = rate_of };
+
+/* Returns the number of members of the group, 0 while this host is none.  */
+static size_t
+count_members (const struct ab_fleet_teams *teams)
+{
+  const struct ab_raft_member *members;
+  size_t count = ab_group_members (teams->control->group, &members);
+
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (members[i].host, teams->control->daemon->settings->host) == 0)
+      return count;
+  return 0;
+}
+
+/* Makes the decisions follow the group: its members, its leader, the bundle.
+   To be called before each decision.  */
+static void
+follow_group (struct ab_fleet_teams *teams, uint64_t now)
+{
+  uint64_t index = ab_fleet_state_bundle_index (teams->control->state);
+  size_t hosts = count_members (teams);
+  struct ab_raft_status status;
+
+  ab_group_status (teams->control->group, &status);
+  ab_team_limits_lead (teams->limits, status.leader, status.term, now);
+  if (index == teams->table_index && hosts == teams->hosts)
+    return;
+  teams->table_index = index;
+  teams->hosts = hosts;
+  ab_team_limits_configure (teams->limits, hosts, now);
+}
+
+/* Contact with the leader.  */
+
+static void
+apply_contact (struct ab_fleet_teams *teams)
+{
+  struct ab_raft_status status;
+
+  if (!teams->pending.confirmed)
+    return;
+  ab_group_status (teams->control->group, &status);
+  if (status.applied_index < teams->pending.index)
+    return;
+  ab_team_limits_contact (teams->limits, teams->pending_as_of_ms);
+  teams->pending.confirmed = false;
+}
+
+/* Records the contact of a reply to a message that was sent at ASKED_MS: the
+   leader's state was current when its read began, which is at most the age
+   before the message was sent.  */
+static void
+note_contact (struct ab_fleet_teams *teams,
+              const struct ab_team_contact *contact, uint64_t asked_ms)
+{
+  if (!contact->confirmed || contact->age_ms > asked_ms
+      || teams->pending.confirmed)
+    return;
+  teams->pending = *contact;
+  teams->pending_as_of_ms = asked_ms - contact->age_ms;
+  apply_contact (teams);
+}
+
+/* Replies to gateways.  */
+
+static void
+send_reply (struct ab_fleet_teams *teams, const char *gateway,
+            const struct ab_team_reply *reply)
+{
+  struct ab_buf body = AB_BUF_INIT;
+
+  ab_team_pack_reply (&body, reply);
+  if (!body.error)
+    ab_peer_task_reply (teams->control->daemon->peer, ab_chunk_str (gateway),
+                        AB_FRAME_TEAM_TOKENS_REPLY, ab_buf_chunk (&body));
+  ab_buf_free (&body);
+  if (reply->status == AB_TEAM_GRANTED)
+    *counter (teams, "ab_team_tokens_granted_total") += reply->answer.granted;
+  else if (reply->status == AB_TEAM_LIMITED)
+    ++*counter (teams, "ab_team_tokens_refused_total");
+  else
+    ++*counter (teams, "ab_team_tokens_unknown_total");
+}
+
+/* Ends WAITING of POOL with STATUS and the tokens in ANSWER.  */
+static void
+end_waiting (struct ab_fleet_teams *teams, struct pool *pool,
+             struct waiting *waiting, enum ab_team_status status,
+             const struct ab_team_answer *answer)
+{
+  const struct ab_team_reply reply
+      = { .id = waiting->id, .status = status, .answer = *answer };
+
+  DL_DELETE (pool->waiting, waiting);
+  teams->waiting_count--;
+  send_reply (teams, waiting->gateway, &reply);
+  free (waiting);
+}
+
+/* The pool, as a control host.  */
+
+static struct pool *
+find_or_add_pool (struct ab_fleet_teams *teams, const char *team)
+{
+  struct pool *pool;
+
+  HASH_FIND_STR (teams->pools, team, pool);
+  if (pool)
+    return pool;
+  pool = calloc (1, sizeof *pool);
+  if (!pool)
+    return NULL;
+  ab_chunk_copy (ab_chunk_str (team), pool->team, sizeof pool->team);
+  HASH_ADD_STR (teams->pools, team, pool);
+  return pool;
+}
+
+static void
+fail_waiting (struct ab_fleet_teams *teams, struct pool *pool, uint64_t now)
+{
+  const struct ab_team_answer none = { .retry_ms = POOL_PAUSE_MS };
+
+  pool->ask_id = 0;
+  pool->paused_until_ms = now + POOL_PAUSE_MS;
+  while (pool->waiting)
+    end_waiting (teams, pool, pool->waiting, AB_TEAM_UNKNOWN, &none);
+}
+
+static void
+arm_wait_timer (struct ab_fleet_teams *teams)
+{
+  const struct timeval tv = { .tv_usec = 10 * 1000 };
+
+  if (!event_pending (teams->wait_timer, EV_TIMEOUT, NULL))
+    event_add (teams->wait_timer, &tv);
+}
+
+/* Asks the leader for the tokens of all that wait, unless a message to it is
+   under way.  */
+static void
+ask_pool (struct ab_fleet_teams *teams, struct pool *pool, uint64_t now)
+{
+  struct ab_buf body = AB_BUF_INIT;
+  struct ab_team_ask ask = { .count = 0 };
+  struct ab_raft_status status;
+  struct waiting *waiting;
+
+  if (pool->ask_id || !pool->waiting)
+    return;
+  ab_group_status (teams->control->group, &status);
+  if (!status.leader_host[0])
+    {
+      fail_waiting (teams, pool, now);
+      return;
+    }
+  DL_FOREACH (pool->waiting, waiting)
+  {
+    if (ask.count + waiting->count > AB_TEAM_TOKENS_MAX)
+      break;
+    waiting->asked = true;
+    ask.count += waiting->count;
+  }
+  ask.id = pool->ask_id = ++teams->next_number;
+  pool->asked_ms = now;
+  memcpy (ask.team, pool->team, sizeof ask.team);
+  ab_team_pack_ask (&body, &ask);
+  if (!body.error)
+    ab_peer_task_send (teams->control->daemon->peer,
+                       ab_chunk_str (status.leader_host), AB_FRAME_TEAM_POOL,
+                       ab_buf_chunk (&body));
+  ab_buf_free (&body);
+  ++*counter (teams, "ab_team_pool_asked_total");
+  arm_wait_timer (teams);
+}
+
+/* Ends the waits that are due, and messages to the leader that got no
+   reply.  */
+static void
+on_wait_timer (evutil_socket_t fd, short events, void *ctx)
+{
+  struct ab_fleet_teams *teams = ctx;
+  uint64_t now = ab_fleet_now_ms ();
+  struct pool *pool;
+  struct pool *next;
+  bool more = false;
+
+  (void)fd;
+  (void)events;
+  HASH_ITER (hh, teams->pools, pool, next)
+  {
+    if (pool->waiting && now >= pool->waiting->due_ms)
+      fail_waiting (teams, pool, now);
+    else if (!pool->waiting && now > pool->denied_until_ms
+             && now > pool->paused_until_ms
+             && now > pool->asked_ms + POOL_WAIT_MS)
+      {
+        HASH_DEL (teams->pools, pool);
+        free (pool);
+        continue;
+      }
+    more = true;
+  }
+  if (more)
+    arm_wait_timer (teams);
+}
+
+static void
+add_waiting (struct ab_fleet_teams *teams, struct pool *pool,
+             const char *gateway, const struct ab_team_ask *ask, uint64_t now)
+{
+  const struct ab_team_reply unknown
+      = { .id = ask->id, .status = AB_TEAM_UNKNOWN };
+  struct waiting *waiting = NULL;
+
+  if (teams->waiting_count < WAITING_MAX)
+    waiting = calloc (1, sizeof *waiting);
+  if (!waiting)
+    {
+      send_reply (teams, gateway, &unknown);
+      return;
+    }
+  ab_chunk_copy (ab_chunk_str (gateway), waiting->gateway,
+                 sizeof waiting->gateway);
+  waiting->id = ask->id;
+  waiting->count = ask->count;
+  waiting->due_ms = now + POOL_WAIT_MS;
+  DL_APPEND (pool->waiting, waiting);
+  teams->waiting_count++;
+  ask_pool (teams, pool, now);
+}
+
+/* Decides on the tokens that GATEWAY asked for.  */
+static void
+serve_ask (struct ab_fleet_teams *teams, const char *gateway,
+           const struct ab_team_ask *ask, uint64_t now)
+{
+  struct ab_team_reply reply = { .id = ask->id };
+  struct ab_team_rate rate;
+  struct pool *pool;
+  int rc = ab_team_limits_take (teams->limits, ab_chunk_str (ask->team),
+                                ask->count, now, &reply.answer);
+
+  if (rc == 0)
+    {
+      send_reply (teams, gateway, &reply);
+      return;
+    }
+  if (rc == AB_ERR_NOT_FOUND
+      && rate_of (teams, ab_chunk_str (ask->team), &rate))
+    {
+      /* The gateway does not know yet that the limit has ended.  */
+      reply.answer.granted = ask->count;
+      send_reply (teams, gateway, &reply);
+      return;
+    }
+  pool = rc == AB_ERR_FULL || rc == AB_ERR_STALE
+             ? find_or_add_pool (teams, ask->team)
+             : NULL;
+  reply.status = AB_TEAM_UNKNOWN;
+  if (pool && now < pool->denied_until_ms)
+    {
+      reply.status = AB_TEAM_LIMITED;
+      if (pool->denied_until_ms - now < reply.answer.retry_ms)
+        reply.answer.retry_ms = pool->denied_until_ms - now;
+    }
+  if (!pool || now < pool->denied_until_ms || now < pool->paused_until_ms)
+    send_reply (teams, gateway, &reply);
+  else
+    add_waiting (teams, pool, gateway, ask, now);
+}
+
+static void
+on_tokens (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_fleet_teams *teams = ctx;
+  char gateway[AB_ADDRESS_BYTES];
+  struct ab_team_ask ask;
+  uint64_t now = ab_fleet_now_ms ();
+
+  if (ab_team_read_ask (frame->body, &ask) < 0
+      || !ab_chunk_copy (frame->sender, gateway, sizeof gateway))
+    return;
+  teams->used_ms = now;
+  *counter (teams, "ab_team_tokens_asked_total") += ask.count;
+  follow_group (teams, now);
+  serve_ask (teams, gateway, &ask, now);
+}
+
+/* Gives the tokens in REPLY to those that it was asked for.  */
+static void
+divide_reply (struct ab_fleet_teams *teams, struct pool *pool,
+              const struct ab_team_reply *reply, uint64_t now)
+{
+  uint64_t left = reply->answer.granted;
+
+  while (pool->waiting && pool->waiting->asked)
+    {
+      struct waiting *waiting = pool->waiting;
+      struct ab_team_answer answer = reply->answer;
+
+      answer.granted = left < waiting->count ? left : waiting->count;
+      left -= answer.granted;
+      end_waiting (teams, pool, waiting,
+                   answer.granted > 0 ? AB_TEAM_GRANTED : AB_TEAM_LIMITED,
+                   &answer);
+    }
+  if (reply->status == AB_TEAM_LIMITED)
+    pool->denied_until_ms = now
+                            + (reply->answer.retry_ms < POOL_DENIAL_MAX_MS
+                                   ? reply->answer.retry_ms
+                                   : POOL_DENIAL_MAX_MS);
+}
+
+/* Decides again on what came while a message to the leader was under way.  */
+static void
+serve_rest (struct ab_fleet_teams *teams, struct pool *pool, uint64_t now)
+{
+  struct waiting *waiting = pool->waiting;
+  struct waiting *next;
+
+  if (now >= pool->denied_until_ms)
+    {
+      ask_pool (teams, pool, now);
+      return;
+    }
+  for (; waiting; waiting = next)
+    {
+      const struct ab_team_answer none
+          = { .retry_ms = pool->denied_until_ms - now };
+
+      next = waiting->next;
+      end_waiting (teams, pool, waiting, AB_TEAM_LIMITED, &none);
+    }
+}
+
+static void
+on_pool_reply (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_fleet_teams *teams = ctx;
+  struct ab_team_pool_reply reply;
+  uint64_t now = ab_fleet_now_ms ();
+  struct pool *pool;
+
+  if (ab_team_read_pool_reply (frame->body, &reply) < 0)
+    return;
+  for (pool = teams->pools; pool; pool = pool->hh.next)
+    if (pool->ask_id == reply.reply.id)
+      break;
+  /* A host that was frozen may read a reply before its timers run.  */
+  if (!pool || now > pool->asked_ms + 2 * POOL_WAIT_MS)
+    return;
+  pool->ask_id = 0;
+  note_contact (teams, &reply.contact, pool->asked_ms);
+  if (reply.reply.status == AB_TEAM_UNKNOWN)
+    {
+      fail_waiting (teams, pool, now);
+      return;
+    }
+  divide_reply (teams, pool, &reply.reply, now);
+  serve_rest (teams, pool, now);
+}
+
+/* Reports and leases.  */
+
+static void
+send_report (struct ab_fleet_teams *teams, const char *leader,
+             const struct ab_team_demands *demands)
+{
+  struct ab_buf body = AB_BUF_INIT;
+
+  ab_team_pack_demands (&body, demands);
+  if (!body.error)
+    ab_peer_task_send (teams->control->daemon->peer, ab_chunk_str (leader),
+                       AB_FRAME_TEAM_DEMAND, ab_buf_chunk (&body));
+  ab_buf_free (&body);
+}
+
+static void
+report (struct ab_fleet_teams *teams, uint64_t now)
+{
+  struct ab_team_demands demands = { .life = teams->life };
+  struct ab_raft_status status;
+
+  ab_group_status (teams->control->group, &status);
+  if (now < teams->reported_ms + REPORT_MS || !status.leader_host[0])
+    return;
+  teams->reported_ms = now;
+  teams->first_number = teams->next_number + 1;
+  do
+    {
+      demands.number = ++teams->next_number;
+      demands.count
+          = ab_team_limits_collect (teams->limits, demands.number,
+                                    demands.list, AB_TEAM_DEMANDS_MAX, now);
+      if (demands.count > 0)
+        send_report (teams, status.leader_host, &demands);
+    }
+  while (demands.count == AB_TEAM_DEMANDS_MAX);
+}
+
+static void
+on_leases (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_fleet_teams *teams = ctx;
+  struct ab_team_grants grants;
+  uint64_t now = ab_fleet_now_ms ();
+
+  if (ab_team_read_grants (frame->body, &grants) < 0)
+    return;
+  follow_group (teams, now);
+  if (grants.number >= teams->first_number
+      && grants.number <= teams->next_number)
+    note_contact (teams, &grants.contact, teams->reported_ms);
+  for (size_t i = 0; i < grants.count; i++)
+    ab_team_limits_accept (teams->limits, ab_chunk_str (grants.list[i].team),
+                           grants.number, grants.list[i].fraction,
+                           grants.list[i].renewal, now);
+}
+
+/* The leader.  */
+
+static struct ab_team_contact
+own_contact (const struct ab_fleet_teams *teams, uint64_t now)
+{
+  uint64_t age_ms = ab_team_limits_confirmed_age_ms (teams->limits, now);
+
+  return (struct ab_team_contact){ .confirmed = age_ms != UINT64_MAX,
+                                   .age_ms = age_ms,
+                                   .index = teams->confirmed_index };
+}
+
+/* Starts a read that confirms this host as the leader, when one is due.  */
+static void
+confirm (struct ab_fleet_teams *teams, uint64_t now)
+{
+  struct ab_raft_status status;
+  uint64_t interval = teams->read_token ? 3 * READ_MS : READ_MS;
+
+  ab_group_status (teams->control->group, &status);
+  if (!status.leader || now < teams->read_ms + interval
+      || now > teams->used_ms + USED_MS)
+    return;
+  teams->read_token = ++teams->control->next_id;
+  teams->read_term = status.term;
+  teams->read_ms = now;
+  if (ab_group_read (teams->control->group, teams->read_token) < 0)
+    teams->read_token = 0;
+}
+
+bool
+ab_fleet_teams_read_ready (struct ab_fleet_teams *teams, uint64_t token,
+                           int rc, uint64_t index)
+{
+  if (!teams || token != teams->read_token)
+    return false;
+  teams->read_token = 0;
+  if (rc == 0)
+    {
+      follow_group (teams, ab_fleet_now_ms ());
+      ab_team_limits_confirm (teams->limits, teams->read_term, teams->read_ms);
+      teams->confirmed_index = index;
+    }
+  return true;
+}
+
+static void
+on_pool (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_fleet_teams *teams = ctx;
+  struct ab_team_pool_reply reply = { .reply = { .id = 0 } };
+  struct ab_buf body = AB_BUF_INIT;
+  struct ab_team_ask ask;
+  uint64_t now = ab_fleet_now_ms ();
+  int rc;
+
+  if (ab_team_read_ask (frame->body, &ask) < 0)
+    return;
+  teams->used_ms = now;
+  follow_group (teams, now);
+  confirm (teams, now);
+  rc = ab_team_limits_pool_take (teams->limits, ab_chunk_str (ask.team),
+                                 ask.count, now, &reply.reply.answer);
+  reply.reply.id = ask.id;
+  reply.reply.status = rc == 0             ? AB_TEAM_GRANTED
+                       : rc == AB_ERR_FULL ? AB_TEAM_LIMITED
+                                           : AB_TEAM_UNKNOWN;
+  reply.contact = own_contact (teams, now);
+  ab_team_pack_pool_reply (&body, &reply);
+  if (!body.error)
+    ab_peer_task_send (teams->control->daemon->peer, frame->sender,
+                       AB_FRAME_TEAM_POOL_REPLY, ab_buf_chunk (&body));
+  ab_buf_free (&body);
+  *counter (teams, "ab_team_pool_granted_total") += reply.reply.answer.granted;
+}
+
+/* Decides on the claims of HOST in DEMANDS.  */
+static void
+grant_leases (struct ab_fleet_teams *teams, struct ab_chunk host,
+              const struct ab_team_demands *demands,
+              struct ab_team_grants *grants, uint64_t now)
+{
+  struct ab_team_claim claim
+      = { .life = demands->life, .number = demands->number };
+
+  if (!ab_chunk_copy (host, claim.host, sizeof claim.host))
+    return;
+  for (size_t i = 0; i < demands->count; i++)
+    {
+      struct ab_team_granted *granted = &grants->list[grants->count];
+
+      claim.demand = demands->list[i].demand;
+      claim.held = demands->list[i].held;
+      memcpy (granted->team, demands->list[i].team, sizeof granted->team);
+      if (ab_team_limits_lease (teams->limits, ab_chunk_str (granted->team),
+                                &claim, now, &granted->fraction,
+                                &granted->renewal)
+          == 0)
+        grants->count++;
+    }
+}
+
+static void
+on_demand (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_fleet_teams *teams = ctx;
+  struct ab_team_demands demands;
+  struct ab_team_grants grants = { .count = 0 };
+  struct ab_buf body = AB_BUF_INIT;
+  uint64_t now = ab_fleet_now_ms ();
+
+  if (ab_team_read_demands (frame->body, &demands) < 0)
+    return;
+  teams->used_ms = now;
+  follow_group (teams, now);
+  confirm (teams, now);
+  grants.number = demands.number;
+  grants.contact = own_contact (teams, now);
+  grant_leases (teams, frame->sender, &demands, &grants, now);
+  ab_team_pack_grants (&body, &grants);
+  if (!body.error)
+    ab_peer_task_send (teams->control->daemon->peer, frame->sender,
+                       AB_FRAME_TEAM_LEASES, ab_buf_chunk (&body));
+  ab_buf_free (&body);
+}
+
+/* Returned tokens.  */
+
+static void
+on_return (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_fleet_teams *teams = ctx;
+  struct ab_team_return returned;
+  struct ab_raft_status status;
+  uint64_t now = ab_fleet_now_ms ();
+
+  if (ab_team_read_return (frame->body, &returned) < 0)
+    return;
+  follow_group (teams, now);
+  ab_group_status (teams->control->group, &status);
+  if (ab_team_limits_credit (teams->limits, ab_chunk_str (returned.team),
+                             returned.count, returned.grantor,
+                             returned.stamp_ms, now))
+    *counter (teams, "ab_team_tokens_returned_total") += returned.count;
+  /* A token of the pool, which only the leader can credit.  */
+  else if (returned.grantor != teams->life && !status.leader
+           && status.leader_host[0])
+    ab_peer_task_send (teams->control->daemon->peer,
+                       ab_chunk_str (status.leader_host), AB_FRAME_TEAM_RETURN,
+                       frame->body);
+}
+
+static void
+log_service (struct ab_fleet_teams *teams, uint64_t now)
+{
+  bool serves = ab_team_limits_serves (teams->limits, now);
+
+  if (serves == teams->serves)
+    return;
+  teams->serves = serves;
+  AB_LOG (AB_LOG_INFO, "team_limit_leader", ab_log_int ("serves", serves),
+          ab_log_int ("teams", (int64_t)ab_team_limits_count (teams->limits)));
+}
+
+static void
+on_timer (evutil_socket_t fd, short events, void *ctx)
+{
+  struct ab_fleet_teams *teams = ctx;
+  uint64_t now = ab_fleet_now_ms ();
+
+  (void)fd;
+  (void)events;
+  follow_group (teams, now);
+  apply_contact (teams);
+  confirm (teams, now);
+  report (teams, now);
+  log_service (teams, now);
+}
+
+/* Set-up and tear-down.  */
+
+static void
+set_handlers (struct ab_fleet_teams *teams)
+{
+  struct ab_peer_task *peer = teams->control->daemon->peer;
+
+  ab_peer_task_set_handler (peer, AB_FRAME_TEAM_TOKENS, on_tokens, teams);
+  ab_peer_task_set_handler (peer, AB_FRAME_TEAM_RETURN, on_return, teams);
+  ab_peer_task_set_handler (peer, AB_FRAME_TEAM_POOL, on_pool, teams);
+  ab_peer_task_set_handler (peer, AB_FRAME_TEAM_POOL_REPLY, on_pool_reply,
+                            teams);
+  ab_peer_task_set_handler (peer, AB_FRAME_TEAM_DEMAND, on_demand, teams);
+  ab_peer_task_set_handler (peer, AB_FRAME_TEAM_LEASES, on_leases, teams);
+}
+
+int
+ab_fleet_teams_new (struct ab_fleet_control *control,
+                    struct ab_fleet_teams **result)
+{
+  const struct ab_fleet_settings *settings = control->settings;
+  const struct timeval interval = { .tv_usec = TIMER_MS * 1000 };
+  struct ab_team_limit_config config
+      = { .window_ms = settings->team_limit_window_ms,
+          .overshoot = settings->team_limit_overshoot,
+          .slack = settings->team_limit_slack,
+          .leader_wait_ms = settings->base.raft_election_ms };
+  struct ab_fleet_teams *teams = calloc (1, sizeof *teams);
+  struct ab_rng rng;
+
+  *result = teams;
+  if (!teams)
+    return AB_ERR_MEMORY;
+  ab_rng_init_system (&rng);
+  config.leader_valid_ms
+      = (uint64_t)(VALID_PART * (double)config.leader_wait_ms);
+  config.life = teams->life = ab_rng_next (&rng) | 1;
+  /* Above the numbers of earlier processes here with near certainty, so that
+     late replies to them match no message of this one.  */
+  teams->next_number = teams->life >> 20;
+  teams->control = control;
+  teams->limits
+      = ab_team_limits_new (&config, &limits_ops, teams, ab_fleet_now_ms ());
+  teams->timer
+      = event_new (control->daemon->base, -1, EV_PERSIST, on_timer, teams);
+  teams->wait_timer
+      = evtimer_new (control->daemon->base, on_wait_timer, teams);
+  if (!teams->limits || !teams->timer || !teams->wait_timer
+      || event_add (teams->timer, &interval) < 0)
+    return AB_ERR_MEMORY;
+  set_handlers (teams);
+  return 0;
+}
+
+void
+ab_fleet_teams_free (struct ab_fleet_teams *teams)
+{
+  struct pool *pool;
+  struct pool *next_pool;
+  struct waiting *waiting;
+  struct waiting *next;
+
+  if (!teams)
+    return;
+  HASH_ITER (hh, teams->pools, pool, next_pool)
+  {
+    DL_FOREACH_SAFE (pool->waiting, waiting, next)
+    free (waiting);
+    HASH_DEL (teams->pools, pool);
+    free (pool);
+  }
+  if (teams->timer)
+    event_free (teams->timer);
+  if (teams->wait_timer)
+    event_free (teams->wait_timer);
+  ab_team_limits_free (teams->limits);
+  free (teams);
+}
+
+json_t *
+ab_fleet_teams_state (const struct ab_fleet_teams *teams)
+{
+  return ab_team_limits_state (teams->limits, STATE_TEAMS_MAX,
+                               ab_fleet_now_ms ());
+}
--- a/src/fleet_view_task.c
+++ b/src/fleet_view_task.c
@@ -677,6 +677,19 @@
              : "";
 }
 
+const char *
+ab_fleet_view_control_at (const struct ab_fleet_view *view, size_t index)
+{
+  if (view->followed < view->control_count && index-- == 0)
+    return view->controls[view->followed].address;
+  for (int near = 2; near >= 0; near--)
+    for (size_t i = 0; i < view->control_count; i++)
+      if (i != view->followed && locality (view, &view->controls[i]) == near
+          && index-- == 0)
+        return view->controls[i].address;
+  return NULL;
+}
+
 json_t *
 ab_fleet_view_state (const struct ab_fleet_view *view)
 {
--- a/src/fleet_view_task.h
+++ b/src/fleet_view_task.h
@@ -69,6 +69,12 @@
    while there is none.  */
 const char *ab_fleet_view_control (const struct ab_fleet_view *view);
 
+/* Returns the peer address of control host INDEX in the order in which this
+   host asks them: the one that it follows, those in its failure domain, those
+   in its region, the others.  Null after the last.  */
+const char *ab_fleet_view_control_at (const struct ab_fleet_view *view,
+                                      size_t index);
+
 /* Returns the state of the view for operators.  */
 json_t *ab_fleet_view_state (const struct ab_fleet_view *view);
 
--- a/src/frame.c
+++ b/src/frame.c
@@ -51,6 +51,13 @@
   [AB_FRAME_RATE_LIMIT] = "rate_limit",
   [AB_FRAME_FLEET_REPORTS] = "fleet_reports",
   [AB_FRAME_FLEET_REPORTS_ACK] = "fleet_reports_ack",
+  [AB_FRAME_TEAM_TOKENS] = "team_tokens",
+  [AB_FRAME_TEAM_TOKENS_REPLY] = "team_tokens_reply",
+  [AB_FRAME_TEAM_RETURN] = "team_return",
+  [AB_FRAME_TEAM_POOL] = "team_pool",
+  [AB_FRAME_TEAM_POOL_REPLY] = "team_pool_reply",
+  [AB_FRAME_TEAM_DEMAND] = "team_demand",
+  [AB_FRAME_TEAM_LEASES] = "team_leases",
 };
 
 const char *
--- a/src/frame.h
+++ b/src/frame.h
@@ -63,6 +63,13 @@
   AB_FRAME_RATE_LIMIT,      /* What a host knows of a target's limit.  */
   AB_FRAME_FLEET_REPORTS,   /* Requests that crashed targets.  */
   AB_FRAME_FLEET_REPORTS_ACK,
+  AB_FRAME_TEAM_TOKENS, /* A gateway asks for tokens of a team.  */
+  AB_FRAME_TEAM_TOKENS_REPLY,
+  AB_FRAME_TEAM_RETURN, /* Tokens of requests that were never sent.  */
+  AB_FRAME_TEAM_POOL,   /* A control host asks the leader for tokens.  */
+  AB_FRAME_TEAM_POOL_REPLY,
+  AB_FRAME_TEAM_DEMAND, /* A control host asks the leader for leases.  */
+  AB_FRAME_TEAM_LEASES,
   AB_FRAME_TYPE_COUNT
 };
 
--- a/src/gateway_flow_internal.h
+++ b/src/gateway_flow_internal.h
@@ -2,8 +2,9 @@
 
    gateway_flow_task.c accepts a request and ends it when its caller
    disconnects or its deadline passes, gateway_team_task.c checks its key,
-   gateway_attempt_task.c sends it to targets, and gateway_reply_task.c sends the reply.  Each function that ends
-   a flow frees it.  */
+   gateway_limit_task.c gets a token of its team, gateway_attempt_task.c sends
+   it to targets, and gateway_reply_task.c sends the reply.  Each function that
+   ends a flow frees it.  */
 
 #ifndef AB_GATEWAY_FLOW_INTERNAL_H
 #define AB_GATEWAY_FLOW_INTERNAL_H
@@ -30,6 +31,8 @@
   const struct ab_fleet_service *service;
   /* Team of the caller, in TABLE; null if no key is needed.  */
   const struct ab_fleet_team *team;
+  struct ab_team_tokens_call *token_call;
+  struct ab_team_token token; /* Has a control host once granted.  */
   char id[AB_GATEWAY_ID_BYTES];
   bool close;         /* The reply closes the caller's connection.  */
   bool awaits_bundle; /* No bundle was known when it arrived.  */
@@ -71,6 +74,13 @@
 uint64_t *ab_gateway_flow_counter (const struct ab_gateway_flow *flow,
                                    const char *name);
 
+/* Gets a token of the team of FLOW, if it has a limit, and then starts the
+   first attempt.  Ends FLOW with 429 or 503 when there is none.  */
+void ab_gateway_limit_start (struct ab_gateway_flow *flow);
+/* Cancels FLOW's request for a token, and returns a token whose request was
+   never sent.  */
+void ab_gateway_limit_end (struct ab_gateway_flow *flow);
+
 /* Requests a slot on a target and sends the request there.  Ends FLOW when no
    attempt is left.  */
 void ab_gateway_attempt_start (struct ab_gateway_flow *flow);
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -82,6 +82,7 @@
 {
   DL_DELETE (flow->env->flows, flow);
   flow->env->flow_count--;
+  ab_gateway_limit_end (flow);
   ab_caller_watch_free (flow->caller_watch);
   if (flow->timer)
     event_free (flow->timer);
@@ -257,7 +258,7 @@
     }
   fill_slot_request (flow);
   if (arm_timer (flow, ab_gateway_flow_time_left (flow)))
-    ab_gateway_attempt_start (flow);
+    ab_gateway_limit_start (flow);
   else
     ab_gateway_reply_error (flow, 503, "memory", AB_GATEWAY_RETRY_MS);
 }
--- a/src/gateway_flow_task.h
+++ b/src/gateway_flow_task.h
@@ -18,6 +18,7 @@
 #include "link_load.h"
 #include "rng.h"
 #include "schedule_task.h"
+#include "team_tokens_task.h"
 #include "upstream_task.h"
 
 struct ab_gateway_flow;
@@ -31,6 +32,7 @@
   struct ab_schedule_task *schedule;
   struct ab_upstream *upstream;
   struct ab_gateway_crashes *crashes;
+  struct ab_team_tokens *tokens;
   struct ab_caller_conns *conns;
   struct ab_rng rng;
   struct ab_gateway_flow *flows;
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -330,6 +330,8 @@
   if (rc == 0)
     rc = ab_gateway_crashes_new (gateway->daemon, on_blocked, gateway,
                                  &env->crashes);
+  if (rc == 0)
+    rc = ab_team_tokens_new (gateway->daemon, &env->tokens);
   if (rc == 0)
     rc = ab_fleet_view_new (gateway->daemon, gateway->settings, &view_ops,
                             gateway, &env->view);
@@ -337,6 +339,7 @@
     return rc;
   ab_schedule_task_use_view (env->schedule, env->view);
   ab_gateway_crashes_use_view (env->crashes, env->view);
+  ab_team_tokens_use_view (env->tokens, env->view);
   rc = listen_http (gateway, listen->ready, on_ready_request, &gateway->ready,
                     error);
   if (rc == 0)
@@ -386,6 +389,7 @@
   ab_upstream_free (gateway->env.upstream);
   ab_schedule_task_free (gateway->env.schedule);
   ab_gateway_crashes_free (gateway->env.crashes);
+  ab_team_tokens_free (gateway->env.tokens);
   ab_fleet_view_free (gateway->env.view);
   free (gateway);
 }
@@ -426,10 +430,11 @@
 ab_gateway_state (const struct ab_gateway *gateway)
 {
   return json_pack (
-      "{s:I, s:I, s:b, s:o, s:o, s:o}", "requests",
+      "{s:I, s:I, s:b, s:o, s:o, s:o, s:o}", "requests",
       (json_int_t)gateway->env.flow_count, "connections",
       (json_int_t)ab_caller_conns_count (gateway->env.conns), "ready",
       is_ready (gateway), "view", ab_fleet_view_state (gateway->env.view),
       "schedule", ab_schedule_task_state (gateway->env.schedule), "quarantine",
-      ab_gateway_crashes_state (gateway->env.crashes));
+      ab_gateway_crashes_state (gateway->env.crashes), "team_limits",
+      ab_team_tokens_state (gateway->env.tokens));
 }
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -180,8 +180,9 @@
   print_common (fleet, &text, "control", number);
   ab_buf_printf (&text,
                  "listen: {admin: %s, peers: %s%s}\ndata_folder: %s\n"
-                 "first_start: %s\n",
-                 admin, peers, bind, folder, first_start ? "true" : "false");
+                 "first_start: %s\nteam_limit_slack: %d\n",
+                 admin, peers, bind, folder, first_start ? "true" : "false",
+                 GF_TEAM_SLACK);
   spawn (fleet, "control", number, &text, &fleet->control_pids[number]);
 }
 
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -35,6 +35,7 @@
 };
 
 #define GF_SLOW_MS 1500
+#define GF_TEAM_SLACK 20 /* team_limit_slack of control hosts.  */
 #define GF_LARGE_BYTES 4000000
 
 struct gf_fleet
