--- a/src/gateway_flow_internal.h
+++ b/src/gateway_flow_internal.h
@@ -25,7 +25,7 @@
   struct ab_gateway_env *env;
   struct evhttp_request *req; /* Null once the caller has disconnected.  */
   struct ab_caller_watch *caller_watch;
-  struct event *timer; /* Deadline, or end of the wait for a bundle.  */
+  struct event *timer; /* Deadline, or end of the wait for the view.  */
   struct ab_route_table *table;
   const struct ab_fleet_route *route;
   const struct ab_fleet_service *service;
@@ -34,8 +34,10 @@
   struct ab_team_tokens_call *token_call;
   struct ab_team_token token; /* Has a control host once granted.  */
   char id[AB_GATEWAY_ID_BYTES];
-  bool close;         /* The reply closes the caller's connection.  */
-  bool awaits_bundle; /* No bundle was known when it arrived.  */
+  bool close; /* The reply closes the caller's connection.  */
+  /* It waits for the fleet's view, and this is the code of its rejection if
+     that does not come in time; null if it does not wait.  */
+  const char *awaits;
   uint64_t begin_us;
   uint64_t begin_ms;
   uint64_t deadline_ms;
