fleet_teams: hold messages to the pool until a leader is confirmed

A leader that got no message about teams for a minute answered the first ones with "cannot tell", as its confirmation was old, and gateways refused the requests with limit-unknown.

Such messages now wait for the read that is under way, up to 60 ms. Contact that fleet_confirm_task.c confirms counts for floors too. The test of a team below its limit begins 6 s after the start: a new leader waits for an election timeout and renews leases for 3 s, and is not calm before.

--- a/src/fleet_teams_task.c
+++ b/src/fleet_teams_task.c
@@ -2,16 +2,13 @@
    leader's pool for those that its own buckets lack, and serves the pool and
    leases while it is the leader.  team_limit.h makes the decisions.  */
 
-#include "fleet_control_internal.h"
+#include "fleet_teams_internal.h"
 
 #include <stdlib.h>
 #include <uthash.h>
 #include <utlist.h>
 
-#include "pack.h"
 #include "rng.h"
-#include "route_table.h"
-#include "team_frame.h"
 
 #define TIMER_MS 50
 /* Interval of the reports of demand.  */
@@ -25,10 +22,6 @@
 /* A longer "no" of the pool is not remembered: leases and returned tokens
    change it.  */
 #define POOL_DENIAL_MAX_MS 500
-/* Interval of the reads that confirm the leader, while there were messages
-   about teams within USED_MS.  */
-#define READ_MS 200
-#define USED_MS 60000
 /* The leader of a group that a majority confirmed up to this part of an
    election timeout ago may grant.  A new one waits for a whole one.  */
 #define VALID_PART 0.66
@@ -59,34 +52,8 @@
   UT_hash_handle hh;
 };
 
-struct ab_fleet_teams
-{
-  struct ab_fleet_control *control;
-  struct ab_team_limits *limits;
-  struct event *timer;
-  struct event *wait_timer; /* Ends the wait for the pool.  */
-  struct pool *pools;
-  size_t waiting_count;
-  uint64_t life;
-  uint64_t next_number;
-  uint64_t table_index;
-  size_t hosts;
-  uint64_t used_ms;
-  /* As a control host.  */
-  uint64_t reported_ms;
-  uint64_t first_number;          /* Of the last report's messages.  */
-  struct ab_team_contact pending; /* Awaits that the log is applied.  */
-  uint64_t pending_as_of_ms;
-  /* As the leader.  */
-  uint64_t read_token; /* 0: no read is under way.  */
-  uint64_t read_term;
-  uint64_t read_ms;
-  uint64_t confirmed_index;
-  bool serves;
-};
-
-static uint64_t *
-counter (const struct ab_fleet_teams *teams, const char *name)
+uint64_t *
+ab_fleet_teams_counter (const struct ab_fleet_teams *teams, const char *name)
 {
   return ab_counter (teams->control->daemon->counters, name);
 }
@@ -124,16 +91,17 @@
   return 0;
 }
 
-/* Makes the decisions follow the group: its members, its leader, the bundle.
-   To be called before each decision.  */
-static void
-follow_group (struct ab_fleet_teams *teams, uint64_t now)
+void
+ab_fleet_teams_follow_group (struct ab_fleet_teams *teams, uint64_t now)
 {
   uint64_t index = ab_fleet_state_bundle_index (teams->control->state);
   size_t hosts = count_members (teams);
+  uint64_t age_ms = ab_fleet_confirm_age_ms (teams->control->confirm);
   struct ab_raft_status status;
 
   ab_group_status (teams->control->group, &status);
+  if (age_ms < now)
+    ab_team_limits_contact (teams->limits, now - age_ms);
   ab_team_limits_lead (teams->limits, status.leader, status.term, now);
   if (index == teams->table_index && hosts == teams->hosts)
     return;
@@ -187,11 +155,12 @@
                         AB_FRAME_TEAM_TOKENS_REPLY, ab_buf_chunk (&body));
   ab_buf_free (&body);
   if (reply->status == AB_TEAM_GRANTED)
-    *counter (teams, "ab_team_tokens_granted_total") += reply->answer.granted;
+    *ab_fleet_teams_counter (teams, "ab_team_tokens_granted_total")
+        += reply->answer.granted;
   else if (reply->status == AB_TEAM_LIMITED)
-    ++*counter (teams, "ab_team_tokens_refused_total");
+    ++*ab_fleet_teams_counter (teams, "ab_team_tokens_refused_total");
   else
-    ++*counter (teams, "ab_team_tokens_unknown_total");
+    ++*ab_fleet_teams_counter (teams, "ab_team_tokens_unknown_total");
 }
 
 /* Ends WAITING of POOL with STATUS and the tokens in ANSWER.  */
@@ -281,7 +250,7 @@
                        ab_chunk_str (status.leader_host), AB_FRAME_TEAM_POOL,
                        ab_buf_chunk (&body));
   ab_buf_free (&body);
-  ++*counter (teams, "ab_team_pool_asked_total");
+  ++*ab_fleet_teams_counter (teams, "ab_team_pool_asked_total");
   arm_wait_timer (teams);
 }
 
@@ -393,8 +362,8 @@
       || !ab_chunk_copy (frame->sender, gateway, sizeof gateway))
     return;
   teams->used_ms = now;
-  *counter (teams, "ab_team_tokens_asked_total") += ask.count;
-  follow_group (teams, now);
+  *ab_fleet_teams_counter (teams, "ab_team_tokens_asked_total") += ask.count;
+  ab_fleet_teams_follow_group (teams, now);
   serve_ask (teams, gateway, &ask, now);
 }
 
@@ -519,7 +488,7 @@
 
   if (ab_team_read_grants (frame->body, &grants) < 0)
     return;
-  follow_group (teams, now);
+  ab_fleet_teams_follow_group (teams, now);
   if (grants.number >= teams->first_number
       && grants.number <= teams->next_number)
     note_contact (teams, &grants.contact, teams->reported_ms);
@@ -529,132 +498,6 @@
                            grants.list[i].renewal, now);
 }
 
-/* The leader.  */
-
-static struct ab_team_contact
-own_contact (const struct ab_fleet_teams *teams, uint64_t now)
-{
-  uint64_t age_ms = ab_team_limits_confirmed_age_ms (teams->limits, now);
-
-  return (struct ab_team_contact){ .confirmed = age_ms != UINT64_MAX,
-                                   .age_ms = age_ms,
-                                   .index = teams->confirmed_index };
-}
-
-/* Starts a read that confirms this host as the leader, when one is due.  */
-static void
-confirm (struct ab_fleet_teams *teams, uint64_t now)
-{
-  struct ab_raft_status status;
-  uint64_t interval = teams->read_token ? 3 * READ_MS : READ_MS;
-
-  ab_group_status (teams->control->group, &status);
-  if (!status.leader || now < teams->read_ms + interval
-      || now > teams->used_ms + USED_MS)
-    return;
-  teams->read_token = ++teams->control->next_id;
-  teams->read_term = status.term;
-  teams->read_ms = now;
-  if (ab_group_read (teams->control->group, teams->read_token) < 0)
-    teams->read_token = 0;
-}
-
-bool
-ab_fleet_teams_read_ready (struct ab_fleet_teams *teams, uint64_t token,
-                           int rc, uint64_t index)
-{
-  if (!teams || token != teams->read_token)
-    return false;
-  teams->read_token = 0;
-  if (rc == 0)
-    {
-      follow_group (teams, ab_fleet_now_ms ());
-      ab_team_limits_confirm (teams->limits, teams->read_term, teams->read_ms);
-      teams->confirmed_index = index;
-    }
-  return true;
-}
-
-static void
-on_pool (void *ctx, const struct ab_frame *frame)
-{
-  struct ab_fleet_teams *teams = ctx;
-  struct ab_team_pool_reply reply = { .reply = { .id = 0 } };
-  struct ab_buf body = AB_BUF_INIT;
-  struct ab_team_ask ask;
-  uint64_t now = ab_fleet_now_ms ();
-  int rc;
-
-  if (ab_team_read_ask (frame->body, &ask) < 0)
-    return;
-  teams->used_ms = now;
-  follow_group (teams, now);
-  confirm (teams, now);
-  rc = ab_team_limits_pool_take (teams->limits, ab_chunk_str (ask.team),
-                                 ask.count, now, &reply.reply.answer);
-  reply.reply.id = ask.id;
-  reply.reply.status = rc == 0             ? AB_TEAM_GRANTED
-                       : rc == AB_ERR_FULL ? AB_TEAM_LIMITED
-                                           : AB_TEAM_UNKNOWN;
-  reply.contact = own_contact (teams, now);
-  ab_team_pack_pool_reply (&body, &reply);
-  if (!body.error)
-    ab_peer_task_send (teams->control->daemon->peer, frame->sender,
-                       AB_FRAME_TEAM_POOL_REPLY, ab_buf_chunk (&body));
-  ab_buf_free (&body);
-  *counter (teams, "ab_team_pool_granted_total") += reply.reply.answer.granted;
-}
-
-/* Decides on the claims of HOST in DEMANDS.  */
-static void
-grant_leases (struct ab_fleet_teams *teams, struct ab_chunk host,
-              const struct ab_team_demands *demands,
-              struct ab_team_grants *grants, uint64_t now)
-{
-  struct ab_team_claim claim
-      = { .life = demands->life, .number = demands->number };
-
-  if (!ab_chunk_copy (host, claim.host, sizeof claim.host))
-    return;
-  for (size_t i = 0; i < demands->count; i++)
-    {
-      struct ab_team_granted *granted = &grants->list[grants->count];
-
-      claim.demand = demands->list[i].demand;
-      claim.held = demands->list[i].held;
-      memcpy (granted->team, demands->list[i].team, sizeof granted->team);
-      if (ab_team_limits_lease (teams->limits, ab_chunk_str (granted->team),
-                                &claim, now, &granted->fraction,
-                                &granted->renewal)
-          == 0)
-        grants->count++;
-    }
-}
-
-static void
-on_demand (void *ctx, const struct ab_frame *frame)
-{
-  struct ab_fleet_teams *teams = ctx;
-  struct ab_team_demands demands;
-  struct ab_team_grants grants = { .count = 0 };
-  struct ab_buf body = AB_BUF_INIT;
-  uint64_t now = ab_fleet_now_ms ();
-
-  if (ab_team_read_demands (frame->body, &demands) < 0)
-    return;
-  teams->used_ms = now;
-  follow_group (teams, now);
-  confirm (teams, now);
-  grants.number = demands.number;
-  grants.contact = own_contact (teams, now);
-  grant_leases (teams, frame->sender, &demands, &grants, now);
-  ab_team_pack_grants (&body, &grants);
-  if (!body.error)
-    ab_peer_task_send (teams->control->daemon->peer, frame->sender,
-                       AB_FRAME_TEAM_LEASES, ab_buf_chunk (&body));
-  ab_buf_free (&body);
-}
-
 /* Returned tokens.  */
 
 static void
@@ -667,12 +510,13 @@
 
   if (ab_team_read_return (frame->body, &returned) < 0)
     return;
-  follow_group (teams, now);
+  ab_fleet_teams_follow_group (teams, now);
   ab_group_status (teams->control->group, &status);
   if (ab_team_limits_credit (teams->limits, ab_chunk_str (returned.team),
                              returned.count, returned.grantor,
                              returned.stamp_ms, now))
-    *counter (teams, "ab_team_tokens_returned_total") += returned.count;
+    *ab_fleet_teams_counter (teams, "ab_team_tokens_returned_total")
+        += returned.count;
   /* A token of the pool, which only the leader can credit.  */
   else if (returned.grantor != teams->life && !status.leader
            && status.leader_host[0])
@@ -701,9 +545,9 @@
 
   (void)fd;
   (void)events;
-  follow_group (teams, now);
+  ab_fleet_teams_follow_group (teams, now);
   apply_contact (teams);
-  confirm (teams, now);
+  ab_fleet_team_leader_confirm (teams, now);
   report (teams, now);
   log_service (teams, now);
 }
@@ -717,10 +561,8 @@
 
   ab_peer_task_set_handler (peer, AB_FRAME_TEAM_TOKENS, on_tokens, teams);
   ab_peer_task_set_handler (peer, AB_FRAME_TEAM_RETURN, on_return, teams);
-  ab_peer_task_set_handler (peer, AB_FRAME_TEAM_POOL, on_pool, teams);
   ab_peer_task_set_handler (peer, AB_FRAME_TEAM_POOL_REPLY, on_pool_reply,
                             teams);
-  ab_peer_task_set_handler (peer, AB_FRAME_TEAM_DEMAND, on_demand, teams);
   ab_peer_task_set_handler (peer, AB_FRAME_TEAM_LEASES, on_leases, teams);
 }
 
@@ -759,6 +601,7 @@
       || event_add (teams->timer, &interval) < 0)
     return AB_ERR_MEMORY;
   set_handlers (teams);
+  ab_fleet_team_leader_start (teams);
   return 0;
 }
 
@@ -783,6 +626,7 @@
     event_free (teams->timer);
   if (teams->wait_timer)
     event_free (teams->wait_timer);
+  ab_fleet_team_leader_free (teams);
   ab_team_limits_free (teams->limits);
   free (teams);
 }
