--- a/src/fleet_teams_task.c
+++ b/src/fleet_teams_task.c
@@ -172,7 +172,8 @@
   const struct ab_team_reply reply
       = { .id = waiting->id, .status = status, .answer = *answer };
 
-  DL_DELETE (pool->waiting, waiting);
+  if (pool->waiting)
+    DL_DELETE (pool->waiting, waiting);
   teams->waiting_count--;
   send_reply (teams, waiting->gateway, &reply);
   free (waiting);
--- a/src/team_limit.c
+++ b/src/team_limit.c
@@ -117,7 +117,8 @@
 static void
 drop_team (struct ab_team_limits *limits, struct team *team)
 {
-  HASH_DEL (limits->teams, team);
+  if (limits->teams)
+    HASH_DEL (limits->teams, team);
   ab_team_leases_free (&team->leases);
   free (team);
 }
