team_limit: save 75 ms of the rate beyond the burst

A team with 2,000 requests a second and a burst of 5 lost 192 of 11,286 requests at 1,411 a second (trial): its buckets held 5 to 8 ms of the rate, less than a pause of a busy process.

test_team_limit 7 of 7; fleet_team_limit 2 of 2: at most 88 of 135 requests in a window, 87 of 87 served below the limit.

--- a/src/team_limit.c
+++ b/src/team_limit.c
@@ -17,7 +17,11 @@
 /* Parts of the overshoot and the slack that the buckets use.  */
 #define WHOLE_PART 0.6
 /* Part of the overshoot that returned tokens use.  */
-#define RETURN_PART 0.3
+#define RETURN_PART 0.2
+/* Part of the overshoot in one window that may be saved beyond the burst: a
+   team with 2,000 requests a second and a burst of 5 lost 2% of them below its
+   limit to pauses of some milliseconds.  */
+#define SAVED_PART 0.15
 /* Part of the overshoot that is left for clocks of unequal speed.  */
 #define CLOCK_PART 0.02
 /* Longest time that is named for a retry.  */
@@ -83,8 +87,10 @@
   double fitting;
   struct ab_team_whole whole = { .return_ms = (uint64_t)(return_s * 1000) };
 
-  whole.size = (double)rate->burst * (1 + WHOLE_PART * config->overshoot)
-               + WHOLE_PART * (double)config->slack;
+  whole.size
+      = (double)rate->burst * (1 + WHOLE_PART * config->overshoot)
+        + WHOLE_PART * (double)config->slack
+        + SAVED_PART * config->overshoot * (double)rate->rate_per_s * window_s;
   /* A bucket holds at least one token, which may be more than its part.  */
   floor_size = FLOORS / (double)(hosts + 1) * whole.size;
   extra = (double)(hosts + 1) * fmax (0, 1 - floor_size)
--- a/src/team_tokens_task.c
+++ b/src/team_tokens_task.c
@@ -25,7 +25,7 @@
 #define DENIAL_MAX_MS 250
 /* Retry-After when no control host could tell.  */
 #define UNKNOWN_RETRY_MS 300
-/* Control hosts credit tokens within 142 ms with the default window and
+/* Control hosts credit tokens within 94 ms with the default window and
    overshoot; later ones need not travel.  */
 #define RETURN_MAX_MS 250
 /* Interval at which idle teams are removed.  */
