tests: replay a backlog whose real capacity is less than expected

Cause: the estimate from the throughput of a backlog had no test. Change: half of the targets are gray for good, at 0.6 of the capacity of all; nine tenths of the rejections must come within 100 ms from the second second on.

--- a/tests/overload_replay_lib.h
+++ b/tests/overload_replay_lib.h
@@ -10,7 +10,6 @@
 #define OVERLOAD_STREAMS_MAX 160
 #define OVERLOAD_WINDOW_MS 5000
 #define GRAY_CYCLE_MS 9000
-#define GRAY_MS 4000
 
 /* Requests of one kind from one team.  */
 struct overload_stream
@@ -35,6 +34,7 @@
   /* The first targets, which turn gray for GRAY_MS in every GRAY_CYCLE_MS, one
      after the other; they then fail all requests at once.  */
   unsigned gray_targets;
+  uint64_t gray_ms;
   uint64_t begin_ms;
   uint64_t last_id;
   unsigned char stream_of[REPLAY_REQUESTS_MAX];
--- a/tests/test_scheduler_overload.c
+++ b/tests/test_scheduler_overload.c
@@ -192,6 +192,7 @@
     {
       make_streams (12, 3, 1.5);
       overload.gray_targets = 6;
+      overload.gray_ms = 4000;
       overload_play (&overload, TARGETS, seed);
       check_shares (12);
       ab_scheduler_free (replay_sched);
@@ -199,6 +200,25 @@
 }
 END_TEST
 
+/* Half of the targets are gray for good.  They count in part as capacity, but
+   orders do not use them.  Guards against orders that are queued because of
+   that, and rejected later.  */
+START_TEST (backlog_shows_the_real_capacity)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      make_streams (0, 0, 0.6);
+      for (size_t i = 0; i < overload.count; i++)
+        streams[i].idempotent = false;
+      overload.gray_targets = TARGETS / 2;
+      overload.gray_ms = GRAY_CYCLE_MS;
+      overload_play (&overload, TARGETS, seed);
+      ck_assert_uint_le (overload_rejection_ms (&overload, 2000, 0.9), 100);
+      ab_scheduler_free (replay_sched);
+    }
+}
+END_TEST
+
 /* Guards against a route's priority that precedes its team's.  */
 START_TEST (team_priority_precedes_route_priority)
 {
@@ -358,6 +378,7 @@
 
 SUITE_MAIN ("scheduler_overload", 120, sustained_overload_serves_all_ranks,
             sustained_overload_without_teams, gray_targets_keep_ranks,
+            backlog_shows_the_real_capacity,
             team_priority_precedes_route_priority,
             team_beyond_its_share_harms_no_other, doubled_kind_keeps_ranks,
             queue_is_rejected_when_capacity_is_lost,
