scheduler: admit by a rank's own slots, and by the whole objective at first

Change: the estimate uses the slots that the rank got in the last 600 ms if these are more; 0.6 of the time to the objective is the bound only once the backlog has lasted as long as the request can wait. An estimate that expects an overload to last as long again as it has lasted changed nothing and was taken out.

--- a/src/scheduler_queue.c
+++ b/src/scheduler_queue.c
@@ -287,6 +287,7 @@
       = total * (lasts ? LASTING_RESERVED_SHARE : CAPACITY_RESERVED_SHARE);
   double rate = total;
   double before;
+  double granted;
 
   if (request->place.is_reserved)
     return total;
@@ -299,6 +300,10 @@
     rate = least;
   if (!lasts)
     return rate;
+  granted
+      = ab_sched_shares_grant_rate (shares, &request->slot_request, now_ms);
+  if (rate < granted)
+    rate = granted;
   before = ab_sched_shares_rate_before (shares, &request->slot_request,
                                         &request->place, now_ms);
   return rate - before > TURNS_SHARE * rate ? rate - before
@@ -331,6 +336,9 @@
   if ((double)slot_request->objective_ms > typical_ms
       && slot_request->objective_ms < slot_request->timeout_ms)
     limit_ms = (double)slot_request->objective_ms - typical_ms;
+  if (now_ms - request->service->throughput.busy_since_ms
+      < slot_request->timeout_ms)
+    return limit_ms;
   return limit_ms * ADMITTED_SHARE;
 }
 
--- a/src/scheduler_shares.c
+++ b/src/scheduler_shares.c
@@ -5,6 +5,9 @@
 
 /* Arrival rates are averaged over about this time.  */
 #define RATE_WINDOW_MS 2500
+/* Slots that a rank gets are averaged over this time: they show sooner than
+   arrivals that a burst of more urgent ranks has ended.  */
+#define GRANT_WINDOW_MS 600
 /* Parts of the share of all requests that each rank and each team gets at
    least.  The requirement is a quarter over 5 s; the rest allows for requests
    that are placed first and still not served and for averaging, which matters
@@ -65,14 +68,17 @@
   double rate_kept
       = elapsed_ms >= RATE_WINDOW_MS ? 0 : 1 - elapsed_ms / RATE_WINDOW_MS;
   double kept;
+  double grants_kept;
 
   if (now_ms == shares->updated_ms)
     return;
+  grants_kept = exp (-elapsed_ms / GRANT_WINDOW_MS);
   kept = exp (-elapsed_ms / AB_SCHED_SHARE_WINDOW_MS);
   for (size_t i = 0; i < shares->rank_count; i++)
     {
       shares->ranks[i].arrival_rate *= rate_kept;
       shares->ranks[i].next_rate *= rate_kept;
+      shares->ranks[i].grant_rate *= grants_kept;
       shares->ranks[i].requested *= kept;
       shares->ranks[i].granted *= kept;
     }
@@ -306,6 +312,7 @@
   decay (shares, now_ms);
   if (!rank)
     return;
+  rank->grant_rate += 1.0 / GRANT_WINDOW_MS;
   /* A request that was placed first may be granted before its round.  */
   if (place->round > rank->round && !place->is_reserved)
     rank->round = place->round;
@@ -403,6 +410,17 @@
   return shares->reserved / AB_SCHED_SHARE_WINDOW_MS;
 }
 
+double
+ab_sched_shares_grant_rate (struct ab_sched_shares *shares,
+                            const struct ab_sched_slot_request *slot_request,
+                            uint64_t now_ms)
+{
+  const struct ab_sched_rank *rank = find_rank (shares, slot_request);
+
+  decay (shares, now_ms);
+  return rank ? rank->grant_rate : 0;
+}
+
 double
 ab_sched_shares_rate_before (struct ab_sched_shares *shares,
                              const struct ab_sched_slot_request *slot_request,
--- a/src/scheduler_shares.h
+++ b/src/scheduler_shares.h
@@ -48,6 +48,7 @@
   uint64_t team_priority;
   uint64_t priority;
   double arrival_rate; /* Requests per millisecond.  */
+  double grant_rate;   /* Slots per millisecond, for a shorter time.  */
   double next_rate;    /* Those of teams that had no other one queued.  */
   /* Requests, and slots granted, in about the last AB_SCHED_SHARE_WINDOW_MS.
    */
@@ -139,6 +140,12 @@
 double ab_sched_shares_reserved_rate (struct ab_sched_shares *shares,
                                       uint64_t now_ms);
 
+/* Returns the slots per millisecond that SLOT_REQUEST's rank got just now.  */
+double
+ab_sched_shares_grant_rate (struct ab_sched_shares *shares,
+                            const struct ab_sched_slot_request *slot_request,
+                            uint64_t now_ms);
+
 /* Returns the recent rate, per millisecond, of requests of the same rank that
    are placed before one at PLACE although they come later; 0 without a
    team.  */
--- a/tests/overload_replay_lib.c
+++ b/tests/overload_replay_lib.c
@@ -47,7 +47,8 @@
           = (at_ms + replay->target * GRAY_CYCLE_MS / overload->gray_targets)
             % GRAY_CYCLE_MS;
       if (replay->ends_ms == 0 || replay->target >= overload->gray_targets
-          || phase_ms >= overload->gray_ms || replay->decided_ms == replay_now_ms)
+          || phase_ms >= overload->gray_ms
+          || replay->decided_ms == replay_now_ms)
         continue;
       overload->failed[id] = true;
       replay_in_flight[replay->target]--;
