scheduler_shares: rounds of forgotten ranks, and requests that are withdrawn

Cause: a rank that was forgotten began with round 0 again, so that teams with earlier requests waited for all others; a rank could be told apart from a stale one only after the decay; a queued request whose caller had gone counted as refused and kept its round. Change: a rank begins at the latest round of any rank, arrivals decay the counts first, and a request that is withdrawn is taken out of the count.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -600,7 +600,12 @@
       release (s, request, now_ms);
     }
   else
-    free_request (s, request);
+    {
+      /* Its caller is gone or its host asks elsewhere.  */
+      ab_sched_shares_reject (&service->shares, &request->slot_request,
+                              &request->place, AB_SCHED_SPILL, now_ms);
+      free_request (s, request);
+    }
   serve_queue (s, service, now_ms);
 }
 
--- a/src/scheduler_shares.c
+++ b/src/scheduler_shares.c
@@ -148,6 +148,7 @@
   shares->ranks[i]
       = (struct ab_sched_rank){ .team_priority = slot_request->team_priority,
                                 .priority = slot_request->priority,
+                                .round = shares->last_round,
                                 .credit = CREDIT_FIRST };
   return &shares->ranks[i];
 }
@@ -280,15 +281,19 @@
                          const struct ab_sched_slot_request *slot_request,
                          struct ab_sched_place *place, uint64_t now_ms)
 {
-  struct ab_sched_rank *rank = get_rank (shares, slot_request);
-  struct ab_sched_team *team = get_team (shares, slot_request);
   double share = granted_share (shares->granted, shares->requested);
+  struct ab_sched_rank *rank;
+  struct ab_sched_team *team;
 
   decay (shares, now_ms);
+  rank = get_rank (shares, slot_request);
+  team = get_team (shares, slot_request);
   *place = (struct ab_sched_place){ 0 };
   rank->arrival_rate += 1.0 / RATE_WINDOW_MS;
   if (team)
     place->round = take_round (team, rank, slot_request);
+  if (place->round > shares->last_round)
+    shares->last_round = place->round;
   if (place->round <= rank->round + 1)
     rank->next_rate += 1.0 / RATE_WINDOW_MS;
   if (slot_request->is_retry || !slot_request->may_wait)
--- a/src/scheduler_shares.h
+++ b/src/scheduler_shares.h
@@ -82,6 +82,9 @@
 {
   struct ab_sched_rank ranks[AB_SCHED_RANKS_MAX]; /* Most urgent first.  */
   size_t rank_count;
+  /* Latest round of any rank.  A rank that is forgotten and occurs again
+     begins there, not before the rounds of its teams.  */
+  uint64_t last_round;
   struct ab_sched_team *teams; /* Longest without requests first.  */
   /* All requests, slots and slots granted out of order, in about the last
      AB_SCHED_SHARE_WINDOW_MS.  */
--- a/tests/test_scheduler_shares.c
+++ b/tests/test_scheduler_shares.c
@@ -71,6 +71,37 @@
 }
 END_TEST
 
+/* Guards against a rank that was forgotten and starts anew with rounds that
+   lie before those of its teams, which would then wait for all others.  */
+START_TEST (forgotten_rank_keeps_its_rounds)
+{
+  struct ab_sched_shares shares = { 0 };
+  struct ab_sched_slot_request busy = make_slot_request ("busy", 0, 0);
+  struct ab_sched_slot_request other = make_slot_request ("other", 0, 0);
+  struct ab_sched_place place;
+  struct ab_sched_place other_place;
+  uint64_t now_ms = 1000;
+
+  for (unsigned i = 0; i < 100; i++)
+    {
+      ab_sched_shares_arrival (&shares, &busy, &place, now_ms);
+      ab_sched_shares_grant (&shares, &busy, &place, now_ms);
+    }
+  now_ms += 10 * AB_SCHED_SHARE_WINDOW_MS;
+  for (unsigned i = 0; i < AB_SCHED_RANKS_MAX; i++)
+    {
+      struct ab_sched_slot_request low = make_slot_request ("", 1 + i, 0);
+      ab_sched_shares_arrival (&shares, &low, &place, now_ms);
+    }
+  ck_assert (shares.ranks[0].team_priority > 0);
+  now_ms += 10 * AB_SCHED_SHARE_WINDOW_MS;
+  ab_sched_shares_arrival (&shares, &busy, &place, now_ms);
+  ab_sched_shares_arrival (&shares, &other, &other_place, now_ms);
+  ck_assert_uint_eq (place.round, other_place.round);
+  ab_sched_shares_clear (&shares);
+}
+END_TEST
+
 /* Guards against a retry budget whose shares differ from those by route
    priority when there are no teams, and against one that ignores teams.  */
 START_TEST (class_follows_rank)
@@ -93,4 +124,5 @@
 END_TEST
 
 SUITE_MAIN ("scheduler_shares", 30, few_teams_and_ranks_are_kept,
-            refusals_name_rank_reason_and_team, class_follows_rank)
+            refusals_name_rank_reason_and_team,
+            forgotten_rank_keeps_its_rounds, class_follows_rank)
