--- a/src/scheduler_shares.c
+++ b/src/scheduler_shares.c
@@ -5,6 +5,9 @@
 
 /* Arrival rates are averaged over about this time.  */
 #define RATE_WINDOW_MS 2500
+/* Slots that a rank gets are averaged over this time: they show sooner than
+   arrivals that a burst of more urgent ranks has ended.  */
+#define GRANT_WINDOW_MS 600
 /* Parts of the share of all requests that each rank and each team gets at
    least.  The requirement is a quarter over 5 s; the rest allows for requests
    that are placed first and still not served and for averaging, which matters
@@ -65,14 +68,17 @@
   double rate_kept
       = elapsed_ms >= RATE_WINDOW_MS ? 0 : 1 - elapsed_ms / RATE_WINDOW_MS;
   double kept;
+  double grants_kept;
 
   if (now_ms == shares->updated_ms)
     return;
+  grants_kept = exp (-elapsed_ms / GRANT_WINDOW_MS);
   kept = exp (-elapsed_ms / AB_SCHED_SHARE_WINDOW_MS);
   for (size_t i = 0; i < shares->rank_count; i++)
     {
       shares->ranks[i].arrival_rate *= rate_kept;
       shares->ranks[i].next_rate *= rate_kept;
+      shares->ranks[i].grant_rate *= grants_kept;
       shares->ranks[i].requested *= kept;
       shares->ranks[i].granted *= kept;
     }
@@ -142,6 +148,7 @@
   shares->ranks[i]
       = (struct ab_sched_rank){ .team_priority = slot_request->team_priority,
                                 .priority = slot_request->priority,
+                                .round = shares->last_round,
                                 .credit = CREDIT_FIRST };
   return &shares->ranks[i];
 }
@@ -274,15 +281,19 @@
                          const struct ab_sched_slot_request *slot_request,
                          struct ab_sched_place *place, uint64_t now_ms)
 {
-  struct ab_sched_rank *rank = get_rank (shares, slot_request);
-  struct ab_sched_team *team = get_team (shares, slot_request);
   double share = granted_share (shares->granted, shares->requested);
+  struct ab_sched_rank *rank;
+  struct ab_sched_team *team;
 
   decay (shares, now_ms);
+  rank = get_rank (shares, slot_request);
+  team = get_team (shares, slot_request);
   *place = (struct ab_sched_place){ 0 };
   rank->arrival_rate += 1.0 / RATE_WINDOW_MS;
   if (team)
     place->round = take_round (team, rank, slot_request);
+  if (place->round > shares->last_round)
+    shares->last_round = place->round;
   if (place->round <= rank->round + 1)
     rank->next_rate += 1.0 / RATE_WINDOW_MS;
   if (slot_request->is_retry || !slot_request->may_wait)
@@ -306,6 +317,7 @@
   decay (shares, now_ms);
   if (!rank)
     return;
+  rank->grant_rate += 1.0 / GRANT_WINDOW_MS;
   /* A request that was placed first may be granted before its round.  */
   if (place->round > rank->round && !place->is_reserved)
     rank->round = place->round;
@@ -403,6 +415,17 @@
   return shares->reserved / AB_SCHED_SHARE_WINDOW_MS;
 }
 
+double
+ab_sched_shares_grant_rate (struct ab_sched_shares *shares,
+                            const struct ab_sched_slot_request *slot_request,
+                            uint64_t now_ms)
+{
+  const struct ab_sched_rank *rank = find_rank (shares, slot_request);
+
+  decay (shares, now_ms);
+  return rank ? rank->grant_rate : 0;
+}
+
 double
 ab_sched_shares_rate_before (struct ab_sched_shares *shares,
                              const struct ab_sched_slot_request *slot_request,
