Wait for a control host that can tell, and longer for the pool

Cause: a gateway passed a control host over after 60 ms, but one without a token asks the leader's pool, a round trip of 42 ms between regions; and requests were rejected at once when three control hosts could not tell, as for a second after the group had lost power. Change: 150 ms for an answer, 130 ms for the pool; requests wait and ask again every 120 ms as long as they can still be served. The bound does not depend on either time: a token is granted to requests that wait already.

--- a/src/fleet_teams_task.c
+++ b/src/fleet_teams_task.c
@@ -13,9 +13,9 @@
 #define TIMER_MS 50
 /* Interval of the reports of demand.  */
 #define REPORT_MS 1000
-/* A gateway waits 60 ms for an answer: a pool that does not answer in this
+/* A gateway waits 150 ms for an answer: a pool that does not answer in this
    time is not waited for.  The round trip between regions takes 42 ms.  */
-#define POOL_WAIT_MS 52
+#define POOL_WAIT_MS 130
 /* Gateways' requests are answered at once for this time after the pool did not
    answer or its host was not serving.  */
 #define POOL_PAUSE_MS 100
--- a/src/team_tokens_task.c
+++ b/src/team_tokens_task.c
@@ -11,11 +11,13 @@
 #include "peer_task.h"
 #include "rng.h"
 
-/* A control host that does not answer within this time is passed over.  */
-#define ANSWER_MS 60
+/* A control host that does not answer within this time is passed over.  Longer
+   than a control host waits for the leader's pool, which may be in another
+   region.  */
+#define ANSWER_MS 150
 /* A reply that is read later than this, by a host that was frozen, is not
    used: its tokens belong to an earlier time.  */
-#define LATE_MS 100
+#define LATE_MS 200
 #define CONTROLS_MAX 3
 /* A control host that did not answer is asked last for this time.  */
 #define SILENT_MS 500
@@ -23,7 +25,10 @@
 /* A refusal is remembered for up to this time: it bounds the messages of a
    team above its limit, and leases and returned tokens may change it.  */
 #define DENIAL_MAX_MS 250
-/* Retry-After when no control host could tell.  */
+/* Pause before the control hosts are asked again when none could tell, as
+   while the group elects a leader.  */
+#define UNKNOWN_PAUSE_MS 120
+/* Retry-After when no control host could tell in time.  */
 #define UNKNOWN_RETRY_MS 300
 /* Control hosts credit tokens within 94 ms with the default window and
    overshoot; later ones need not travel.  */
@@ -198,16 +203,14 @@
   team->id = 0;
 }
 
+/* Asks the control hosts again after a pause.  */
 static void
-fail_calls (struct team *team)
+pause_calls (struct team *team)
 {
-  const struct ab_team_token token
-      = { .status = AB_TEAM_UNKNOWN, .retry_ms = UNKNOWN_RETRY_MS };
+  const struct timeval pause = { .tv_usec = UNKNOWN_PAUSE_MS * 1000 };
 
-  forget_message (team);
-  evtimer_del (team->timer);
   team->tried_count = 0;
-  end_calls (team, count_calls (team), &token);
+  evtimer_add (team->timer, &pause);
 }
 
 /* Ends the calls whose time is over.  */
@@ -279,7 +282,7 @@
   control = next_control (team, now);
   if (!control)
     {
-      fail_calls (team);
+      pause_calls (team);
       return;
     }
   ab_chunk_copy (ab_chunk_str (control), team->tried[team->tried_count++],
--- a/src/team_tokens_task.h
+++ b/src/team_tokens_task.h
@@ -2,7 +2,7 @@
 
    One message asks for the tokens of all waiting requests of a team.  It goes
    to the control host that this host follows, and to the next one when that
-   does not answer within 60 ms or cannot tell.  A token that is not used by
+   does not answer within 150 ms or cannot tell.  A token that is not used by
    the request that it was asked for is sent back, or is lost.  */
 
 #ifndef AB_TEAM_TOKENS_TASK_H
