fuzz_message: decoders of the frames about teams

The new decoders read what peers send and had no fuzz target.

First bytes from 240 on select them, so that the corpus keeps its meaning.

--- a/fuzz/fuzz_message.c
+++ b/fuzz/fuzz_message.c
@@ -1,10 +1,11 @@
 /* Fuzz target: decoders of frame bodies.  The first byte of the input selects
-   the decoder.  */
+   the decoder; those from 240 on are the frames about teams.  */
 
 #include "command.h"
 #include "dispatch_frame.h"
 #include "member_item.h"
 #include "raft_msg.h"
+#include "team_frame.h"
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
@@ -66,6 +67,30 @@
     ab_evidence_decode (input, &evidence, ignore_report, NULL);
 }
 
+static void
+read_team (unsigned kind, struct ab_chunk input)
+{
+  static struct ab_team_demands demands;
+  static struct ab_team_grants grants;
+  struct ab_team_ask ask;
+  struct ab_team_reply reply;
+  struct ab_team_pool_reply pool_reply;
+  struct ab_team_return returned;
+
+  if (kind == 0)
+    ab_team_read_ask (input, &ask);
+  else if (kind == 1)
+    ab_team_read_reply (input, &reply);
+  else if (kind == 2)
+    ab_team_read_pool_reply (input, &pool_reply);
+  else if (kind == 3)
+    ab_team_read_return (input, &returned);
+  else if (kind == 4)
+    ab_team_read_demands (input, &demands);
+  else
+    ab_team_read_grants (input, &grants);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -75,6 +100,11 @@
   if (size == 0)
     return 0;
   input = ab_chunk (data + 1, size - 1);
+  if (data[0] >= 240)
+    {
+      read_team ((data[0] - 240U) % 6, input);
+      return 0;
+    }
   switch (data[0] % 9)
     {
     case 0:
