Share targets among hosts that place requests at the same time

Cause: a host scheduled for itself after three silent candidates, and a host that stands in for a scheduler took the cheapest target, the first of equal ones, and all slots. Hosts that know nothing yet have equal costs and the same order, so all of them chose the same targets. Change: up to six candidates are asked while less than a quarter of the time until the deadline has passed; a host that is not the regular scheduler counts which hosts of the shard ask it (stand_in.h), uses that part of the slots, and begins among nearly equal targets at a position that differs from host to host (scheduler_share.c).

--- a/src/schedule_hosts.c
+++ b/src/schedule_hosts.c
@@ -23,6 +23,14 @@
 /* After the backoff one request probes the host; others do so when that one
    had no reply for this long.  */
 #define PROBE_INTERVAL_MS 500
+/* A host asks at least this many candidates before it schedules its own
+   request, and up to CANDIDATES_MAX while less than 1/WAIT_DIVISOR of the time
+   until the deadline has passed.  When 85 of 139 hosts are killed at once, the
+   first three candidates are all lost for a quarter of the shards, the first
+   six for a twentieth.  */
+#define CANDIDATES_MIN 3
+#define CANDIDATES_MAX 6
+#define WAIT_DIVISOR 4
 /* A link is narrow if it has less than 1/NARROW_DIVISOR of the capacity of the
    widest one.  */
 #define NARROW_DIVISOR 2
@@ -216,6 +224,15 @@
   return choose_candidate (&candidates, service);
 }
 
+bool
+ab_schedule_hosts_ask_another (unsigned timeouts, uint64_t elapsed_ms,
+                               uint64_t timeout_ms)
+{
+  return timeouts < CANDIDATES_MIN
+         || (timeouts < CANDIDATES_MAX
+             && elapsed_ms < timeout_ms / WAIT_DIVISOR);
+}
+
 uint64_t
 ab_schedule_hosts_answer_timeout_ms (const struct ab_schedule_hosts *hosts,
                                      const char *host, bool is_remote,
--- a/src/schedule_hosts.h
+++ b/src/schedule_hosts.h
@@ -39,6 +39,13 @@
                                      const struct ab_shard *shard,
                                      const char *service);
 
+/* Returns whether another candidate of this host's shard is asked for a slot
+   after TIMEOUTS of them did not answer, ELAPSED_MS after the request began,
+   with TIMEOUT_MS until its deadline at that time.  If not, this host
+   schedules the request itself.  */
+bool ab_schedule_hosts_ask_another (unsigned timeouts, uint64_t elapsed_ms,
+                                    uint64_t timeout_ms);
+
 /* Returns the milliseconds that HOST has for a reply to a slot request.
    IS_REMOTE says whether it is in another region.  */
 uint64_t
--- a/src/schedule_internal.h
+++ b/src/schedule_internal.h
@@ -9,6 +9,7 @@
 #include "schedule_hosts.h"
 #include "schedule_shards.h"
 #include "schedule_task.h"
+#include "stand_in.h"
 #include "target_notices.h"
 
 struct ab_schedule_task
@@ -25,6 +26,7 @@
   struct ab_schedule_hosts *hosts;
   struct ab_rate_limit_task *rate_limits;
   struct ab_target_notices *notices;
+  struct ab_stand_in *stand_in;
 };
 
 /* Returns the host that schedules SERVICE in SHARD, or null when there is
--- a/src/schedule_serve_task.c
+++ b/src/schedule_serve_task.c
@@ -25,6 +25,8 @@
   if (reply->decision == AB_SCHED_GRANTED && target)
     ab_rate_limit_task_reply (task->rate_limits, target->id,
                               target->started_ms, slot_request->host);
+  if (slot_request->placers > 1 && reply->decision == AB_SCHED_GRANTED)
+    ++*ab_counter (task->daemon->counters, "ab_stand_in_grants_total");
   if (slot_request->is_retry && reply->decision == AB_SCHED_GRANTED)
     ++*ab_counter (task->daemon->counters, "ab_retries_granted_total");
   else if (reply->decision == AB_SCHED_BUDGET_USED_UP)
@@ -158,6 +160,44 @@
              : AB_RATE_LIMIT_STAND_IN_DIVISOR;
 }
 
+/* Sets with how many other hosts this one shares the targets.  The regular
+   scheduler of all hosts that know the same hosts places alone, whether its
+   view is confirmed or not.  */
+static void
+set_share (struct ab_schedule_task *task,
+           struct ab_sched_slot_request *slot_request)
+{
+  const char *own_host = task->daemon->settings->host;
+  const char *first
+      = first_host (task, slot_request->service, slot_request->shard);
+  struct ab_shard shard = { 0 };
+  const struct ab_stand_in_request request
+      = { .service = slot_request->service,
+          .shard = &shard,
+          .host = slot_request->host,
+          .failure_domain = slot_request->failure_domain,
+          .own_host = own_host,
+          .is_regular = first && strcmp (first, own_host) == 0 };
+  const struct ab_fleet_host *hosts;
+  size_t count = ab_fleet_view_hosts (task->view, &hosts);
+  struct ab_stand_in_share share;
+
+  memcpy (shard.region, task->settings->base.region, sizeof shard.region);
+  memcpy (shard.failure_domain, slot_request->shard,
+          sizeof shard.failure_domain);
+  share
+      = ab_stand_in_share (task->stand_in, &request, hosts, count, now_ms ());
+  slot_request->placers = share.placers;
+  slot_request->position = share.position;
+  if (share.is_new)
+    AB_LOG (AB_LOG_INFO, "scheduler_stands_in",
+            ab_log_str ("service", slot_request->service),
+            ab_log_str ("shard", slot_request->shard),
+            ab_log_str ("regular", first ? first : ""),
+            ab_log_int ("last_resort", slot_request->last_resort),
+            ab_log_int ("placers", (int64_t)share.placers));
+}
+
 static void
 on_slot_request (void *ctx, const struct ab_frame *frame)
 {
@@ -175,6 +215,7 @@
                               slot_request.host);
   slot_request.last_resort = is_last_resort (task, &slot_request);
   slot_request.rate_divisor = rate_divisor (task, &slot_request);
+  set_share (task, &slot_request);
   ab_scheduler_request_slot (task->scheduler, &slot_request, now_ms ());
 }
 
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -279,11 +279,13 @@
   else
     {
       call->own_shard_timeouts++;
-      if (call->own_shard_timeouts > 2)
+      if (ab_schedule_hosts_ask_another (call->own_shard_timeouts,
+                                         now_ms () - call->started_ms,
+                                         call->timeout_ms))
+        request_in_own_shard (call);
+      else
         request_from_shard (call, &call->shards[0],
                             task->daemon->settings->host);
-      else
-        request_in_own_shard (call);
     }
 }
 
@@ -640,8 +642,10 @@
   task->shards = ab_shards_new (settings);
   task->hosts = ab_schedule_hosts_new (settings, now_ms ());
   task->notices = ab_target_notices_new ();
-  rc = task->shards && task->hosts && task->notices ? ab_schedule_serve (task)
-                                                    : AB_ERR_MEMORY;
+  task->stand_in = ab_stand_in_new (settings);
+  rc = task->shards && task->hosts && task->notices && task->stand_in
+           ? ab_schedule_serve (task)
+           : AB_ERR_MEMORY;
   if (rc < 0)
     {
       ab_schedule_task_free (task);
@@ -667,6 +671,7 @@
   ab_target_notices_free (task->notices);
   ab_shards_free (task->shards);
   ab_schedule_hosts_free (task->hosts);
+  ab_stand_in_free (task->stand_in);
   free (task);
 }
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -385,6 +385,7 @@
   request = add_request (s, slot_request, now_ms);
   if (!request)
     return; /* Without a reply the requester tries another host.  */
+  ab_sched_set_share (request->service, slot_request);
   ab_sched_count_arrival (request->service, slot_request, now_ms);
   ab_sched_check_role (s, request->service, now_ms);
   if (!slot_request->is_retry && !slot_request->is_counted)
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -69,6 +69,11 @@
      other hosts may schedule at the same time; 0 counts as 1.  Not part of a
      message.  */
   uint64_t rate_divisor;
+  /* Hosts that may place requests at the shard's targets at the same time,
+     this one included, and where this host begins among the targets
+     (stand_in.h); 0 counts as 1.  Not part of a message.  */
+  size_t placers;
+  double position;
   /* Whether the request or its response is so large that crossing between
      failure domains is expensive.  */
   bool large_body;
--- a/src/scheduler_choice.c
+++ b/src/scheduler_choice.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <utlist.h>
 
 #include "rate_limit.h"
@@ -307,21 +308,25 @@
   struct ab_sched_target *target;
   double best_cost = 0;
 
+  if (ab_sched_share_used_up (service))
+    return NULL;
   DL_FOREACH (service->targets, target)
   {
     enum ab_target_health_state state
         = ab_target_health_state (&target->health, now_ms);
     double cost;
 
+    target->cost = HUGE_VAL;
     if (!is_eligible (&choice, target, state))
       continue;
-    cost = cost_of (&choice, target, state);
+    target->cost = cost = cost_of (&choice, target, state);
     if (best && cost >= best_cost)
       continue;
     best = target;
     best_cost = cost;
   }
-  return best;
+  return best && service->placers > 1 ? ab_sched_spread (service, best_cost)
+                                      : best;
 }
 
 /* Tokens of a target with a rate limit at an average moment, when its limit is
@@ -372,6 +377,8 @@
     add_capacity (capacity, target,
                   (double)ab_sched_target_slots (target, now_ms), &most_lost,
                   now_ms);
+  if (capacity->slots > (double)ab_sched_share_of_service (service))
+    capacity->slots = (double)ab_sched_share_of_service (service);
   /* When a target's next token is there, the other targets have MEAN_TOKENS
      each.  */
   if (capacity->most_limited)
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -2,6 +2,8 @@
 
    - scheduler_targets.c keeps the state of targets.
    - scheduler_choice.c chooses a target for a request.
+   - scheduler_share.c spreads the requests of several hosts that choose
+   targets at the same time.
    - scheduler_queue.c orders queued requests and estimates their waiting time.
    - scheduler_budget.c enforces the retry budget.
    - scheduler_failure_window.c measures the failure rate of a service.
@@ -63,6 +65,8 @@
   struct ab_sched_path pauses[AB_SCHED_PAUSES_MAX];
   uint64_t paused_until_ms; /* End of the last of them.  */
   struct ab_rate_bucket rate;
+  uint64_t id_hash; /* Rendezvous hash of the target's id.  */
+  double cost;      /* In the last choice; HUGE_VAL: not eligible.  */
   UT_hash_handle hh;
 };
 
@@ -170,6 +174,9 @@
   uint64_t reserved_retries; /* Of queued requests.  */
   struct ab_sched_role role;
   struct ab_sched_credit credit;
+  /* Of the last slot request, see struct ab_sched_slot_request.  */
+  size_t placers;
+  double position;
   UT_hash_handle hh;
 };
 
@@ -193,8 +200,8 @@
 
 void ab_sched_remove_target (struct ab_scheduler *scheduler,
                              struct ab_sched_target *target);
-/* Returns the usable slots of TARGET: a cold target works at half its speed
-   and has half of its slots.  */
+/* Returns the slots of TARGET that this host may use: a cold target works at
+   half its speed and has half of its slots.  */
 uint64_t ab_sched_target_slots (const struct ab_sched_target *target,
                                 uint64_t now_ms);
 /* Returns whether TARGET takes new requests.  */
@@ -293,6 +300,26 @@
     const struct ab_sched_service *service,
     const struct ab_sched_slot_request *slot_request, uint64_t now_ms);
 
+/* Functions of scheduler_share.c.  */
+
+/* Stores how this host shares the targets of SERVICE with other hosts that
+   place requests there.  */
+void ab_sched_set_share (struct ab_sched_service *service,
+                         const struct ab_sched_slot_request *slot_request);
+/* Returns how many of the SLOTS of TARGET this host may use.  */
+uint64_t ab_sched_shared_slots (const struct ab_sched_target *target,
+                                uint64_t slots);
+/* Returns how many requests this host may have in flight at all targets of
+   SERVICE together; UINT64_MAX if it places alone.  */
+uint64_t ab_sched_share_of_service (const struct ab_sched_service *service);
+/* Returns whether this host has that many in flight.  */
+bool ab_sched_share_used_up (const struct ab_sched_service *service);
+/* Returns a target among those whose COST is nearly BEST_COST: one with the
+   fewest requests of this host, beginning at its position.  So hosts that
+   choose at the same time choose different targets.  */
+struct ab_sched_target *
+ab_sched_spread (const struct ab_sched_service *service, double best_cost);
+
 /* Functions of scheduler_queue.c.  */
 
 /* Returns what remains of SPAN_MS, counted from the arrival of REQUEST; 0 if
--- a/src/scheduler_targets.c
+++ b/src/scheduler_targets.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <utlist.h>
 
+#include "rendezvous.h"
 #include "scheduler_internal.h"
 
 /* Assumed latency of a service before any is measured.  */
@@ -59,6 +60,7 @@
     return NULL;
   target->service = service;
   target->fleet_target = *fleet_target;
+  target->id_hash = ab_rendezvous_hash (ab_chunk_str (fleet_target->id));
   target->joined_ms = now_ms;
   target->cold_until_ms = now_ms + fleet_target->cold_ms;
   DL_APPEND (service->targets, target);
@@ -210,5 +212,5 @@
 
   if (now_ms < target->cold_until_ms)
     slots = (slots + 1) / 2;
-  return slots;
+  return ab_sched_shared_slots (target, slots);
 }
