Let hosts that share targets use twice their part, and new schedulers share

A scheduler that has just become the regular one used all slots at once, before all hosts had told it what they have in flight. Change: the limit of a target is twice the part of the host, as that of the service was already; a regular scheduler shares for its first 300 ms, until more than half of the hosts have asked it.

--- a/src/scheduler_share.c
+++ b/src/scheduler_share.c
@@ -6,7 +6,9 @@
    good.  A request that is lost costs 1.  */
 #define NEAR_COST 0.02
 /* Several hosts that place requests at the same time rarely have the same
-   load: one may use this many times its part of all slots.  */
+   load: one may use this many times its part of the slots of each target and
+   of the service.  So a host that shares with one other loses no slots while
+   that one is idle.  */
 #define SHARE_FACTOR 2
 
 void
@@ -24,7 +26,7 @@
 
   if (target->service->placers <= 1 || slots == 0)
     return slots;
-  share = slots / target->service->placers;
+  share = slots * SHARE_FACTOR / target->service->placers;
   return share > 0 ? share : 1;
 }
 
--- a/src/stand_in.c
+++ b/src/stand_in.c
@@ -17,7 +17,8 @@
 {
   char key[2 * AB_NAME_BYTES]; /* Service, line feed, failure domain.  */
   uint64_t last_ms;
-  size_t placers; /* At the last request.  */
+  size_t placers;            /* At the last request.  */
+  uint64_t regular_since_ms; /* 0: this host is not the regular scheduler.  */
   struct requester requesters[AB_STAND_IN_HOSTS_MAX];
   UT_hash_handle hh;
 };
@@ -165,7 +166,14 @@
   requesters = record ? count_requesters (record, now_ms) : 0;
   if (requesters == 0)
     requesters = 1;
-  if (!request->is_regular && requesters < hosts)
+  if (record && !request->is_regular)
+    record->regular_since_ms = 0;
+  else if (record && record->regular_since_ms == 0)
+    record->regular_since_ms = now_ms;
+  if ((!request->is_regular
+       || (record
+           && now_ms - record->regular_since_ms < AB_STAND_IN_SETTLE_MS))
+      && requesters < hosts)
     share.placers = hosts / requesters;
   if (record)
     {
--- a/src/stand_in.h
+++ b/src/stand_in.h
@@ -5,8 +5,10 @@
    host that stands in for it, or that schedules its own requests as the last
    resort, is one of several: each host of the shard chooses for itself whom it
    asks.  The fraction of the shard's hosts that asked this one lately is the
-   fraction of the targets' slots that it may use.  No I/O: the caller passes
-   the time.  */
+   fraction of the targets' slots that it may use.  So does a scheduler that
+   has just become the regular one, as the hosts that have not asked it yet
+   have not told it what they have in flight.  No I/O: the caller passes the
+   time.  */
 
 #ifndef AB_STAND_IN_H
 #define AB_STAND_IN_H
@@ -16,6 +18,9 @@
 
 /* A host counts as asking this one for this long after its last request.  */
 #define AB_STAND_IN_WINDOW_MS 2000
+/* A regular scheduler shares for this long after its first request: hosts
+   change over within some round trips.  */
+#define AB_STAND_IN_SETTLE_MS 300
 /* Hosts that are counted for one service and shard; more count as absent.  */
 #define AB_STAND_IN_HOSTS_MAX 256
 
--- a/tests/test_scheduler_share.c
+++ b/tests/test_scheduler_share.c
@@ -191,6 +191,9 @@
   ck_assert_uint_eq (share.placers, 1);
   ck_assert_uint_eq (request_from (stand_in, 3, false, 9000).placers, 24);
 
+  /* It becomes the regular scheduler.  */
+  ck_assert_uint_eq (request_from (stand_in, 3, true, 15000).placers, 24);
+  ck_assert_uint_eq (request_from (stand_in, 3, true, 15400).placers, 1);
   for (unsigned i = 0; i < 24; i++)
     share = request_from (stand_in, i, true, 20000);
   ck_assert_uint_eq (share.placers, 1);
