--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -482,6 +482,7 @@
   request = add_request (s, slot_request, now_ms);
   if (!request)
     return; /* Without a reply the requester tries another host.  */
+  ab_sched_set_share (request->service, slot_request);
   ab_sched_shares_arrival (&request->service->shares, slot_request,
                            &request->place, now_ms);
   ab_sched_check_role (s, request->service, now_ms);
--- a/src/scheduler_choice.c
+++ b/src/scheduler_choice.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <utlist.h>
 
 #include "rate_limit.h"
@@ -355,21 +356,26 @@
   struct ab_sched_target *target;
   double best_cost = 0;
 
+  if (ab_sched_share_used_up (choice->service))
+    return NULL;
   DL_FOREACH (choice->service->targets, target)
   {
     enum ab_target_health_state state
         = ab_target_health_state (&target->health, choice->now_ms);
     double cost;
 
+    target->cost = HUGE_VAL;
     if (!is_eligible (choice, target, state))
       continue;
-    cost = cost_of (choice, target, state);
+    target->cost = cost = cost_of (choice, target, state);
     if (best && cost >= best_cost)
       continue;
     best = target;
     best_cost = cost;
   }
-  return best;
+  return best && choice->service->placers > 1
+             ? ab_sched_spread (choice->service, best_cost)
+             : best;
 }
 
 /* Returns a choice for a slot request that has waited for WAITED_MS.  */
@@ -471,6 +477,8 @@
     add_capacity (capacity, target,
                   (double)ab_sched_target_slots (target, now_ms), &most_lost,
                   now_ms);
+  if (capacity->slots > (double)ab_sched_share_of_service (service))
+    capacity->slots = (double)ab_sched_share_of_service (service);
   /* When a target's next token is there, the other targets have MEAN_TOKENS
      each.  */
   if (capacity->most_limited)
