fleet_teams: let several messages to the pool be under way for a team

With one message at a time, a request that came to a control host just after a message would wait for two round trips between regions (84 ms), longer than its gateway waits (60 ms): requests of teams without a lease would be refused in calm, and all others that wait with them.

Up to eight messages may be under way, each for what came since the one before; a wait that ends fails only what is in its message or in none.

Its processes are in one region, so that no test shows the fault.

--- a/src/fleet_teams_task.c
+++ b/src/fleet_teams_task.c
@@ -37,7 +37,18 @@
   uint64_t id;
   uint64_t count;
   uint64_t due_ms;
-  bool asked; /* Its tokens are part of the message to the pool.  */
+  uint64_t ask_id; /* Of the message to the pool with its tokens; 0: none.  */
+};
+
+/* Messages to the leader about one team that may be under way at once.  With
+   one at a time, a request that came just after a message would wait for two
+   round trips between regions, which is longer than its gateway waits.  */
+#define ASKS_MAX 8
+
+struct pool_ask
+{
+  uint64_t id; /* 0: none.  */
+  uint64_t asked_ms;
 };
 
 /* What this host knows of a team's pool.  */
@@ -45,8 +56,8 @@
 {
   char team[AB_NAME_BYTES];
   struct waiting *waiting;
-  uint64_t ask_id; /* Of the message to the leader; 0: none.  */
-  uint64_t asked_ms;
+  struct pool_ask asks[ASKS_MAX];
+  uint64_t asked_ms; /* Time of the last message.  */
   uint64_t denied_until_ms;
   uint64_t paused_until_ms;
   UT_hash_handle hh;
@@ -197,15 +208,23 @@
   return pool;
 }
 
+/* Ends what waits for the message ASK_ID, and what is in no message, as not
+   known.  */
 static void
-fail_waiting (struct ab_fleet_teams *teams, struct pool *pool, uint64_t now)
+fail_waiting (struct ab_fleet_teams *teams, struct pool *pool, uint64_t ask_id,
+              uint64_t now)
 {
   const struct ab_team_answer none = { .retry_ms = POOL_PAUSE_MS };
+  struct waiting *waiting = pool->waiting;
+  struct waiting *next;
 
-  pool->ask_id = 0;
   pool->paused_until_ms = now + POOL_PAUSE_MS;
-  while (pool->waiting)
-    end_waiting (teams, pool, pool->waiting, AB_TEAM_UNKNOWN, &none);
+  for (; waiting; waiting = next)
+    {
+      next = waiting->next;
+      if (waiting->ask_id == 0 || waiting->ask_id == ask_id)
+        end_waiting (teams, pool, waiting, AB_TEAM_UNKNOWN, &none);
+    }
 }
 
 static void
@@ -217,32 +236,45 @@
     event_add (teams->wait_timer, &tv);
 }
 
-/* Asks the leader for the tokens of all that wait, unless a message to it is
-   under way.  */
+/* Returns a place for a message to the leader; null while all are in use.  */
+static struct pool_ask *
+find_free_ask (struct pool *pool, uint64_t now)
+{
+  for (size_t i = 0; i < ASKS_MAX; i++)
+    if (!pool->asks[i].id || now > pool->asks[i].asked_ms + 2 * POOL_WAIT_MS)
+      return &pool->asks[i];
+  return NULL;
+}
+
+/* Asks the leader for the tokens of all that wait and are in no message.  */
 static void
 ask_pool (struct ab_fleet_teams *teams, struct pool *pool, uint64_t now)
 {
+  struct pool_ask *place = find_free_ask (pool, now);
   struct ab_buf body = AB_BUF_INIT;
-  struct ab_team_ask ask = { .count = 0 };
+  struct ab_team_ask ask = { .id = teams->next_number + 1 };
   struct ab_raft_status status;
   struct waiting *waiting;
 
-  if (pool->ask_id || !pool->waiting)
+  if (!place)
     return;
   ab_group_status (teams->control->group, &status);
   if (!status.leader_host[0])
     {
-      fail_waiting (teams, pool, now);
+      fail_waiting (teams, pool, 0, now);
       return;
     }
   DL_FOREACH (pool->waiting, waiting)
   {
-    if (ask.count + waiting->count > AB_TEAM_TOKENS_MAX)
-      break;
-    waiting->asked = true;
+    if (waiting->ask_id || ask.count + waiting->count > AB_TEAM_TOKENS_MAX)
+      continue;
+    waiting->ask_id = ask.id;
     ask.count += waiting->count;
   }
-  ask.id = pool->ask_id = ++teams->next_number;
+  if (ask.count == 0)
+    return;
+  teams->next_number = ask.id;
+  *place = (struct pool_ask){ .id = ask.id, .asked_ms = now };
   pool->asked_ms = now;
   memcpy (ask.team, pool->team, sizeof ask.team);
   ab_team_pack_ask (&body, &ask);
@@ -270,13 +302,13 @@
   (void)events;
   HASH_ITER (hh, teams->pools, pool, next)
   {
-    if (pool->waiting && now >= pool->waiting->due_ms)
-      fail_waiting (teams, pool, now);
-    else if (!pool->waiting && now > pool->denied_until_ms
-             && now > pool->paused_until_ms
-             && now > pool->asked_ms + POOL_WAIT_MS)
+    while (pool->waiting && now >= pool->waiting->due_ms)
+      fail_waiting (teams, pool, pool->waiting->ask_id, now);
+    if (!pool->waiting && now > pool->denied_until_ms
+        && now > pool->paused_until_ms && now > pool->asked_ms + POOL_WAIT_MS)
       {
-        HASH_DEL (teams->pools, pool);
+        if (teams->pools)
+          HASH_DEL (teams->pools, pool);
         free (pool);
         continue;
       }
@@ -371,75 +403,88 @@
 /* Gives the tokens in REPLY to those that it was asked for.  */
 static void
 divide_reply (struct ab_fleet_teams *teams, struct pool *pool,
-              const struct ab_team_reply *reply, uint64_t now)
+              const struct ab_team_reply *reply)
 {
   uint64_t left = reply->answer.granted;
+  struct waiting *waiting = pool->waiting;
+  struct waiting *next;
 
-  while (pool->waiting && pool->waiting->asked)
+  for (; waiting; waiting = next)
     {
-      struct waiting *waiting = pool->waiting;
       struct ab_team_answer answer = reply->answer;
 
+      next = waiting->next;
+      if (waiting->ask_id != reply->id)
+        continue;
       answer.granted = left < waiting->count ? left : waiting->count;
       left -= answer.granted;
       end_waiting (teams, pool, waiting,
                    answer.granted > 0 ? AB_TEAM_GRANTED : AB_TEAM_LIMITED,
                    &answer);
     }
-  if (reply->status == AB_TEAM_LIMITED)
-    pool->denied_until_ms = now
-                            + (reply->answer.retry_ms < POOL_DENIAL_MAX_MS
-                                   ? reply->answer.retry_ms
-                                   : POOL_DENIAL_MAX_MS);
 }
 
-/* Decides again on what came while a message to the leader was under way.  */
+/* Remembers a "no" of the pool and ends what is in no message.  */
 static void
-serve_rest (struct ab_fleet_teams *teams, struct pool *pool, uint64_t now)
+deny (struct ab_fleet_teams *teams, struct pool *pool, uint64_t retry_ms,
+      uint64_t now)
 {
+  const struct ab_team_answer none = { .retry_ms = retry_ms };
   struct waiting *waiting = pool->waiting;
   struct waiting *next;
 
-  if (now >= pool->denied_until_ms)
-    {
-      ask_pool (teams, pool, now);
-      return;
-    }
+  pool->denied_until_ms
+      = now + (retry_ms < POOL_DENIAL_MAX_MS ? retry_ms : POOL_DENIAL_MAX_MS);
   for (; waiting; waiting = next)
     {
-      const struct ab_team_answer none
-          = { .retry_ms = pool->denied_until_ms - now };
-
       next = waiting->next;
-      end_waiting (teams, pool, waiting, AB_TEAM_LIMITED, &none);
+      if (waiting->ask_id == 0)
+        end_waiting (teams, pool, waiting, AB_TEAM_LIMITED, &none);
     }
 }
 
+/* Ends the message ID and returns its team's pool, with the time at which it
+   was sent in *ASKED_MS; null if it is not known.  */
+static struct pool *
+end_ask (struct ab_fleet_teams *teams, uint64_t id, uint64_t *asked_ms)
+{
+  for (struct pool *pool = teams->pools; pool; pool = pool->hh.next)
+    for (size_t i = 0; i < ASKS_MAX; i++)
+      if (pool->asks[i].id == id)
+        {
+          *asked_ms = pool->asks[i].asked_ms;
+          pool->asks[i].id = 0;
+          return pool;
+        }
+  return NULL;
+}
+
 static void
 on_pool_reply (void *ctx, const struct ab_frame *frame)
 {
   struct ab_fleet_teams *teams = ctx;
   struct ab_team_pool_reply reply;
   uint64_t now = ab_fleet_now_ms ();
+  uint64_t asked_ms;
   struct pool *pool;
 
-  if (ab_team_read_pool_reply (frame->body, &reply) < 0)
+  if (ab_team_read_pool_reply (frame->body, &reply) < 0 || !reply.reply.id)
     return;
-  for (pool = teams->pools; pool; pool = pool->hh.next)
-    if (pool->ask_id == reply.reply.id)
-      break;
+  pool = end_ask (teams, reply.reply.id, &asked_ms);
   /* A host that was frozen may read a reply before its timers run.  */
-  if (!pool || now > pool->asked_ms + 2 * POOL_WAIT_MS)
+  if (!pool || now > asked_ms + 2 * POOL_WAIT_MS)
     return;
-  pool->ask_id = 0;
-  note_contact (teams, &reply.contact, pool->asked_ms);
+  note_contact (teams, &reply.contact, asked_ms);
   if (reply.reply.status == AB_TEAM_UNKNOWN)
     {
-      fail_waiting (teams, pool, now);
+      fail_waiting (teams, pool, reply.reply.id, now);
       return;
     }
-  divide_reply (teams, pool, &reply.reply, now);
-  serve_rest (teams, pool, now);
+  divide_reply (teams, pool, &reply.reply);
+  if (reply.reply.status == AB_TEAM_LIMITED)
+    deny (teams, pool, reply.reply.answer.retry_ms, now);
+  else
+    ask_pool (teams, pool, now);
 }
 
 /* Reports and leases.  */
