tests: callers that send ahead and read no responses

Cause: no test lets connections send requests ahead without reading responses; users saw a gateway grow from 8 MB to 1,707 MB. The fleets of tests can set memory_mb, which opens the metrics listener.

--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -1,6 +1,7 @@
 #include "gateway_fleet_lib.h"
 
 #include <check.h>
+#include <dirent.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -17,8 +18,6 @@
 #define GATEWAY_PEER_PORT 7735
 #define ADMIN_PORT 8166
 #define CALLERS_PORT 8161
-#define READY_PORT 8167
-#define ADDRESSES_PORT 8164
 #define SEEDS 3
 #define GATEWAY_OFFSET 20
 #define PROXY_HOST 240
@@ -59,6 +58,13 @@
   gf_print_address (fleet, gateway + GATEWAY_OFFSET, CALLERS_PORT, out, size);
 }
 
+void
+gf_print_gateway (const struct gf_fleet *fleet, int gateway, int port,
+                  char *out, size_t size)
+{
+  gf_print_address (fleet, gateway + GATEWAY_OFFSET, port, out, size);
+}
+
 const char *
 gf_callers (struct gf_fleet *fleet, int gateway)
 {
@@ -150,6 +156,21 @@
   ck_assert_int_gt (*pid, 0);
 }
 
+/* Prints the setting memory_mb, and the metrics listener of HOST to OUT.  */
+static void
+print_memory (const struct gf_fleet *fleet, int host, struct ab_buf *text,
+              char *out, size_t size)
+{
+  char address[64];
+
+  out[0] = '\0';
+  if (!fleet->memory_mb)
+    return;
+  ab_buf_printf (text, "memory_mb: %d\n", fleet->memory_mb);
+  gf_print_address (fleet, host, GF_METRICS_PORT, address, sizeof address);
+  snprintf (out, size, ", metrics: %s", address);
+}
+
 /* Writes to OUT the setting by which HOST, which is behind the proxy, listens
    for peers on PORT.  */
 static void
@@ -169,6 +190,7 @@
   char admin[64];
   char peers[64];
   char bind[96] = "";
+  char metrics[96];
   char folder[256];
 
   snprintf (folder, sizeof folder, "%s/data%d", fleet->folder, number);
@@ -178,10 +200,12 @@
   if (fleet->peer_proxy_pid)
     print_bind (fleet, number, CONTROL_BIND_PORT, bind, sizeof bind);
   print_common (fleet, &text, "control", number);
+  print_memory (fleet, number, &text, metrics, sizeof metrics);
   ab_buf_printf (&text,
-                 "listen: {admin: %s, peers: %s%s}\ndata_folder: %s\n"
+                 "listen: {admin: %s, peers: %s%s%s}\ndata_folder: %s\n"
                  "first_start: %s\n",
-                 admin, peers, bind, folder, first_start ? "true" : "false");
+                 admin, peers, bind, metrics, folder,
+                 first_start ? "true" : "false");
   spawn (fleet, "control", number, &text, &fleet->control_pids[number]);
 }
 
@@ -190,9 +214,10 @@
 {
   struct ab_buf text = AB_BUF_INIT;
   static const int ports[]
-      = { CALLERS_PORT, READY_PORT, ADDRESSES_PORT, GATEWAY_PEER_PORT };
+      = { CALLERS_PORT, GF_READY_PORT, GF_ADDRESSES_PORT, GATEWAY_PEER_PORT };
   char addresses[4][64];
   char bind[96] = "";
+  char metrics[96];
 
   for (int i = 0; i < 4; i++)
     gf_print_address (fleet, number + GATEWAY_OFFSET, ports[i], addresses[i],
@@ -201,11 +226,13 @@
     print_bind (fleet, number + GATEWAY_OFFSET, GATEWAY_BIND_PORT, bind,
                 sizeof bind);
   print_common (fleet, &text, "gateway", number);
+  print_memory (fleet, number + GATEWAY_OFFSET, &text, metrics,
+                sizeof metrics);
   ab_buf_printf (
       &text,
-      "listen: {callers: %s, ready: %s, addresses: %s, peers: %s%s}\n"
+      "listen: {callers: %s, ready: %s, addresses: %s, peers: %s%s%s}\n"
       "stop_time: %dms\n",
-      addresses[0], addresses[1], addresses[2], addresses[3], bind,
+      addresses[0], addresses[1], addresses[2], addresses[3], bind, metrics,
       fleet->stop_ms ? fleet->stop_ms : STOP_MS);
   if (fleet->retry_extra)
     ab_buf_printf (&text, "repeat_extra: %d\n", fleet->retry_extra);
@@ -368,6 +395,15 @@
   start_hosts (fleet, controls, gateways);
 }
 
+void
+gf_start_sized (struct gf_fleet *fleet, const char *name, int controls,
+                int gateways, int memory_mb)
+{
+  begin_fleet (fleet, name);
+  fleet->memory_mb = memory_mb;
+  start_hosts (fleet, controls, gateways);
+}
+
 void
 gf_start_wide (struct gf_fleet *fleet, const char *name, int controls,
                int regions, int services, int proxied_gateways)
@@ -458,6 +494,22 @@
   return peak;
 }
 
+int
+gf_descriptors (pid_t pid)
+{
+  char path[64];
+  int count = 0;
+  DIR *folder;
+
+  snprintf (path, sizeof path, "/proc/%d/fd", (int)pid);
+  folder = opendir (path);
+  ck_assert_ptr_nonnull (folder);
+  while (readdir (folder))
+    count++;
+  closedir (folder);
+  return count - 2; /* "." and "..".  */
+}
+
 uint64_t
 gf_processor_ms (pid_t pid)
 {
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -67,9 +67,14 @@
   int retry_extra; /* repeat_extra of gateways started from now on; 0: the
                       default.  */
   double retry_fraction; /* Likewise repeat_fraction.  */
+  int memory_mb;         /* memory_mb of hosts started from now on; 0: not
+                            set.  Their metrics have an address then.  */
   char address[64];      /* Result of the last gf_admin or gf_callers.  */
 };
 
+/* Like gf_start, with memory_mb set from the start.  */
+void gf_start_sized (struct gf_fleet *fleet, const char *name, int controls,
+                     int gateways, int memory_mb);
 /* Starts CONTROLS control hosts, of which the first three are the seeds, and
    GATEWAYS gateways, and waits until the first bundle is accepted.  Fails the
    test on an error.  */
@@ -99,6 +104,8 @@
 /* Returns the memory that a gateway may use, in KB.  Must be called before the
    gateway starts, as it may set ASAN_OPTIONS.  */
 long gf_memory_bound_kb (void);
+/* Returns the number of open descriptors of the process PID.  */
+int gf_descriptors (pid_t pid);
 /* Returns the peak resident memory of the process PID, in KB.  */
 long gf_peak_memory_kb (pid_t pid);
 /* Returns the processor time that the process PID has used.  */
@@ -175,6 +182,12 @@
 /* Writes to OUT the address at which GATEWAY accepts callers.  */
 void gf_print_callers (const struct gf_fleet *fleet, int gateway, char *out,
                        size_t size);
+/* Writes to OUT the address of a listener of GATEWAY.  */
+#define GF_READY_PORT 8167
+#define GF_ADDRESSES_PORT 8164
+#define GF_METRICS_PORT 8169
+void gf_print_gateway (const struct gf_fleet *fleet, int gateway, int port,
+                       char *out, size_t size);
 /* Return the address of a listener, valid until the next call of either.  */
 const char *gf_admin (struct gf_fleet *fleet, int control);
 const char *gf_callers (struct gf_fleet *fleet, int gateway);
