gateway: free the JSON of address answers

Cause: on_addresses_request passed the result of json_pack to json_dumps and never freed it, so that each answer leaked its object. Change: the object is freed.

--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -221,6 +221,7 @@
   const char *region;
   const char *domain;
   json_t *list;
+  json_t *reply;
   char *text;
 
   TAILQ_INIT (&fields);
@@ -241,11 +242,12 @@
       evhttp_send_reply (req, 503, NULL, NULL);
       goto out;
     }
-  text = json_dumps (
-      json_pack ("{s:o, s:f}", "addresses", list, "ttl_s",
-                 ADDRESSES_TTL_SHARE
-                     * (double)gateway->settings->answer_lifetime_ms / 1000),
-      JSON_COMPACT);
+  reply
+      = json_pack ("{s:o, s:f}", "addresses", list, "ttl_s",
+                   ADDRESSES_TTL_SHARE
+                       * (double)gateway->settings->answer_lifetime_ms / 1000);
+  text = reply ? json_dumps (reply, JSON_COMPACT) : NULL;
+  json_decref (reply);
   evhttp_add_header (evhttp_request_get_output_headers (req), "Content-Type",
                      "application/json");
   if (text)
