Bound what connections hold on every listener

Cause: evhttp reads another piece of a connection for each request that it answers and has no bound on what waits behind the request in progress. Connections that send ahead and read nothing grew a gateway to 1,022 MB. The listeners for readiness, addresses, admin and metrics had no bound on their connections either.

Change: conn_bounds_task.c, shared by all listeners, stops reading from a connection at 48 KB beyond the request in progress, and closes connections that read nothing for 2 s, the largest first, while unread responses exceed 0.25 of memory_mb (64 MiB when not set). side_listener_task.c bounds the connections of the other listeners (side_connections, 1000) and closes the longest idle one. A 503 for the memory of all requests is no longer written into a response that is under way.

--- a/src/admin_task.c
+++ b/src/admin_task.c
@@ -11,6 +11,7 @@
 #include "admin_reply.h"
 #include "bundle_task.h"
 #include "clock.h"
+#include "conn_bounds_task.h"
 #include "control_client.h"
 #include "control_task.h"
 #include "dispatch_task.h"
@@ -359,8 +360,6 @@
 {
   const char *address = daemon->settings->listen.admin;
   struct ab_admin_task *result = calloc (1, sizeof *result);
-  char ip[AB_ADDRESS_BYTES];
-  uint16_t port;
   int rc = AB_ERR_MEMORY;
 
   *task = NULL;
@@ -378,9 +377,7 @@
   evhttp_set_cb (result->http, "/v1/host", on_host, result);
   evhttp_set_cb (result->http, "/metrics", on_metrics, result);
   evhttp_set_gencb (result->http, on_request, result);
-  rc = ab_address_split (address, ip, sizeof ip, &port);
-  if (rc == 0 && evhttp_bind_socket (result->http, ip, port) < 0)
-    rc = AB_ERR_IO;
+  rc = ab_conn_bounds_listen (daemon->conn_bounds, result->http, address);
   if (rc < 0)
     {
       snprintf (error, AB_CONF_ERROR_BYTES,
--- a/src/caller_conns_task.c
+++ b/src/caller_conns_task.c
@@ -11,6 +11,7 @@
 #include <uthash.h>
 
 #include "clock.h"
+#include "conn_bounds_task.h"
 #include "error.h"
 #include "log.h"
 
@@ -34,6 +35,7 @@
 {
   struct ab_caller_conns *conns;
   struct bufferevent *bev; /* Counted reference.  */
+  struct ab_bounded_conn *bounded;
   bool tls;
   bool busy;
   uint64_t receiving_ms; /* First byte of the next request; 0: none.  */
@@ -113,18 +115,10 @@
     set_held (conn, 0);
 }
 
-/* Returns whether evhttp has dropped the connection, which clears its
-   callbacks.  */
 static bool
 is_released (const struct conn *conn)
 {
-  bufferevent_data_cb read_cb;
-  bufferevent_data_cb write_cb;
-  bufferevent_event_cb event_cb;
-  void *arg;
-
-  bufferevent_getcb (conn->bev, &read_cb, &write_cb, &event_cb, &arg);
-  return !event_cb;
+  return ab_conn_is_released (conn->bev);
 }
 
 static void
@@ -132,6 +126,7 @@
 {
   HASH_DEL (conns->conns, conn);
   set_held (conn, 0);
+  ab_conn_bounds_remove (conn->bounded);
   evbuffer_remove_cb (bufferevent_get_input (conn->bev), on_input, conn);
   evbuffer_remove_cb (bufferevent_get_output (conn->bev), on_output, conn);
   bufferevent_decref (conn->bev);
@@ -216,7 +211,10 @@
         return;
       for (struct conn *conn = conns->conns; conn; conn = conn->hh.next)
         {
-          if (conn->held < LARGE_REQUEST_BYTES || is_released (conn))
+          /* A rejection would become a part of a response that is being
+             written.  */
+          if (conn->held < LARGE_REQUEST_BYTES || is_released (conn)
+              || evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
             continue;
           large++;
           if (!conn->busy
@@ -380,8 +378,13 @@
   conn->conns = conns;
   conn->tls = conns->tls;
   conn->bev = new_bufferevent (conns);
-  if (!conn->bev)
+  conn->bounded
+      = conn->bev ? ab_conn_bounds_add (conns->daemon->conn_bounds, conn->bev)
+                  : NULL;
+  if (!conn->bounded)
     {
+      if (conn->bev)
+        bufferevent_free (conn->bev);
       free (conn);
       return NULL;
     }
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -24,6 +24,7 @@
 struct ab_proxy_task;
 struct ab_admin_task;
 struct ab_stop_task;
+struct ab_conn_bounds;
 
 struct ab_daemon
 {
@@ -32,6 +33,7 @@
   struct ab_counters *counters;
   struct ab_explain *explain;
   uint64_t incarnation; /* Wall-clock time of this start, in ms.  */
+  struct ab_conn_bounds *conn_bounds;
   struct ab_peer_task *peer;
   struct ab_member_task *member;
   struct ab_bundle_task *bundle;
--- a/src/daemon_run.c
+++ b/src/daemon_run.c
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "control_client.h"
 #include "control_task.h"
+#include "conn_bounds_task.h"
 #include "daemon.h"
 #include "dispatch_task.h"
 #include "error.h"
@@ -142,7 +143,10 @@
 static int
 start_tasks (struct ab_daemon *d, char error[AB_CONF_ERROR_BYTES])
 {
-  int rc = ab_peer_task_new (d, &d->peer, error);
+  int rc = ab_conn_bounds_new (d, &d->conn_bounds);
+
+  if (rc == 0)
+    rc = ab_peer_task_new (d, &d->peer, error);
 
   if (rc == 0)
     rc = ab_member_task_new (d, &d->member);
@@ -175,6 +179,7 @@
   ab_control_client_free (d->control_client);
   ab_bundle_task_free (d->bundle);
   ab_member_task_free (d->member);
+  ab_conn_bounds_free (d->conn_bounds);
   ab_peer_task_free (d->peer);
 }
 
--- a/src/fleet_api_task.c
+++ b/src/fleet_api_task.c
@@ -1,5 +1,6 @@
 /* HTTP API of a control host for targets and operators.  */
 
+#include "conn_bounds_task.h"
 #include "fleet_control_internal.h"
 
 #include <event2/buffer.h>
@@ -656,8 +657,6 @@
 {
   struct ab_fleet_api *result = calloc (1, sizeof *result);
   const char *address = control->settings->listen.admin;
-  char host[AB_ADDRESS_BYTES];
-  uint16_t port;
   int rc;
 
   *api = NULL;
@@ -666,16 +665,12 @@
   result->control = control;
   result->http = evhttp_new (control->daemon->base);
   result->flush_timer = evtimer_new (control->daemon->base, on_flush, result);
-  rc = result->http && result->flush_timer
-           ? ab_address_split (address, host, sizeof host, &port)
-           : AB_ERR_MEMORY;
-  if (rc == 0 && evhttp_bind_socket (result->http, host, port) < 0)
-    {
-      snprintf (error, AB_CONF_ERROR_BYTES, "cannot listen on %s", address);
-      rc = AB_ERR_IO;
-    }
+  rc = result->http && result->flush_timer ? ab_conn_bounds_listen (
+           control->daemon->conn_bounds, result->http, address)
+                                           : AB_ERR_MEMORY;
   if (rc < 0)
     {
+      snprintf (error, AB_CONF_ERROR_BYTES, "cannot listen on %s", address);
       ab_fleet_api_free (result);
       return rc;
     }
--- a/src/fleet_run.c
+++ b/src/fleet_run.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 
 #include "clock.h"
+#include "conn_bounds_task.h"
 #include "daemon.h"
 #include "error.h"
 #include "fleet_control_task.h"
@@ -178,8 +179,6 @@
 listen_metrics (struct runner *runner, char error[AB_CONF_ERROR_BYTES])
 {
   const char *address = runner->settings->listen.metrics;
-  char host[AB_ADDRESS_BYTES];
-  uint16_t port;
 
   if (!address[0])
     return 0;
@@ -187,8 +186,9 @@
   if (!runner->metrics)
     return AB_ERR_MEMORY;
   evhttp_set_gencb (runner->metrics, on_metrics, runner);
-  if (ab_address_split (address, host, sizeof host, &port) == 0
-      && evhttp_bind_socket (runner->metrics, host, port) == 0)
+  if (ab_conn_bounds_listen (runner->daemon.conn_bounds, runner->metrics,
+                             address)
+      == 0)
     return 0;
   snprintf (error, AB_CONF_ERROR_BYTES, "cannot listen on %s", address);
   return AB_ERR_IO;
@@ -216,8 +216,10 @@
 start_tasks (struct runner *runner, char error[AB_CONF_ERROR_BYTES])
 {
   struct ab_daemon *daemon = &runner->daemon;
-  int rc = ab_peer_task_new (daemon, &daemon->peer, error);
+  int rc = ab_conn_bounds_new (daemon, &daemon->conn_bounds);
 
+  if (rc == 0)
+    rc = ab_peer_task_new (daemon, &daemon->peer, error);
   if (rc == 0 && runner->settings->role == AB_FLEET_CONTROL)
     rc = ab_fleet_control_new (daemon, runner->settings, &runner->control,
                                error);
@@ -235,6 +237,7 @@
     evhttp_free (runner->metrics);
   ab_gateway_free (runner->gateway);
   ab_fleet_control_free (runner->control);
+  ab_conn_bounds_free (runner->daemon.conn_bounds);
   ab_peer_task_free (runner->daemon.peer);
   for (size_t i = 0; i < HANDLED_SIGNALS; i++)
     if (runner->signals[i])
--- a/src/fleet_settings.c
+++ b/src/fleet_settings.c
@@ -26,6 +26,15 @@
 /* Part of the process's memory for the bytes of requests.  Responses, sockets
    and one larger request need the rest.  */
 #define REQUESTS_MEMORY_SHARE 0.15
+/* Part of the process's memory for the bytes of responses that were not read.
+   Responses of targets that are still arriving, and requests, need the
+   rest.  */
+#define UNREAD_MEMORY_SHARE 0.25
+/* Bytes of unread responses when the memory limit is not known.  */
+#define UNREAD_BYTES (64 * MIB)
+/* A control host has a connection of each target and few of operators.  */
+#define SIDE_CONNECTIONS 1000
+#define SIDE_CONNECTIONS_MAX 100000
 /* Bytes of requests when the memory limit is not known.  */
 #define REQUESTS_BYTES (32 * MIB)
 #define COUNT_OF(a) (sizeof (a) / sizeof (a)[0])
@@ -158,6 +167,9 @@
                  ab_conf_u64, .max = TEAM_LIMIT_SLACK_MAX),
   AB_CONF_FIELD (ab_fleet_settings, "memory_mb", memory_mb, ab_conf_u64,
                  .max = MEMORY_MB_MAX),
+  AB_CONF_FIELD (ab_fleet_settings, "side_connections",
+                 base.http.side_connections, ab_conf_u64, .min = 1,
+                 .max = SIDE_CONNECTIONS_MAX),
   AB_CONF_FIELD (ab_fleet_settings, "link_mbps", link_mbps, ab_conf_number,
                  .max = LINK_MBPS_MAX),
 };
@@ -168,7 +180,9 @@
                       .header_time_ms = 10 * SECOND_MS,
                       .idle_time_ms = 60 * SECOND_MS,
                       .connections = 3000,
-                      .requests_bytes = REQUESTS_BYTES },
+                      .requests_bytes = REQUESTS_BYTES,
+                      .unread_bytes = UNREAD_BYTES,
+                      .side_connections = SIDE_CONNECTIONS },
             .raft_heartbeat_ms = HEARTBEAT_MS,
             .raft_election_ms = ELECTION_MS,
             .log_level = AB_LOG_INFO },
@@ -219,9 +233,11 @@
   struct ab_settings *base = &settings->base;
 
   if (settings->memory_mb)
-    base->http.requests_bytes
-        = (uint64_t)(REQUESTS_MEMORY_SHARE * (double)settings->memory_mb
-                     * MIB);
+    {
+      double bytes = (double)settings->memory_mb * MIB;
+      base->http.requests_bytes = (uint64_t)(REQUESTS_MEMORY_SHARE * bytes);
+      base->http.unread_bytes = (uint64_t)(UNREAD_MEMORY_SHARE * bytes);
+    }
   base->role
       = settings->role == AB_FLEET_CONTROL ? AB_ROLE_CONTROL : AB_ROLE_ENTRY;
   memcpy (base->host, settings->listen.peers, sizeof base->host);
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -11,6 +11,7 @@
 #include <sys/queue.h>
 
 #include "clock.h"
+#include "conn_bounds_task.h"
 #include "error.h"
 #include "gateway_flow_task.h"
 #include "log.h"
@@ -265,17 +266,14 @@
              void (*handle) (struct evhttp_request *, void *),
              struct evhttp **http, char error[AB_CONF_ERROR_BYTES])
 {
-  char host[AB_ADDRESS_BYTES];
-  uint16_t port;
-
   if (!address[0])
     return 0;
   *http = evhttp_new (gateway->daemon->base);
   if (!*http)
     return AB_ERR_MEMORY;
   evhttp_set_gencb (*http, handle, gateway);
-  if (ab_address_split (address, host, sizeof host, &port) == 0
-      && evhttp_bind_socket (*http, host, port) == 0)
+  if (ab_conn_bounds_listen (gateway->daemon->conn_bounds, *http, address)
+      == 0)
     return 0;
   snprintf (error, AB_CONF_ERROR_BYTES, "cannot listen on %s", address);
   return AB_ERR_IO;
--- a/src/settings.h
+++ b/src/settings.h
@@ -76,6 +76,13 @@
   /* Bound on the bytes of all requests together; one large request at a time
      may exceed it.  */
   uint64_t requests_bytes;
+  /* Bound on the bytes of responses that were not read, and of the requests
+     that wait behind them, of all connections; above it, connections that read
+     nothing are closed.  */
+  uint64_t unread_bytes;
+  /* Maximum number of open connections of each listener for other than
+     callers' requests.  */
+  uint64_t side_connections;
   /* Files for TLS with callers; empty without TLS.  */
   char certificate_file[AB_PATH_BYTES];
   char key_file[AB_PATH_BYTES];
--- a/tests/fleet_unread_responses.c
+++ b/tests/fleet_unread_responses.c
@@ -73,6 +73,7 @@
                                  "X-Request-Id: unread\r\n\r\n",
                                  path);
 
+  ck_assert_uint_lt (one, sizeof request);
   while (len + one < BATCH_BYTES)
     {
       memcpy (text + len, request, one);
@@ -96,6 +97,8 @@
   uint64_t progress = now;
   uint64_t used_ms = gf_processor_ms (pid);
 
+  ck_assert_uint_gt (len, 0);
+
   while (now < end && now - progress < QUIET_MS)
     {
       for (int i = 0; i < CROWD; i++)
--- a/tests/proxy_fakes.h
+++ b/tests/proxy_fakes.h
@@ -13,6 +13,7 @@
 
 #include "bundle_task.h"
 #include "clock.h"
+#include "conn_bounds_task.h"
 #include "control_client.h"
 #include "dispatch_task.h"
 #include "error.h"
@@ -370,13 +371,16 @@
                                                   .header_bytes = 4096,
                                                   .header_time_ms = 300,
                                                   .idle_time_ms = 60000,
-                                                  .connections = 8 };
+                                                  .connections = 8,
+                                                  .unread_bytes = 1048576 };
   prepare (&fake.settings.http);
   strcpy (fake.settings.region, "r");
   harness_free_address (fake.settings.listen.callers);
   fake.daemon.settings = &fake.settings;
   fake.daemon.base = fake.base;
   fake.daemon.counters = ab_counters_new ();
+  ck_assert_int_eq (
+      ab_conn_bounds_new (&fake.daemon, &fake.daemon.conn_bounds), 0);
   fake.daemon.explain = ab_explain_new ();
   ck_assert_msg (ab_proxy_task_new (&fake.daemon, &fake.daemon.proxy, error)
                      == 0,
@@ -390,6 +394,7 @@
 teardown (void)
 {
   ab_proxy_task_free (fake.daemon.proxy);
+  ab_conn_bounds_free (fake.daemon.conn_bounds);
   for (size_t i = 0; i < HARNESS_TARGETS; i++)
     harness_target_stop (&fake.targets[i]);
   ab_counters_free (fake.daemon.counters);
