Tell new schedulers of the attempts in flight

Cause: a scheduler that replaces another one, or has restarted, counts only what it grants itself and takes all targets for idle. Change: before a slot request, a host tells its scheduler of the attempts at the targets of that service and shard that this process does not know of (held_attempts.h, AB_FRAME_SCHED_IN_FLIGHT); the scheduler counts them until their outcome or after their deadline. Counters of reported and adopted attempts and of targets with more requests than slots.

--- a/src/frame.c
+++ b/src/frame.c
@@ -51,6 +51,7 @@
   [AB_FRAME_RATE_LIMIT] = "rate_limit",
   [AB_FRAME_FLEET_REPORTS] = "fleet_reports",
   [AB_FRAME_FLEET_REPORTS_ACK] = "fleet_reports_ack",
+  [AB_FRAME_SCHED_IN_FLIGHT] = "sched_in_flight",
 };
 
 const char *
--- a/src/frame.h
+++ b/src/frame.h
@@ -63,6 +63,7 @@
   AB_FRAME_RATE_LIMIT,      /* What a host knows of a target's limit.  */
   AB_FRAME_FLEET_REPORTS,   /* Requests that crashed targets.  */
   AB_FRAME_FLEET_REPORTS_ACK,
+  AB_FRAME_SCHED_IN_FLIGHT, /* Attempts that another scheduler granted.  */
   AB_FRAME_TYPE_COUNT
 };
 
--- a/src/schedule_frame.c
+++ b/src/schedule_frame.c
@@ -8,6 +8,9 @@
 #define SLOT_REQUEST_FIELDS 9
 #define SLOT_REQUEST_TEAM_FIELDS 11
 #define REPLY_FIELDS 8
+#define ATTEMPT_FIELDS 5
+/* Later versions may append fields up to this many.  */
+#define IN_FLIGHT_FIELDS_MAX 16
 
 enum slot_request_flag
 {
@@ -174,3 +177,56 @@
   ab_reader_free (&reader);
   return rc;
 }
+
+void
+ab_sched_pack_in_flight (struct ab_buf *out,
+                         const struct ab_sched_attempt *list, size_t count)
+{
+  ab_pack_array (out, 1);
+  ab_pack_array (out, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      unsigned flags = (list[i].idempotent ? FLAG_IDEMPOTENT : 0U)
+                       | (list[i].is_retry ? FLAG_RETRY : 0U);
+      ab_pack_array (out, ATTEMPT_FIELDS);
+      ab_pack_u64 (out, list[i].id);
+      ab_pack_bytes (out, ab_chunk_str (list[i].target));
+      ab_pack_u64 (out, flags);
+      ab_pack_u64 (out, list[i].age_ms);
+      ab_pack_u64 (out, list[i].timeout_ms);
+    }
+}
+
+int
+ab_sched_read_in_flight (struct ab_chunk body,
+                         struct ab_sched_attempt list[AB_SCHED_ADOPT_MAX],
+                         size_t *count)
+{
+  struct ab_reader reader;
+  int rc = ab_reader_init (&reader, body);
+
+  *count = 0;
+  if (rc < 0)
+    return rc;
+  ab_reader_enter (&reader, IN_FLIGHT_FIELDS_MAX);
+  *count = ab_reader_enter (&reader, AB_SCHED_ADOPT_MAX);
+  for (size_t i = 0; i < *count; i++)
+    {
+      uint64_t flags;
+      memset (&list[i], 0, sizeof list[i]);
+      ab_reader_enter (&reader, IN_FLIGHT_FIELDS_MAX);
+      list[i].id = ab_reader_u64 (&reader);
+      ab_reader_str (&reader, list[i].target, sizeof list[i].target);
+      flags = ab_reader_u64 (&reader);
+      list[i].idempotent = flags & FLAG_IDEMPOTENT;
+      list[i].is_retry = flags & FLAG_RETRY;
+      list[i].age_ms = ab_reader_u64 (&reader);
+      list[i].timeout_ms = ab_reader_u64 (&reader);
+      ab_reader_leave (&reader);
+    }
+  rc = ab_reader_error (&reader);
+  ab_reader_free (&reader);
+  if (rc < 0)
+    *count = 0;
+  return rc;
+}
--- a/src/schedule_frame.h
+++ b/src/schedule_frame.h
@@ -25,4 +25,14 @@
 int ab_sched_read_outcome (struct ab_chunk body, uint64_t *id,
                            enum ab_target_event *event, uint64_t *latency_ms);
 
+/* The host that has the COUNT attempts of LIST in flight is the sender of the
+   frame.  Reading writes at most AB_SCHED_ADOPT_MAX of them.  Hosts of an
+   earlier version drop the frame.  */
+void ab_sched_pack_in_flight (struct ab_buf *out,
+                              const struct ab_sched_attempt *list,
+                              size_t count);
+int ab_sched_read_in_flight (struct ab_chunk body,
+                             struct ab_sched_attempt list[AB_SCHED_ADOPT_MAX],
+                             size_t *count);
+
 #endif
--- a/src/schedule_serve_task.c
+++ b/src/schedule_serve_task.c
@@ -219,6 +219,28 @@
   ab_scheduler_request_slot (task->scheduler, &slot_request, now_ms ());
 }
 
+static void
+on_in_flight (void *ctx, const struct ab_frame *frame)
+{
+  struct ab_schedule_task *task = ctx;
+  struct ab_sched_attempt list[AB_SCHED_ADOPT_MAX];
+  char host[AB_ADDRESS_BYTES];
+  size_t count;
+  uint64_t adopted = 0;
+
+  if (ab_sched_read_in_flight (frame->body, list, &count) < 0
+      || !ab_chunk_copy (frame->sender, host, sizeof host))
+    return;
+  for (size_t i = 0; i < count; i++)
+    adopted += ab_scheduler_adopt (task->scheduler, host, &list[i], now_ms ());
+  if (adopted == 0)
+    return;
+  *ab_counter (task->daemon->counters, "ab_attempts_adopted_total") += adopted;
+  AB_LOG (AB_LOG_INFO, "attempts_adopted", ab_log_str ("from", host),
+          ab_log_int ("attempts", (int64_t)adopted),
+          ab_log_int ("reported", (int64_t)count));
+}
+
 static void
 on_outcome (void *ctx, const struct ab_frame *frame)
 {
@@ -231,6 +253,23 @@
     ab_scheduler_outcome (task->scheduler, id, event, latency_ms, now_ms ());
 }
 
+/* Updates the metrics of targets with more requests than slots, and logs when
+   there are more of them than before.  */
+static void
+report_overbooked (struct ab_schedule_task *task)
+{
+  struct ab_sched_overbooked overbooked
+      = ab_scheduler_overbooked (task->scheduler);
+  uint64_t *targets
+      = ab_counter (task->daemon->counters, "ab_targets_overbooked");
+
+  if (overbooked.targets > *targets)
+    AB_LOG (AB_LOG_WARN, "targets_overbooked",
+            ab_log_int ("targets", (int64_t)overbooked.targets),
+            ab_log_int ("requests", (int64_t)overbooked.requests));
+  *targets = overbooked.targets;
+}
+
 static void
 on_tick (evutil_socket_t fd, short events, void *ctx)
 {
@@ -239,6 +278,7 @@
   (void)fd;
   (void)events;
   ab_scheduler_tick (task->scheduler, now_ms ());
+  report_overbooked (task);
 }
 
 static void
@@ -310,5 +350,7 @@
                             on_slot_request, task);
   ab_peer_task_set_handler (task->daemon->peer, AB_FRAME_SCHED_OUTCOME,
                             on_outcome, task);
+  ab_peer_task_set_handler (task->daemon->peer, AB_FRAME_SCHED_IN_FLIGHT,
+                            on_in_flight, task);
   return 0;
 }
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -97,19 +97,6 @@
   ab_buf_free (&body);
 }
 
-static void
-send_outcome (struct ab_schedule_task *task, const char *host, uint64_t id,
-              enum ab_target_event event, uint64_t latency_ms)
-{
-  struct ab_buf body = AB_BUF_INIT;
-
-  ab_sched_pack_outcome (&body, id, event, latency_ms);
-  if (!body.error)
-    ab_peer_task_send (task->daemon->peer, ab_chunk_str (host),
-                       AB_FRAME_SCHED_OUTCOME, ab_buf_chunk (&body));
-  ab_buf_free (&body);
-}
-
 static void
 start_timer (struct ab_schedule_call *call, uint64_t after_ms)
 {
@@ -180,6 +167,8 @@
   if (host != call->host)
     ab_chunk_copy (ab_chunk_str (host), call->host, sizeof call->host);
   ab_schedule_hosts_requested (call->task->hosts, call->host, now);
+  ab_schedule_tell_in_flight (call->task, call->host, &call->slot_request,
+                              call->is_remote);
   send_slot_request (call);
   call->slot_request.is_counted = true;
   start_timer (call, ab_schedule_hosts_answer_timeout_ms (
@@ -270,8 +259,10 @@
           ab_log_str ("service", call->slot_request.service),
           ab_log_int ("after_ms", (int64_t)(now_ms () - call->sent_ms)));
   ++*ab_counter (task->daemon->counters, "ab_scheduler_silent_total");
+  ab_held_attempts_silent (task->held, call->host);
   ab_schedule_hosts_unresponsive (task->hosts, call->host, now_ms ());
-  send_outcome (task, call->host, call->slot_request.id, AB_TARGET_UNUSED, 0);
+  ab_schedule_send_outcome (task, call->host, call->slot_request.id,
+                            AB_TARGET_UNUSED, 0);
   if (call->stage == STAGE_OTHER_SHARDS)
     try_next (call);
   else if (strcmp (call->host, task->daemon->settings->host) == 0)
@@ -321,7 +312,7 @@
   AB_LOG (AB_LOG_INFO, "grant_rejected", ab_log_str ("target", reply->target),
           ab_log_str ("scheduler", call->host), ab_log_str ("reason", reason));
   ++*ab_counter (task->daemon->counters, "ab_grants_rejected_total");
-  send_outcome (task, call->host, reply->id, AB_TARGET_UNUSED, 0);
+  ab_schedule_send_outcome (task, call->host, reply->id, AB_TARGET_UNUSED, 0);
   if (slot_request->tried_count < AB_SCHED_TRIED_MAX)
     {
       memcpy (slot_request->tried[slot_request->tried_count++], reply->target,
@@ -344,8 +335,9 @@
 {
   bool leaves = notice == AB_NOTICE_LEAVE;
 
-  send_outcome (call->task, call->host, reply->id,
-                leaves ? AB_TARGET_LEAVING : AB_TARGET_PAUSED, left_ms);
+  ab_schedule_send_outcome (call->task, call->host, reply->id,
+                            leaves ? AB_TARGET_LEAVING : AB_TARGET_PAUSED,
+                            left_ms);
   reject_grant (call, reply,
                 leaves ? "the target leaves" : "the target asked for a pause");
 }
@@ -361,6 +353,7 @@
   memcpy (grant.scheduler, call->host, sizeof grant.scheduler);
   memcpy (grant.target, reply->target, sizeof grant.target);
   memcpy (grant.address, reply->address, sizeof grant.address);
+  ab_schedule_hold (call->task, &grant, &call->slot_request);
   end_call (call, AB_SCHED_GRANTED, &grant, 0);
 }
 
@@ -443,13 +436,14 @@
       || !ab_chunk_copy (frame->sender, sender, sizeof sender))
     return;
   ab_schedule_hosts_answered (task->hosts, sender);
+  ab_held_attempts_answered (task->held, sender, frame->incarnation);
   DL_SEARCH_SCALAR (task->calls, call, slot_request.id, reply.id);
   if (!call)
     {
       /* The call tried another host meanwhile or ended: the slot is not
          used.  */
       if (reply.decision == AB_SCHED_GRANTED)
-        send_outcome (task, sender, reply.id, AB_TARGET_UNUSED, 0);
+        ab_schedule_send_outcome (task, sender, reply.id, AB_TARGET_UNUSED, 0);
       return;
     }
   switch (reply.decision)
@@ -539,72 +533,11 @@
 void
 ab_schedule_cancel (struct ab_schedule_call *call)
 {
-  send_outcome (call->task, call->host, call->slot_request.id,
-                AB_TARGET_UNUSED, 0);
+  ab_schedule_send_outcome (call->task, call->host, call->slot_request.id,
+                            AB_TARGET_UNUSED, 0);
   free_call (call);
 }
 
-void
-ab_schedule_outcome (struct ab_schedule_task *task,
-                     const struct ab_schedule_grant *grant,
-                     enum ab_target_event event, uint64_t latency_ms)
-{
-  send_outcome (task, grant->scheduler, grant->id, event, latency_ms);
-}
-
-void
-ab_schedule_report_rate_limit (struct ab_schedule_task *task,
-                               const struct ab_schedule_grant *grant,
-                               uint64_t per_1000_s, uint64_t age_ms)
-{
-  const struct ab_fleet_target *target
-      = ab_shards_find_target (task->shards, grant->target);
-
-  if (target)
-    ab_rate_limit_task_observe (task->rate_limits, target->id,
-                                target->started_ms, per_1000_s, age_ms,
-                                grant->scheduler);
-}
-
-void
-ab_schedule_report_leaving (struct ab_schedule_task *task,
-                            const struct ab_schedule_grant *grant)
-{
-  const struct ab_fleet_target *target
-      = ab_shards_find_target (task->shards, grant->target);
-
-  if (!target)
-    return;
-  send_outcome (task, grant->scheduler, grant->id, AB_TARGET_LEAVING, 0);
-  if (!ab_target_notices_leave (task->notices, target->id, target->started_ms,
-                                now_ms ()))
-    return;
-  AB_LOG (AB_LOG_INFO, "target_leaving", ab_log_str ("target", target->id),
-          ab_log_str ("source", "response"),
-          ab_log_str ("scheduler", grant->scheduler));
-  ++*ab_counter (task->daemon->counters, "ab_targets_leaving_total");
-}
-
-void
-ab_schedule_report_pause (struct ab_schedule_task *task,
-                          const struct ab_schedule_grant *grant,
-                          uint64_t pause_ms)
-{
-  const struct ab_fleet_target *target
-      = ab_shards_find_target (task->shards, grant->target);
-
-  if (!target)
-    return;
-  send_outcome (task, grant->scheduler, grant->id, AB_TARGET_PAUSED, pause_ms);
-  ++*ab_counter (task->daemon->counters, "ab_target_pauses_total");
-  if (ab_target_notices_pause (task->notices, target->id, target->started_ms,
-                               pause_ms, now_ms ()))
-    AB_LOG (AB_LOG_INFO, "target_pause", ab_log_str ("target", target->id),
-            ab_log_int ("pause_ms", (int64_t)pause_ms),
-            ab_log_str ("source", "response"),
-            ab_log_str ("scheduler", grant->scheduler));
-}
-
 void
 ab_schedule_task_set_target (struct ab_schedule_task *task,
                              const struct ab_fleet_target *target)
@@ -643,7 +576,9 @@
   task->hosts = ab_schedule_hosts_new (settings, now_ms ());
   task->notices = ab_target_notices_new ();
   task->stand_in = ab_stand_in_new (settings);
+  task->held = ab_held_attempts_new ();
   rc = task->shards && task->hosts && task->notices && task->stand_in
+               && task->held
            ? ab_schedule_serve (task)
            : AB_ERR_MEMORY;
   if (rc < 0)
@@ -672,6 +607,7 @@
   ab_shards_free (task->shards);
   ab_schedule_hosts_free (task->hosts);
   ab_stand_in_free (task->stand_in);
+  ab_held_attempts_free (task->held);
   free (task);
 }
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -423,6 +423,7 @@
   struct ab_sched_target *target = request->target;
 
   target->in_flight--;
+  target->adopted -= request->is_adopted;
   target->trial_requests -= request->is_trial;
   target->last_ended_ms = now_ms;
   free_request (s, request);
@@ -548,7 +549,10 @@
     uint64_t age = now_ms - request->granted_ms;
     if (age > request->slot_request.timeout_ms + GRANT_SLACK_MS)
       release (s, request, now_ms);
-    else
+    /* How long an adopted request takes indicates nothing here: a new
+       scheduler knows neither the typical latency nor what has ended at the
+       target since.  */
+    else if (!request->is_adopted)
       check_age (request, age, now_ms);
   }
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -91,6 +91,22 @@
   size_t tried_count;
 };
 
+/* An attempt in flight, as its host reports it to a scheduler that did not
+   grant it.  */
+struct ab_sched_attempt
+{
+  uint64_t id; /* Of its slot request.  */
+  char target[AB_NAME_BYTES];
+  bool idempotent;
+  bool is_retry;
+  uint64_t age_ms;     /* Time since it was granted.  */
+  uint64_t timeout_ms; /* Time between the grant and its deadline.  */
+};
+
+/* Largest number of attempts in one report.  A gateway has 2 to 10 in
+   flight.  */
+#define AB_SCHED_ADOPT_MAX 128
+
 enum ab_sched_decision
 {
   AB_SCHED_GRANTED,
@@ -182,6 +198,26 @@
                            enum ab_target_event event, uint64_t latency_ms,
                            uint64_t now_ms);
 
+/* Counts ATTEMPT of HOST as in flight at its target until its outcome arrives,
+   or for as long as a grant without an outcome.  Takes neither a token of a
+   rate limit nor a retry of the budget: the scheduler that granted it did.
+   Returns false, without an effect, if the attempt is known, the target is
+   not, or the deadline has passed.  */
+bool ab_scheduler_adopt (struct ab_scheduler *scheduler, const char *host,
+                         const struct ab_sched_attempt *attempt,
+                         uint64_t now_ms);
+
+/* Targets with more requests in flight than slots, and requests beyond the
+   slots.  */
+struct ab_sched_overbooked
+{
+  uint64_t targets;
+  uint64_t requests;
+};
+
+struct ab_sched_overbooked
+ab_scheduler_overbooked (const struct ab_scheduler *scheduler);
+
 /* Grants slots to queued requests, rejects those that cannot be served in time
    and releases grants without an outcome.  To be called every
    AB_SCHED_TICK_MS.  */
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -4,6 +4,7 @@
    - scheduler_choice.c chooses a target for a request.
    - scheduler_share.c spreads the requests of several hosts that choose
    targets at the same time.
+   - scheduler_adopt.c counts attempts that other schedulers granted.
    - scheduler_queue.c orders queued requests and estimates their waiting time.
    - scheduler_budget.c enforces the retry budget.
    - scheduler_failure_window.c measures the failure rate of a service.
@@ -49,6 +50,7 @@
   struct ab_sched_target *prev; /* Links of the service's TARGETS.  */
   struct ab_sched_target *next;
   uint64_t in_flight;
+  uint64_t adopted; /* Of them, those that other schedulers granted.  */
   /* Requests in flight that were sent as trial requests, while the target was
      not healthy.  */
   uint64_t trial_requests;
@@ -81,6 +83,7 @@
   uint64_t arrived_ms;
   uint64_t granted_ms;
   bool is_trial;
+  bool is_adopted; /* Another scheduler granted it.  */
   /* Whether a retry of the budget is set aside for it.  */
   bool reserves_retry;
   /* Recorded as having lasted longer than a quick failure, which is evidence
--- a/src/scheduler_share.c
+++ b/src/scheduler_share.c
@@ -22,12 +22,13 @@
 uint64_t
 ab_sched_shared_slots (const struct ab_sched_target *target, uint64_t slots)
 {
-  uint64_t share;
+  uint64_t limit;
 
   if (target->service->placers <= 1 || slots == 0)
     return slots;
-  share = slots * SHARE_FACTOR / target->service->placers;
-  return share > 0 ? share : 1;
+  limit = slots * SHARE_FACTOR / target->service->placers;
+  limit = (limit > 0 ? limit : 1) + target->adopted;
+  return limit < slots ? limit : slots;
 }
 
 uint64_t
@@ -54,7 +55,7 @@
   if (service->placers <= 1)
     return false;
   DL_FOREACH (service->targets, target)
-  in_flight += target->in_flight;
+  in_flight += target->in_flight - target->adopted;
   return in_flight >= ab_sched_share_of_service (service);
 }
 
