--- a/src/frame.c
+++ b/src/frame.c
@@ -58,6 +58,7 @@
   [AB_FRAME_TEAM_POOL_REPLY] = "team_pool_reply",
   [AB_FRAME_TEAM_DEMAND] = "team_demand",
   [AB_FRAME_TEAM_LEASES] = "team_leases",
+  [AB_FRAME_SCHED_IN_FLIGHT] = "sched_in_flight",
 };
 
 const char *
--- a/src/frame.h
+++ b/src/frame.h
@@ -70,6 +70,7 @@
   AB_FRAME_TEAM_POOL_REPLY,
   AB_FRAME_TEAM_DEMAND, /* A control host asks the leader for leases.  */
   AB_FRAME_TEAM_LEASES,
+  AB_FRAME_SCHED_IN_FLIGHT, /* Attempts that another scheduler granted.  */
   AB_FRAME_TYPE_COUNT
 };
 
