--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -202,12 +202,8 @@
   print_common (fleet, &text, "control", number);
   print_memory (fleet, number, &text, metrics, sizeof metrics);
   ab_buf_printf (&text,
-                 "listen: {admin: %s, peers: %s%s%s}
-data_folder: %s
-"
-                 "first_start: %s
-team_limit_slack: %d
-",
+                 "listen: {admin: %s, peers: %s%s%s}\ndata_folder: %s\n"
+                 "first_start: %s\nteam_limit_slack: %d\n",
                  admin, peers, bind, metrics, folder,
                  first_start ? "true" : "false", GF_TEAM_SLACK);
   spawn (fleet, "control", number, &text, &fleet->control_pids[number]);
