Name the whole time until a team gets a token in Retry-After

A refusal that a gateway or control host remembers for up to 250 or 500 ms named what was left of that time, also when the next token was seconds away, and the pool's answer hid that the host's own bucket has a token sooner.

Both keep the time of the next token beside the end of the memory; a refusal names the sooner of the pool and the own bucket.

No test reads the value of Retry-After yet.

--- a/src/fleet_teams_task.c
+++ b/src/fleet_teams_task.c
@@ -37,6 +37,7 @@
   uint64_t id;
   uint64_t count;
   uint64_t due_ms;
+  uint64_t retry_ms; /* Until the own bucket has a token.  */
   uint64_t ask_id; /* Of the message to the pool with its tokens; 0: none.  */
 };
 
@@ -59,6 +60,7 @@
   struct pool_ask asks[ASKS_MAX];
   uint64_t asked_ms; /* Time of the last message.  */
   uint64_t denied_until_ms;
+  uint64_t retry_at_ms; /* When it may have a token, as of that "no".  */
   uint64_t paused_until_ms;
   UT_hash_handle hh;
 };
@@ -320,7 +322,8 @@
 
 static void
 add_waiting (struct ab_fleet_teams *teams, struct pool *pool,
-             const char *gateway, const struct ab_team_ask *ask, uint64_t now)
+             const char *gateway, const struct ab_team_ask *ask,
+             uint64_t retry_ms, uint64_t now)
 {
   const struct ab_team_reply unknown
       = { .id = ask->id, .status = AB_TEAM_UNKNOWN };
@@ -338,6 +341,7 @@
   waiting->id = ask->id;
   waiting->count = ask->count;
   waiting->due_ms = now + POOL_WAIT_MS;
+  waiting->retry_ms = retry_ms;
   DL_APPEND (pool->waiting, waiting);
   teams->waiting_count++;
   ask_pool (teams, pool, now);
@@ -374,13 +378,13 @@
   if (pool && now < pool->denied_until_ms)
     {
       reply.status = AB_TEAM_LIMITED;
-      if (pool->denied_until_ms - now < reply.answer.retry_ms)
-        reply.answer.retry_ms = pool->denied_until_ms - now;
+      if (pool->retry_at_ms - now < reply.answer.retry_ms)
+        reply.answer.retry_ms = pool->retry_at_ms - now;
     }
   if (!pool || now < pool->denied_until_ms || now < pool->paused_until_ms)
     send_reply (teams, gateway, &reply);
   else
-    add_waiting (teams, pool, gateway, ask, now);
+    add_waiting (teams, pool, gateway, ask, reply.answer.retry_ms, now);
 }
 
 static void
@@ -418,6 +422,8 @@
         continue;
       answer.granted = left < waiting->count ? left : waiting->count;
       left -= answer.granted;
+      if (waiting->retry_ms < answer.retry_ms)
+        answer.retry_ms = waiting->retry_ms;
       end_waiting (teams, pool, waiting,
                    answer.granted > 0 ? AB_TEAM_GRANTED : AB_TEAM_LIMITED,
                    &answer);
@@ -433,6 +439,7 @@
   struct waiting *waiting = pool->waiting;
   struct waiting *next;
 
+  pool->retry_at_ms = now + retry_ms;
   pool->denied_until_ms
       = now + (retry_ms < POOL_DENIAL_MAX_MS ? retry_ms : POOL_DENIAL_MAX_MS);
   for (; waiting; waiting = next)
--- a/src/team_tokens_task.c
+++ b/src/team_tokens_task.c
@@ -53,6 +53,7 @@
   char tried[CONTROLS_MAX][AB_ADDRESS_BYTES];
   size_t tried_count; /* The last one is asked at present.  */
   uint64_t denied_until_ms;
+  uint64_t retry_at_ms; /* When there may be a token, as of that refusal.  */
   struct event *timer;
   UT_hash_handle hh;    /* By name, in TEAMS.  */
   UT_hash_handle by_id; /* In ASKED while a message is under way.  */
@@ -370,6 +371,7 @@
       use_tokens (team, reply.answer.granted, &token, now);
       return;
     }
+  team->retry_at_ms = now + token.retry_ms;
   team->denied_until_ms
       = now
         + (token.retry_ms < DENIAL_MAX_MS ? token.retry_ms : DENIAL_MAX_MS);
@@ -483,7 +485,7 @@
   const struct team *team;
 
   HASH_FIND_STR (tokens->teams, name, team);
-  return team && team->denied_until_ms > now ? team->denied_until_ms - now : 0;
+  return team && team->denied_until_ms > now ? team->retry_at_ms - now : 0;
 }
 
 /* Has the timer start a message for the calls of this turn of the event loop,
--- a/src/team_tokens_task.h
+++ b/src/team_tokens_task.h
@@ -40,8 +40,8 @@
 void ab_team_tokens_use_view (struct ab_team_tokens *tokens,
                               const struct ab_fleet_view *view);
 
-/* Returns for how long TEAM gets no token at any rate, as this host was just
-   told; 0 if it may get one.  */
+/* Returns the time until TEAM may get a token, if this host was just told that
+   it gets none; otherwise 0.  */
 uint64_t ab_team_tokens_denied_ms (const struct ab_team_tokens *tokens,
                                    const char *team);
 /* Requests a token of TEAM, and gives up at UNTIL_MS.  Returns null when
