Choose among other shards by their free slots

Cause: a host tried other shards in a fixed order and skipped those that rejected a request up to 250 ms ago, so that hosts in the same situation all moved to the same shard. Change: a reply states the free slots of its shard if the slot request asks for them; hosts choose at random in proportion to these minus what they sent there since (shard_choice.h), first in their region, then at most two in others.

--- a/src/schedule_frame.c
+++ b/src/schedule_frame.c
@@ -8,6 +8,7 @@
 #define SLOT_REQUEST_FIELDS 9
 #define SLOT_REQUEST_TEAM_FIELDS 11
 #define REPLY_FIELDS 8
+#define REPLY_FREE_FIELDS 9
 #define ATTEMPT_FIELDS 5
 /* Later versions may append fields up to this many.  */
 #define IN_FLIGHT_FIELDS_MAX 16
@@ -19,7 +20,8 @@
   FLAG_MAY_WAIT = 1 << 2,
   FLAG_MAY_SPILL = 1 << 3,
   FLAG_LARGE_BODY = 1 << 4,
-  FLAG_COUNTED = 1 << 5
+  FLAG_COUNTED = 1 << 5,
+  FLAG_WANTS_FREE = 1 << 6
 };
 
 void
@@ -40,6 +42,8 @@
     flags |= FLAG_LARGE_BODY;
   if (slot_request->is_counted)
     flags |= FLAG_COUNTED;
+  if (slot_request->wants_free)
+    flags |= FLAG_WANTS_FREE;
   ab_pack_array (out, slot_request->team[0] ? SLOT_REQUEST_TEAM_FIELDS
                                             : SLOT_REQUEST_FIELDS);
   ab_pack_u64 (out, slot_request->id);
@@ -83,6 +87,7 @@
   slot_request->may_spill = flags & FLAG_MAY_SPILL;
   slot_request->large_body = flags & FLAG_LARGE_BODY;
   slot_request->is_counted = flags & FLAG_COUNTED;
+  slot_request->wants_free = flags & FLAG_WANTS_FREE;
   slot_request->priority = ab_reader_u64 (&reader);
   slot_request->objective_ms = ab_reader_u64 (&reader);
   slot_request->timeout_ms = ab_reader_u64 (&reader);
@@ -104,7 +109,7 @@
 void
 ab_sched_pack_reply (struct ab_buf *out, const struct ab_sched_reply *reply)
 {
-  ab_pack_array (out, REPLY_FIELDS);
+  ab_pack_array (out, reply->has_free ? REPLY_FREE_FIELDS : REPLY_FIELDS);
   ab_pack_u64 (out, reply->decision);
   ab_pack_u64 (out, reply->id);
   ab_pack_bytes (out, ab_chunk_str (reply->target));
@@ -113,6 +118,8 @@
   ab_pack_u64 (out, reply->waited_ms);
   ab_pack_u64 (out, reply->wait_ms);
   ab_pack_u64 (out, reply->waiting);
+  if (reply->has_free)
+    ab_pack_u64 (out, reply->free_slots);
 }
 
 int
@@ -126,7 +133,7 @@
   if (rc < 0)
     return rc;
   memset (reply, 0, sizeof *reply);
-  ab_reader_enter (&reader, REPLY_FIELDS);
+  ab_reader_enter (&reader, REPLY_FREE_FIELDS);
   decision = ab_reader_u64 (&reader);
   reply->id = ab_reader_u64 (&reader);
   ab_reader_str (&reader, reply->target, sizeof reply->target);
@@ -135,6 +142,9 @@
   reply->waited_ms = ab_reader_u64 (&reader);
   reply->wait_ms = ab_reader_u64 (&reader);
   reply->waiting = ab_reader_u64 (&reader);
+  reply->has_free = ab_reader_has_more (&reader);
+  if (reply->has_free)
+    reply->free_slots = ab_reader_u64 (&reader);
   rc = ab_reader_error (&reader);
   if (rc == 0
       && (decision > AB_SCHED_BUDGET_USED_UP
--- a/src/schedule_internal.h
+++ b/src/schedule_internal.h
@@ -11,6 +11,7 @@
 #include "schedule_hosts.h"
 #include "schedule_shards.h"
 #include "schedule_task.h"
+#include "shard_choice.h"
 #include "stand_in.h"
 #include "target_notices.h"
 
@@ -30,6 +31,7 @@
   struct ab_target_notices *notices;
   struct ab_stand_in *stand_in;
   struct ab_held_attempts *held;
+  struct ab_shard_choice *choice;
 };
 
 /* Returns the host that schedules SERVICE in SHARD, or null when there is
--- a/src/schedule_task.c
+++ b/src/schedule_task.c
@@ -14,9 +14,11 @@
 /* While a request is queued, its scheduler is polled at this interval; one
    that no longer answers has lost the request.  */
 #define POLL_MS 300
-/* Largest number of shards that one request is offered to.  */
-#define SHARDS_TRIED_MAX 5
-/* Number of those shards that are in other regions.  */
+/* Largest number of shards that are considered for one request.  */
+#define SHARDS_MAX 8
+/* Largest number of shards in this region, and in others, that one request is
+   offered to.  */
+#define OWN_REGION_SHARDS_MAX 3
 #define REMOTE_SHARDS_MAX 2
 
 /* Progress of a call.  */
@@ -37,10 +39,13 @@
   enum stage stage;
   /* Number of hosts of this host's shard that did not answer.  */
   unsigned own_shard_timeouts;
-  /* Index of the next other shard to try.  */
-  size_t next_shard;
-  struct ab_shard shards[SHARDS_TRIED_MAX]; /* This host's is first.  */
+  size_t current_shard; /* Index of the one that has the slot request.  */
+  struct ab_shard shards[SHARDS_MAX]; /* This host's is first, then those of
+                                         its region.  */
+  bool tried_shards[SHARDS_MAX];
+  size_t own_region_count; /* Of SHARDS, those in this host's region.  */
   size_t shard_count;
+  size_t remote_tried;
   bool own_shard_has_room; /* This host's shard can serve it later.  */
   bool waiting;
   enum ab_sched_decision rejection;
@@ -207,22 +212,59 @@
                       host ? host : task->daemon->settings->host);
 }
 
+/* Sets the current shard to one that has not been tried and may have free
+   slots: one of this region if possible, as requests between regions cost
+   traffic.  Returns false if there is none.  */
+static bool
+pick_shard (struct ab_schedule_call *call)
+{
+  struct ab_schedule_task *task = call->task;
+  const char *service = call->slot_request.service;
+  size_t count = call->own_region_count;
+
+  for (size_t i = 0; i < call->shard_count; i++)
+    if (ab_shards_is_full (task->shards, service, &call->shards[i],
+                           call->slot_request.idempotent, now_ms ()))
+      call->tried_shards[i] = true;
+  call->current_shard = ab_shard_choice_pick (task->choice, service,
+                                              call->shards, call->tried_shards,
+                                              count, &task->rng, now_ms ());
+  if (call->current_shard == count && call->remote_tried < REMOTE_SHARDS_MAX)
+    call->current_shard
+        = count
+          + ab_shard_choice_pick (task->choice, service, call->shards + count,
+                                  call->tried_shards + count,
+                                  call->shard_count - count, &task->rng,
+                                  now_ms ());
+  else if (call->current_shard == count)
+    return false;
+  if (call->current_shard == call->shard_count)
+    return false;
+  call->tried_shards[call->current_shard] = true;
+  return true;
+}
+
 static void
 request_in_other_shards (struct ab_schedule_call *call)
 {
   struct ab_schedule_task *task = call->task;
 
   call->stage = STAGE_OTHER_SHARDS;
-  while (call->next_shard < call->shard_count)
+  while (pick_shard (call))
     {
-      const struct ab_shard *shard = &call->shards[call->next_shard++];
+      const struct ab_shard *shard = &call->shards[call->current_shard];
       const char *host
           = ab_schedule_host (task, shard, call->slot_request.service);
-      if (host
-          && !ab_shards_is_full (task->shards, call->slot_request.service,
-                                 shard, call->slot_request.idempotent,
-                                 now_ms ()))
+      if (host)
         {
+          bool is_remote = call->current_shard >= call->own_region_count;
+          call->remote_tried += is_remote;
+          ++*ab_counter (task->daemon->counters,
+                         is_remote
+                             ? "ab_requests_moved_total{where=\"other\"}"
+                             : "ab_requests_moved_total{where=\"region\"}");
+          ab_shard_choice_sent (task->choice, call->slot_request.service,
+                                shard);
           request_from_shard (call, shard, host);
           return;
         }
@@ -412,7 +454,7 @@
   else
     {
       ab_shards_record_full (call->task->shards, call->slot_request.service,
-                             &call->shards[call->next_shard - 1],
+                             &call->shards[call->current_shard],
                              call->slot_request.idempotent, reply->wait_ms,
                              now_ms ());
       if (reply->wait_ms < call->wait_ms)
@@ -446,6 +488,12 @@
         ab_schedule_send_outcome (task, sender, reply.id, AB_TARGET_UNUSED, 0);
       return;
     }
+  if (reply.has_free)
+    ab_shard_choice_record (
+        task->choice, call->slot_request.service,
+        &call->shards[call->stage == STAGE_OTHER_SHARDS ? call->current_shard
+                                                        : 0],
+        reply.free_slots, now_ms ());
   switch (reply.decision)
     {
     case AB_SCHED_GRANTED:
@@ -460,9 +508,9 @@
     }
 }
 
-/* Lists the shards to try: this host's, others of the region, and one or two
-   of other regions.  The latter differ from call to call, so that the shards
-   there share the load.  */
+/* Lists the shards to choose from: this host's, others of the region, and
+   those of other regions, beginning with one that differs from call to call.
+ */
 static void
 list_shards (struct ab_schedule_call *call)
 {
@@ -478,11 +526,12 @@
          && is_in_own_region (task, &all[own_region_count]))
     own_region_count++;
   remote_count = count - own_region_count;
-  call->shard_count = own_region_count < SHARDS_TRIED_MAX - REMOTE_SHARDS_MAX
+  call->shard_count = own_region_count < OWN_REGION_SHARDS_MAX
                           ? own_region_count
-                          : SHARDS_TRIED_MAX - REMOTE_SHARDS_MAX;
+                          : OWN_REGION_SHARDS_MAX;
+  call->own_region_count = call->shard_count;
   memcpy (call->shards, all, call->shard_count * sizeof *all);
-  for (size_t i = 0; i < remote_count && i < REMOTE_SHARDS_MAX; i++)
+  for (size_t i = 0; i < remote_count && call->shard_count < SHARDS_MAX; i++)
     call->shards[call->shard_count++]
         = all[own_region_count + (task->next_id + i) % remote_count];
   if (call->shard_count == 0)
@@ -490,8 +539,9 @@
       memset (&call->shards[0], 0, sizeof call->shards[0]);
       memcpy (call->shards[0].region, task->settings->base.region,
               sizeof call->shards[0].region);
-      call->shard_count = 1;
+      call->shard_count = call->own_region_count = 1;
     }
+  call->tried_shards[0] = true;
 }
 
 struct ab_schedule_call *
@@ -519,7 +569,7 @@
   call->objective_ms = slot_request->objective_ms;
   call->timeout_ms = slot_request->timeout_ms;
   list_shards (call);
-  call->next_shard = 1;
+  call->slot_request.wants_free = true;
   call->rejection = AB_SCHED_NO_TARGET;
   call->wait_ms = POLL_MS;
   call->started_ms = now_ms ();
@@ -577,8 +627,9 @@
   task->notices = ab_target_notices_new ();
   task->stand_in = ab_stand_in_new (settings);
   task->held = ab_held_attempts_new ();
+  task->choice = ab_shard_choice_new ();
   rc = task->shards && task->hosts && task->notices && task->stand_in
-               && task->held
+               && task->held && task->choice
            ? ab_schedule_serve (task)
            : AB_ERR_MEMORY;
   if (rc < 0)
@@ -608,6 +659,7 @@
   ab_schedule_hosts_free (task->hosts);
   ab_stand_in_free (task->stand_in);
   ab_held_attempts_free (task->held);
+  ab_shard_choice_free (task->choice);
   free (task);
 }
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -94,6 +94,11 @@
                                   .wait_ms = wait_ms,
                                   .waiting = request->service->waiting_count };
 
+  if (request->slot_request.wants_free)
+    {
+      reply.has_free = true;
+      reply.free_slots = ab_sched_free_slots (request->service, now_ms);
+    }
   if (target)
     {
       memcpy (reply.target, target->fleet_target.id, sizeof reply.target);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -59,6 +59,8 @@
   /* Whether the request may be queued; if not, it takes a free slot or
      nothing.  */
   bool may_wait;
+  /* Whether the requester reads the free slots in a reply.  */
+  bool wants_free;
   /* Whether the requester may spill over to another shard instead of waiting
      long.  */
   bool may_spill;
@@ -134,6 +136,12 @@
   uint64_t waited_ms;
   uint64_t wait_ms; /* Until a slot is expected.  */
   uint64_t waiting; /* Requests queued for the service.  */
+  /* Whether FREE_SLOTS is set and part of the message: hosts of an earlier
+     version cannot read it.  */
+  bool has_free;
+  /* Free slots of the service in the shard, each weighted by the probability
+     that its target is healthy, minus the queued requests; at least 0.  */
+  uint64_t free_slots;
 };
 
 struct ab_scheduler_ops
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -317,6 +317,9 @@
 uint64_t ab_sched_share_of_service (const struct ab_sched_service *service);
 /* Returns whether this host has that many in flight.  */
 bool ab_sched_share_used_up (const struct ab_sched_service *service);
+/* Returns the free slots of SERVICE, see struct ab_sched_reply.  */
+uint64_t ab_sched_free_slots (const struct ab_sched_service *service,
+                              uint64_t now_ms);
 /* Returns a target among those whose COST is nearly BEST_COST: one with the
    fewest requests of this host, beginning at its position.  So hosts that
    choose at the same time choose different targets.  */
--- a/src/scheduler_share.c
+++ b/src/scheduler_share.c
@@ -111,3 +111,24 @@
   }
   return best;
 }
+
+uint64_t
+ab_sched_free_slots (const struct ab_sched_service *service, uint64_t now_ms)
+{
+  const struct ab_sched_target *target;
+  double slots = 0;
+
+  DL_FOREACH (service->targets, target)
+  {
+    uint64_t usable = ab_sched_target_slots (target, now_ms);
+    if (ab_sched_target_accepts (target) && target->in_flight < usable
+        && now_ms >= target->health.busy_until_ms
+        && ab_target_health_state (&target->health, now_ms)
+               != AB_TARGET_EJECTED
+        && ab_rate_bucket_has_token (&target->rate, 1, now_ms))
+      slots += (double)(usable - target->in_flight)
+               * (1 - ab_target_health_risk (&target->health, now_ms));
+  }
+  slots -= (double)service->waiting_count;
+  return slots > 0 ? (uint64_t)slots : 0;
+}
