--- a/src/scheduler_queue.c
+++ b/src/scheduler_queue.c
@@ -227,13 +227,11 @@
   service->throughput.per_ms += 1.0 / THROUGHPUT_WINDOW_MS;
 }
 
-/* Returns whether requests have been queued for longer than a burst.  Strict
-   admission is for teams that compete for slots; without teams a request is
-   queued up to its deadline.  */
+/* Returns whether requests have been queued for longer than a burst.  */
 static bool
 backlog_lasts (const struct ab_sched_service *service, uint64_t now_ms)
 {
-  return service->shares.teams && service->throughput.busy_since_ms > 0
+  return service->throughput.busy_since_ms > 0
          && now_ms - service->throughput.busy_since_ms >= BURST_MS;
 }
 
