conn_bounds: don't use a connection after it was closed

Cause: close_excess wrote to the connection that it had closed for its unread response, but closing it frees it when evhttp drops it at once. Found by fleet_unread_bounds with AddressSanitizer: the gateway ended, and the slow reader got 5,783,552 of 6,291,456 bytes. Change: nothing is written behind the call that may free. Result: unread_large_responses passes with AddressSanitizer, 20 connections closed, no report; fleet_unread_bounds passes without it.

--- a/src/conn_bounds_task.c
+++ b/src/conn_bounds_task.c
@@ -132,7 +132,7 @@
 /* Closes CONN with a reset: the response is not complete.  The failed write
    makes evhttp drop the connection.  */
 static void
-close_unread (const struct ab_bounded_conn *conn, uint64_t all, uint64_t now)
+close_unread (struct ab_bounded_conn *conn, uint64_t all, uint64_t now)
 {
   const struct linger linger = { .l_onoff = 1 };
   int fd = bufferevent_getfd (conn->bev);
@@ -147,6 +147,8 @@
       setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
       shutdown (fd, SHUT_RDWR);
     }
+  conn->progressed_ms = now; /* Not chosen again.  */
+  /* May free CONN.  */
   bufferevent_trigger_event (conn->bev, BEV_EVENT_WRITING | BEV_EVENT_ERROR,
                              0);
 }
@@ -169,7 +171,6 @@
         return;
       bytes = held_bytes (most);
       close_unread (most, all, now);
-      most->progressed_ms = now; /* Not counted again.  */
       all -= bytes < all ? bytes : all;
     }
 }
