--- a/src/fleet_confirm_task.c
+++ b/src/fleet_confirm_task.c
@@ -18,7 +18,7 @@
 struct read
 {
   struct ab_fleet_confirm *confirm;
-  uint64_t started_ms; /* 0: not under way.  */
+  uint64_t started_ms; /* Zero while none is under way.  */
 };
 
 struct ab_fleet_confirm
--- a/src/fleet_teams_internal.h
+++ b/src/fleet_teams_internal.h
@@ -34,7 +34,7 @@
   /* As the leader.  */
   struct held_ask *held; /* Wait for the read that is under way.  */
   size_t held_count;
-  uint64_t read_token; /* 0: no read is under way.  */
+  uint64_t read_token; /* Zero while no read is under way.  */
   uint64_t read_term;
   uint64_t read_ms;
   uint64_t confirmed_index;
--- a/src/fleet_teams_task.c
+++ b/src/fleet_teams_task.c
@@ -48,7 +48,7 @@
 
 struct pool_ask
 {
-  uint64_t id; /* 0: none.  */
+  uint64_t id; /* Zero if there is none.  */
   uint64_t asked_ms;
 };
 
--- a/src/fleet_watch_task.c
+++ b/src/fleet_watch_task.c
@@ -47,7 +47,7 @@
   bool behind;              /* There are further changes to send.  */
   uint64_t hosts_version;
   uint64_t heard_ms;
-  uint64_t time_ms; /* Its own time in its last frame; 0 if not sent.  */
+  uint64_t time_ms; /* Time of the entry host in its last frame, or 0.  */
   UT_hash_handle hh;
 };
 
--- a/src/held_attempts.c
+++ b/src/held_attempts.c
@@ -7,7 +7,7 @@
 struct knower
 {
   char host[AB_ADDRESS_BYTES];
-  uint64_t incarnation; /* 0: it was not known which process was told.  */
+  uint64_t incarnation; /* Zero if it was not known which process was told.  */
 };
 
 struct held_attempt
@@ -23,7 +23,7 @@
 struct scheduler_process
 {
   char host[AB_ADDRESS_BYTES];
-  uint64_t incarnation; /* 0: not known.  */
+  uint64_t incarnation; /* Zero if not known.  */
   UT_hash_handle hh;
 };
 
--- a/src/rate_limit.h
+++ b/src/rate_limit.h
@@ -47,7 +47,7 @@
 
 enum ab_rate_limit_result
 {
-  AB_RATE_LIMIT_UNCHANGED, /* The same limit, or no memory.  */
+  AB_RATE_LIMIT_UNCHANGED, /* No other limit than before, or no memory.  */
   AB_RATE_LIMIT_CHANGED,
   AB_RATE_LIMIT_OUTDATED /* The host knows something newer.  */
 };
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -608,7 +608,7 @@
     }
   else
     {
-      /* Its caller is gone or its host asks elsewhere.  */
+      /* The caller is gone or the host asks elsewhere.  */
       ab_sched_shares_reject (&service->shares, &request->slot_request,
                               &request->place, AB_SCHED_SPILL, now_ms);
       free_request (s, request);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -97,7 +97,7 @@
    grant it.  */
 struct ab_sched_attempt
 {
-  uint64_t id; /* Of its slot request.  */
+  uint64_t id; /* Id of the slot request.  */
   char target[AB_NAME_BYTES];
   bool idempotent;
   bool is_retry;
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -50,7 +50,7 @@
   struct ab_sched_target *prev; /* Links of the service's TARGETS.  */
   struct ab_sched_target *next;
   uint64_t in_flight;
-  uint64_t adopted; /* Of them, those that other schedulers granted.  */
+  uint64_t adopted; /* Those in flight that other schedulers granted.  */
   /* Requests in flight that were sent as trial requests, while the target was
      not healthy.  */
   uint64_t trial_requests;
--- a/src/scheduler_queue.c
+++ b/src/scheduler_queue.c
@@ -14,7 +14,7 @@
 
 /* A backlog of longer than this is no burst.  */
 #define BURST_MS 600
-/* The same share once a backlog has lasted: the reserve of
+/* That share once a backlog has lasted: the reserve of
    scheduler_shares.c serves such ranks then.  */
 #define LASTING_RESERVED_SHARE 0.02
 /* Part of the time that a request may wait by which its turn must be expected
--- a/src/scheduler_shares.h
+++ b/src/scheduler_shares.h
@@ -37,7 +37,7 @@
 enum ab_sched_reason
 {
   AB_SCHED_REASON_FULL,  /* No slot was expected in time.  */
-  AB_SCHED_REASON_LIMIT, /* The same, because of targets' rate limits.  */
+  AB_SCHED_REASON_LIMIT, /* Not in time because of targets' rate limits.  */
   AB_SCHED_REASON_NO_TARGET,
   AB_SCHED_REASON_BUDGET, /* Retries beyond the budget.  */
   AB_SCHED_REASONS
--- a/src/stand_in.c
+++ b/src/stand_in.c
@@ -17,8 +17,9 @@
 {
   char key[2 * AB_NAME_BYTES]; /* Service, line feed, failure domain.  */
   uint64_t last_ms;
-  size_t placers;            /* At the last request.  */
-  uint64_t regular_since_ms; /* 0: this host is not the regular scheduler.  */
+  size_t placers; /* At the last request.  */
+  uint64_t
+      regular_since_ms; /* Zero if this host is not the regular scheduler.  */
   struct requester requesters[AB_STAND_IN_HOSTS_MAX];
   UT_hash_handle hh;
 };
--- a/src/stand_in.h
+++ b/src/stand_in.h
@@ -39,7 +39,7 @@
   bool is_new;
 };
 
-/* Who is asked to place a request.  */
+/* A request and the host that is asked to place it.  */
 struct ab_stand_in_request
 {
   const char *service;
--- a/src/team_limit.h
+++ b/src/team_limit.h
@@ -65,7 +65,7 @@
 {
   uint64_t granted;
   uint64_t retry_ms; /* When none was granted: the time until there is one. */
-  /* Who granted and when: needed to return tokens.  */
+  /* The host that granted and when, needed to return tokens.  */
   uint64_t grantor;
   uint64_t stamp_ms;
 };
--- a/src/team_tokens_task.c
+++ b/src/team_tokens_task.c
@@ -42,7 +42,7 @@
   struct ab_team_tokens_call *next;
   struct team *team;
   uint64_t until_ms;
-  bool asked; /* Its token is part of a message.  */
+  bool asked; /* A message asks for the token.  */
   ab_team_tokens_callback callback;
   void *ctx;
 };
