Remove the access to teams by index

Cause: ab_route_table_team and ab_team_table_at, planned for the limits of teams, have no caller; teams are found by name or key.

--- a/src/route_table.c
+++ b/src/route_table.c
@@ -612,12 +612,6 @@
   return table->teams ? ab_team_table_count (table->teams) : 0;
 }
 
-const struct ab_fleet_team *
-ab_route_table_team (const struct ab_route_table *table, size_t index)
-{
-  return ab_team_table_at (table->teams, index);
-}
-
 const struct ab_fleet_team *
 ab_route_table_find_team (const struct ab_route_table *table,
                           struct ab_chunk name)
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -101,8 +101,6 @@
 /* Returns whether callers need the key of a team.  */
 bool ab_route_table_has_teams (const struct ab_route_table *table);
 size_t ab_route_table_team_count (const struct ab_route_table *table);
-const struct ab_fleet_team *
-ab_route_table_team (const struct ab_route_table *table, size_t index);
 /* Return the team with that name or key, or null.  */
 const struct ab_fleet_team *
 ab_route_table_find_team (const struct ab_route_table *table,
--- a/src/team_table.c
+++ b/src/team_table.c
@@ -226,12 +226,6 @@
   return table->team_count;
 }
 
-const struct ab_fleet_team *
-ab_team_table_at (const struct ab_team_table *table, size_t index)
-{
-  return &table->teams[index];
-}
-
 const struct ab_fleet_team *
 ab_team_table_find (const struct ab_team_table *table, struct ab_chunk name)
 {
--- a/src/team_table.h
+++ b/src/team_table.h
@@ -36,8 +36,6 @@
 void ab_team_table_free (struct ab_team_table *table);
 
 size_t ab_team_table_count (const struct ab_team_table *table);
-const struct ab_fleet_team *
-ab_team_table_at (const struct ab_team_table *table, size_t index);
 /* Return the team, or null.  */
 const struct ab_fleet_team *
 ab_team_table_find (const struct ab_team_table *table, struct ab_chunk name);
