team_limit: check in one place that a leader may grant for a team

Cause: leases and the pool each repeated the check and the look-up. Change: open_team. Behaviour stays.

--- a/src/team_limit.c
+++ b/src/team_limit.c
@@ -482,17 +482,24 @@
          && now_ms < limits->confirmed_ms + limits->config.leader_valid_ms;
 }
 
+/* Sets *TEAM to the team NAME, at a leader that may grant.  */
+static int
+open_team (struct ab_team_limits *limits, struct ab_chunk name,
+           uint64_t now_ms, struct team **team)
+{
+  if (!ab_team_limits_serves (limits, now_ms))
+    return AB_ERR_NOT_LEADER;
+  return find_or_add_team (limits, name, now_ms, team);
+}
+
 int
 ab_team_limits_lease (struct ab_team_limits *limits, struct ab_chunk name,
                       const struct ab_team_claim *claim, uint64_t now_ms,
                       double *fraction, bool *renewal)
 {
   struct team *team;
-  int rc;
+  int rc = open_team (limits, name, now_ms, &team);
 
-  if (!ab_team_limits_serves (limits, now_ms))
-    return AB_ERR_NOT_LEADER;
-  rc = find_or_add_team (limits, name, now_ms, &team);
   if (rc < 0)
     return rc;
   *renewal = is_recovering (limits, now_ms);
@@ -511,12 +518,9 @@
                           struct ab_team_answer *answer)
 {
   struct team *team;
-  int rc;
+  int rc = open_team (limits, name, now_ms, &team);
 
   *answer = (struct ab_team_answer){ .retry_ms = RETRY_MAX_MS };
-  if (!ab_team_limits_serves (limits, now_ms))
-    return AB_ERR_NOT_LEADER;
-  rc = find_or_add_team (limits, name, now_ms, &team);
   if (rc < 0)
     return rc;
   update_pool (limits, team, now_ms);
