--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,14 +3,15 @@
 set -eu
 cd "$(dirname "$0")/.."
 out=target/review-2
-mkdir -p "$out"
-flags="-std=gnu11 -O2 -Wall -Wextra -pthread"
 rig=review/rig-2
-# shellcheck disable=SC2086
-for n in 6 7; do
-  cc $flags -o "$out/case$n" "$rig/case$n.c" "$rig/rig.c"
-done
-# shellcheck disable=SC2086
-for n in 8 9; do
-  cc $flags -o "$out/case$n" "$rig/case$n.c" "$rig/crowd.c" "$rig/rig.c"
-done
+mkdir -p "$out"
+build ()
+{
+  cc -std=gnu11 -O2 -Wall -Wextra -pthread -o "$out/$1" "$rig/$1.c" \
+    "$rig/rig.c" ${2:+"$rig/$2"}
+}
+build case6
+build case7
+build case8
+build case9 crowd.c
+build case10 crowd.c
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -589,15 +589,14 @@
 
 /* Calls of the control address.  */
 
-static int
-call_control (int machine, const char *method, const char *path,
-              const char *body)
+int
+rig_control (int machine, const char *method, const char *path,
+             const char *body)
 {
   static __thread struct rig_message answer;
   char head[512];
   char ip[32];
   int fd;
-  bool whole;
 
   rig_address (machine, ip);
   fd = rig_connect (ip, RIG_CONTROL);
@@ -608,26 +607,25 @@
             "application/json\r\nConnection: close\r\nContent-Length: "
             "%zu\r\n\r\n",
             method, path, strlen (body));
-  whole = rig_send (fd, head, strlen (head))
-          && rig_send (fd, body, strlen (body))
-          && rig_read (fd, 3000, &answer);
+  answer.status = 0;
+  if (rig_send (fd, head, strlen (head))
+      && rig_send (fd, body, strlen (body)))
+    rig_read (fd, 3000, &answer);
   close (fd);
-  return whole ? answer.status : 0;
+  return answer.status;
 }
 
-void
-rig_put_config (uint64_t timeout_ms, uint64_t latency_ms)
-{
-  char body[2048];
-  uint64_t end_ms = rig_now_ms () + READY_MS;
-  int status = 0;
-
-  snprintf (
-      body, sizeof body,
-      "{\"version\":1,\"base_version\":0,\"services\":[{\"name\":\"shop\","
-      "\"probe_path\":\"/healthz\",\"connections\":390,\"protocol\":\"h1\","
-      "\"tls\":false}],\"limits\":{\"header_bytes\":16384,\"body_bytes\":"
-      "67108864,\"header_time_ms\":3000,\"idle_time_ms\":15000},\"hosts\":"
+int
+rig_print_config (char *out, int version, int base, uint64_t timeout_ms,
+                  uint64_t latency_ms)
+{
+  return sprintf (
+      out,
+      "{\"version\":%d,\"base_version\":%d,\"services\":[{\"name\":"
+      "\"shop\",\"probe_path\":\"/healthz\",\"connections\":390,"
+      "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"header_bytes\":"
+      "16384,\"body_bytes\":67108864,\"header_time_ms\":3000,"
+      "\"idle_time_ms\":15000},\"hosts\":"
       "[{\"host\":\"x.example\",\"prefixes\":["
       "{\"name\":\"look\",\"prefix\":\"/look/\",\"kind\":\"idempotent\","
       "\"timeout_ms\":%llu,\"objective_ms\":%llu,\"priority\":2,"
@@ -635,12 +633,23 @@
       "{\"name\":\"order\",\"prefix\":\"/order/\",\"kind\":\"once\","
       "\"timeout_ms\":%llu,\"objective_ms\":%llu,\"priority\":1,"
       "\"service\":\"shop\",\"attempts\":2}]}]}",
-      (unsigned long long)timeout_ms, (unsigned long long)latency_ms,
-      (unsigned long long)timeout_ms, (unsigned long long)latency_ms);
+      version, base, (unsigned long long)timeout_ms,
+      (unsigned long long)latency_ms, (unsigned long long)timeout_ms,
+      (unsigned long long)latency_ms);
+}
+
+void
+rig_put_config (uint64_t timeout_ms, uint64_t latency_ms)
+{
+  char body[2048];
+  uint64_t end_ms = rig_now_ms () + READY_MS;
+  int status = 0;
+
+  rig_print_config (body, 1, 0, timeout_ms, latency_ms);
   for (int m = 1; status != 200 && rig_now_ms () < end_ms;
        m = m % RIG_MACHINES + 1)
     {
-      status = call_control (m, "POST", "/v1/bundle", body);
+      status = rig_control (m, "POST", "/v1/bundle", body);
       if (status != 200)
         rig_sleep_ms (100);
     }
@@ -667,7 +676,7 @@
             server->address, (unsigned long long)++server->sequence,
             (unsigned long long)server->born_ms);
   for (int m = 1; m <= RIG_MACHINES && !ok; m++)
-    ok = call_control (m, "PUT", path, body) == 200;
+    ok = rig_control (m, "PUT", path, body) == 200;
   return ok;
 }
 
@@ -695,6 +704,8 @@
   struct rig_message *request = malloc (sizeof *request);
 
   free (arg);
+  if (accepted.server->opened)
+    accepted.server->opened (accepted.fd);
   while (request && rig_read (accepted.fd, 600000, request)
          && accepted.server->handle (accepted.server, accepted.fd, request))
     ;
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -55,6 +55,7 @@
   char id[32];
   char address[32];
   rig_handler handle;
+  void (*opened) (int fd); /* Called for each new connection, or null.  */
   uint64_t born_ms;
   uint64_t sequence;
   int listener;
@@ -80,6 +81,13 @@
    /look/ and the route /order/ whose requests may run once, both to the
    service "shop".  */
 void rig_put_config (uint64_t timeout_ms, uint64_t latency_ms);
+/* Writes configuration VERSION, made from BASE, with these routes to OUT;
+   returns its length.  */
+int rig_print_config (char *out, int version, int base, uint64_t timeout_ms,
+                      uint64_t latency_ms);
+/* Calls the control address of MACHINE.  Returns the status, or 0.  */
+int rig_control (int machine, const char *method, const char *path,
+                 const char *body);
 void rig_start_server (struct rig_server *server, int number,
                        rig_handler handle);
 /* Waits until each gateway serves a request.  */
