--- a/review/rig-2/case9.c
+++ b/review/rig-2/case9.c
@@ -18,6 +18,9 @@
 #define LINES 30000
 #define WAIT_MS 30000
 #define LATE_MIN 8
+/* Machines are in touch 3 s after their start (stable-window-ms), and have
+   caught up after 4 s (catch-up-s).  */
+#define IN_TOUCH_MS 5000
 
 static atomic_int faulty_left;
 static atomic_int unanswered; /* At the route's timeout.  */
@@ -104,6 +107,7 @@
   for (int i = 0; i < SERVERS; i++)
     rig_start_server (&servers[i], i + 1, handle);
   rig_wait_served ();
+  rig_sleep_ms (IN_TOUCH_MS);
   for (int n = 0; n < ORDERS; n++)
     {
       pthread_t thread;
