--- a/review/rig-2/case6.c
+++ b/review/rig-2/case6.c
@@ -1,4 +1,4 @@
-/* Two of four servers send 3 of 100 answers twice.  The copy comes late, where
+/* For 5 s, two of four servers send 3 of 100 answers twice.  The copy comes late, where
    the answer to the next request on the connection is expected.  Clients send
    orders with ids of 140 characters.  */
 
@@ -11,7 +11,8 @@
 #define SERVERS 4
 #define COPYING_SERVERS 2
 #define COPY_EVERY 34
-#define CLIENTS 9
+#define COPY_FOR_MS 5000
+#define CLIENTS 18
 #define ORDERS 1800
 #define ID_CHARS 140
 #define TIMEOUT_MS 4000
@@ -28,6 +29,7 @@
 
 static struct copy copies[FDS_MAX];
 static atomic_int answers[SERVERS + 1];
+static atomic_ullong copy_until_ms;
 static atomic_int next_order;
 static atomic_int open_clients;
 static atomic_int sent_copies;
@@ -73,6 +75,7 @@
               request->id);
   rig_sleep_ms (RUN_MS);
   copied = rig_trouble && server->number <= COPYING_SERVERS
+           && rig_now_ms () < atomic_load (&copy_until_ms)
            && atomic_fetch_add (&answers[server->number], 1) % COPY_EVERY
                   == COPY_EVERY - 1;
   if (copied)
@@ -143,6 +146,7 @@
       rig_start_server (&servers[i], i + 1, handle);
     }
   rig_wait_served ();
+  atomic_store (&copy_until_ms, rig_now_ms () + COPY_FOR_MS);
   for (int i = 0; i < CLIENTS; i++)
     {
       pthread_t thread;
--- a/review/rig-2/case9.c
+++ b/review/rig-2/case9.c
@@ -1,5 +1,5 @@
-/* One faulty server answers two requests with a head of 120 KB that consists
-   of short header lines.  Clients send orders to all machines.  */
+/* One faulty server answers one of 60 requests, once, with a head of 120 KB
+   that consists of short header lines.  Clients send orders to all machines.  */
 
 #include "rig.h"
 
@@ -11,10 +11,12 @@
 #define SERVERS 4
 #define TIMEOUT_MS 2000
 #define LATE_MS 500
-#define ORDERS 400
-#define ORDER_EVERY_MS 40
-#define FAULTY_FROM 50
-#define FAULTY_ANSWERS 2
+#define ORDERS 1200
+#define ORDER_EVERY_MS 12
+/* The server that first has this many answers is the faulty one, for the last
+   of them.  */
+#define FAULTY_ANSWER 60
+#define FAULTY_FOR_MS 5000
 #define LINES 30000
 #define WAIT_MS 30000
 #define LATE_MIN 8
@@ -22,7 +24,9 @@
    caught up after 4 s (catch-up-s).  */
 #define IN_TOUCH_MS 5000
 
-static atomic_int faulty_left;
+static atomic_bool faulty_sent;
+static atomic_int answers[SERVERS + 1];
+static atomic_ullong faulty_until_ms;
 static atomic_int unanswered; /* At the route's timeout.  */
 static atomic_int too_late;   /* And half a second later.  */
 static atomic_int served;
@@ -51,10 +55,12 @@
 handle (struct rig_server *server, int fd, const struct rig_message *request)
 {
   rig_sleep_ms (5);
-  if (server->number == 1 && atomic_load (&faulty_left) > 0
-      && atomic_fetch_sub (&faulty_left, 1) > 0)
+  if (rig_now_ms () < atomic_load (&faulty_until_ms)
+      && atomic_fetch_add (&answers[server->number], 1) + 1 == FAULTY_ANSWER
+      && !atomic_exchange (&faulty_sent, true))
     {
-      rig_record ("server 1: faulty answer to %s", request->id);
+      rig_record ("server %d: faulty answer to %s", server->number,
+                  request->id);
       return send_faulty (fd, request);
     }
   return rig_answer (fd, request, 200, "", "ok");
@@ -108,13 +114,13 @@
     rig_start_server (&servers[i], i + 1, handle);
   rig_wait_served ();
   rig_sleep_ms (IN_TOUCH_MS);
+  if (rig_trouble)
+    atomic_store (&faulty_until_ms, rig_now_ms () + FAULTY_FOR_MS);
   for (int n = 0; n < ORDERS; n++)
     {
       pthread_t thread;
       int *number = malloc (sizeof *number);
       *number = n;
-      if (n == FAULTY_FROM && rig_trouble)
-        atomic_store (&faulty_left, FAULTY_ANSWERS);
       atomic_fetch_add (&open_orders, 1);
       if (pthread_create (&thread, NULL, send_order, number) != 0)
         rig_exit (RIG_NOT_RUN, "cannot start a thread");
@@ -124,6 +130,8 @@
   end_ms = rig_now_ms () + WAIT_MS + 2000;
   while (atomic_load (&open_orders) > 0 && rig_now_ms () < end_ms)
     rig_sleep_ms (20);
+  if (rig_trouble && !atomic_load (&faulty_sent))
+    rig_exit (RIG_NOT_RUN, "no server had %d answers in time", FAULTY_ANSWER);
   late = atomic_load (&too_late);
   all = atomic_load (&unanswered);
   if (atomic_load (&served) < ORDERS / 4)
