Gateways: check responses against ids of any length

Cause: ab_gateway_flow_start copied the id into 128 bytes with ab_chunk_copy, which leaves the copy empty when the text does not fit, and ignored the result; ab_upstream_send took an empty value for "no check", and did the same with values of 256 bytes or more. A request without an id had no check at all.

Evidence: fleet_request_ids on the code before: "/look/312 with an id line of 144 bytes got the response to /look/311", and "/look/1 with an id line of 0 bytes got the response to /look/first". Ids of up to 127 bytes held.

Change: the request and the call keep the id in a buffer of its own length. A request without an id gets a new connection, which is closed after the response, so that no other response can be on it.

--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -172,7 +172,8 @@
   if (is_lost (attempt) && flow->req)
     ab_hex_encode (ab_gateway_flow_content (flow)->bytes, AB_DIGEST_BYTES,
                    content);
-  AB_LOG (AB_LOG_INFO, "attempt_failed", ab_log_str ("id", flow->id),
+  AB_LOG (AB_LOG_INFO, "attempt_failed",
+          ab_log_chunk ("id", ab_buf_chunk (&flow->id)),
           ab_log_str ("content", content),
           ab_log_str ("target", flow->grant.target),
           ab_log_str ("address", flow->grant.address),
@@ -383,7 +384,7 @@
                                              : NON_IDEMPOTENT_IDLE_MS,
           .connect_ms = CONNECT_MS,
           .echo_name = names->request_id,
-          .echo_value = flow->id,
+          .echo_value = ab_buf_chunk (&flow->id),
           .stamp_name = names->answered_by,
           .not_run_name = names->not_run,
           .accept_unframed = true };
--- a/src/gateway_flow_internal.h
+++ b/src/gateway_flow_internal.h
@@ -13,8 +13,6 @@
 #include "digest.h"
 #include "gateway_flow_task.h"
 
-#define AB_GATEWAY_ID_BYTES 128
-
 /* Retry-After of rejections for which no wait could be estimated.  */
 #define AB_GATEWAY_RETRY_MS 200
 
@@ -33,7 +31,7 @@
   const struct ab_fleet_team *team;
   struct ab_team_tokens_call *token_call;
   struct ab_team_token token; /* Has a control host once granted.  */
-  char id[AB_GATEWAY_ID_BYTES];
+  struct ab_buf id; /* Of the request; empty: it has none.  */
   bool close; /* The reply closes the caller's connection.  */
   /* It waits for the fleet's view, and this is the code of its rejection if
      that does not come in time; null if it does not wait.  */
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -91,6 +91,7 @@
   if (flow->kept_body)
     evbuffer_free (flow->kept_body);
   ab_buf_free (&flow->kept_headers);
+  ab_buf_free (&flow->id);
   ab_route_table_unref (flow->table);
   free (flow);
 }
@@ -323,8 +324,11 @@
   flow->body_bytes
       = evbuffer_get_length (evhttp_request_get_input_buffer (req));
   id = ab_gateway_flow_header (flow, env->settings->headers.request_id);
-  if (id)
-    ab_chunk_copy (ab_chunk_str (id), flow->id, sizeof flow->id);
+  if (ab_buf_append_str (&flow->id, id ? id : "") < 0)
+    {
+      ab_gateway_reply_error (flow, 503, "memory", AB_GATEWAY_RETRY_MS);
+      return;
+    }
   if (check_framing (flow) < 0 || read_deadline (flow) < 0)
     return;
   if (!watch_caller (flow))
--- a/src/gateway_limit_task.c
+++ b/src/gateway_limit_task.c
@@ -22,7 +22,8 @@
 {
   if (retry_ms < RETRY_MIN_MS)
     retry_ms = RETRY_MIN_MS;
-  AB_LOG (AB_LOG_INFO, "team_limit_refused", ab_log_str ("id", flow->id),
+  AB_LOG (AB_LOG_INFO, "team_limit_refused",
+          ab_log_chunk ("id", ab_buf_chunk (&flow->id)),
           ab_log_str ("team", flow->team->name),
           ab_log_str ("control", control),
           ab_log_int ("retry_ms", (int64_t)retry_ms));
@@ -34,7 +35,8 @@
 static void
 reject_unknown (struct ab_gateway_flow *flow, uint64_t retry_ms)
 {
-  AB_LOG (AB_LOG_WARN, "team_limit_unknown", ab_log_str ("id", flow->id),
+  AB_LOG (AB_LOG_WARN, "team_limit_unknown",
+          ab_log_chunk ("id", ab_buf_chunk (&flow->id)),
           ab_log_str ("team", flow->team->name),
           ab_log_str ("control", ab_fleet_view_control (flow->env->view)),
           ab_log_int ("view_age_ms",
--- a/src/gateway_reply_task.c
+++ b/src/gateway_reply_task.c
@@ -26,7 +26,8 @@
 {
   const char *host = flow->req ? ab_gateway_flow_header (flow, "Host") : NULL;
 
-  AB_LOG (AB_LOG_WARN, "request_odd", ab_log_str ("id", flow->id),
+  AB_LOG (AB_LOG_WARN, "request_odd",
+          ab_log_chunk ("id", ab_buf_chunk (&flow->id)),
           ab_log_int ("status", status), ab_log_str ("code", code),
           ab_log_str ("verdict", ab_verdict_name (flow->verdict)),
           ab_log_str ("authority", host),
@@ -52,7 +53,8 @@
     }
   AB_LOG (
       ordinary ? AB_LOG_INFO : AB_LOG_WARN,
-      ordinary ? "request" : "request_odd", ab_log_str ("id", flow->id),
+      ordinary ? "request" : "request_odd",
+      ab_log_chunk ("id", ab_buf_chunk (&flow->id)),
       ab_log_int ("status", status), ab_log_str ("code", code),
       ab_log_str ("verdict", ab_verdict_name (flow->verdict)),
       ab_log_str ("route", flow->route->name),
@@ -147,9 +149,9 @@
       snprintf (text, sizeof text, "%.2f", (double)retry_ms / 1000);
       evhttp_add_header (headers, "Retry-After", text);
     }
-  if (flow->id[0])
+  if (flow->id.len > 0)
     evhttp_add_header (headers, flow->env->settings->headers.request_id,
-                       flow->id);
+                       flow->id.data);
   evhttp_add_header (headers, "Content-Type", "application/json");
   if (body)
     evbuffer_add_printf (body, "{\"code\":\"%s\",\"verdict\":\"%s\"}", code,
@@ -176,7 +178,8 @@
   char hex[2 * AB_DIGEST_BYTES + 1];
 
   ab_hex_encode (ab_gateway_flow_content (flow)->bytes, AB_DIGEST_BYTES, hex);
-  AB_LOG (AB_LOG_INFO, "quarantine_rejected", ab_log_str ("id", flow->id),
+  AB_LOG (AB_LOG_INFO, "quarantine_rejected",
+          ab_log_chunk ("id", ab_buf_chunk (&flow->id)),
           ab_log_str ("content", hex),
           ab_log_int ("left_ms", (int64_t)left_ms));
   ++*ab_gateway_flow_counter (flow, "ab_quarantine_rejected_total");
--- a/src/upstream_pool_task.c
+++ b/src/upstream_pool_task.c
@@ -267,10 +267,11 @@
 
 struct ab_connection *
 ab_pools_take (struct ab_pools *pools, const char *address,
-               uint64_t max_connections, uint64_t idle_ms)
+               uint64_t max_connections, uint64_t idle_ms, bool unused)
 {
   struct ab_pool *pool = find_pool (pools, address);
-  struct ab_connection *connection = pool ? take_idle (pool, idle_ms) : NULL;
+  struct ab_connection *connection
+      = pool && !unused ? take_idle (pool, idle_ms) : NULL;
 
   if (pool && !connection)
     {
--- a/src/upstream_pool_task.h
+++ b/src/upstream_pool_task.h
@@ -46,11 +46,11 @@
 /* Returns a connection to ADDRESS, idle or new, which is busy from then on;
    null when MAX_CONNECTIONS (0: no bound) are busy or memory runs out.  An
    idle connection is reused only within IDLE_MS (0: no bound) of its last
-   use.  */
+   use, and only when UNUSED is false.  */
 struct ab_connection *ab_pools_take (struct ab_pools *pools,
                                      const char *address,
                                      uint64_t max_connections,
-                                     uint64_t idle_ms);
+                                     uint64_t idle_ms, bool unused);
 
 /* Ends the use of a busy connection, which may carry another request only when
    KEEP is true.  May be called from the evhttp callbacks of CONNECTION.  */
--- a/src/upstream_task.c
+++ b/src/upstream_task.c
@@ -21,9 +21,6 @@
 #define HTTP_MISDIRECTED 421
 #define HTTP_SERVER_ERROR 500
 #define HTTP_STATUS_END 600 /* One above the largest status.  */
-/* Size of the longest header value that a response must echo, with its null
-   byte.  */
-#define AB_ECHO_BYTES 256
 /* Interval of the checks of the memory that responses hold, while there are
    any calls.  */
 #define SWEEP_MS 20
@@ -64,7 +61,7 @@
   bool head;
   struct event *connect_timer; /* Connect timeout.  */
   const char *echo_name;
-  char echo_value[AB_ECHO_BYTES];
+  struct ab_buf echo_value;
   const char *stamp_name;
   const char *not_run_name;
   bool accept_unframed;
@@ -96,6 +93,7 @@
   event_free (call->timer);
   if (call->connect_timer)
     event_free (call->connect_timer);
+  ab_buf_free (&call->echo_value);
   free (call);
 }
 
@@ -143,10 +141,20 @@
   return framing == AB_FRAMING_CHUNKED || call->accept_unframed;
 }
 
+/* Returns whether the request of CALL has a value that its response must
+   echo.  */
 static bool
-checks_echo (const struct ab_upstream_call *call)
+has_echo (const struct ab_upstream_call *call)
 {
-  return call->echo_name && call->echo_value[0];
+  return call->echo_name && call->echo_value.len > 0;
+}
+
+/* Returns whether the connection of CALL carries no other request, before or
+   after.  */
+static bool
+is_connection_exclusive (const struct ab_upstream_call *call)
+{
+  return call->echo_name && call->echo_value.len == 0;
 }
 
 /* Returns whether the response belongs to the request of CALL.  One without
@@ -157,11 +165,13 @@
 {
   const char *value;
 
-  if (!checks_echo (call))
+  if (!has_echo (call))
     return true;
   value = evhttp_find_header (evhttp_request_get_input_headers (req),
                               call->echo_name);
-  return value && strcmp (value, call->echo_value) == 0;
+  return value
+         && ab_chunk_equal (ab_chunk_str (value),
+                            ab_buf_chunk (&call->echo_value));
 }
 
 static bool
@@ -306,7 +316,8 @@
          request when a copy of it followed.  */
       keep = evbuffer_get_length (bufferevent_get_input (connection->bev)) == 0
              && bufferevent_getfd (connection->bev) >= 0
-             && !(call->attempt.shed && !checks_echo (call));
+             && !is_connection_exclusive (call)
+             && !(call->attempt.shed && !has_echo (call));
     }
   ab_connection_return (connection, keep);
   end_call (call, call->attempt.end == AB_ATTEMPT_RESPONSE ? req : NULL);
@@ -590,11 +601,9 @@
   if (!call)
     return NULL;
   call->timer = evtimer_new (upstream->daemon->base, on_timer, call);
-  if (!call->timer)
-    {
-      free (call);
-      return NULL;
-    }
+  if (!call->timer
+      || ab_buf_append_chunk (&call->echo_value, request->echo_value) < 0)
+    goto fail;
   call->upstream = upstream;
   call->callback = callback;
   call->ctx = ctx;
@@ -603,15 +612,12 @@
   DL_APPEND (upstream->calls, call);
   arm_sweep (upstream);
   call->echo_name = request->echo_name;
-  if (!ab_chunk_copy (ab_chunk_str (request->echo_value), call->echo_value,
-                      sizeof call->echo_value))
-    call->echo_name = NULL;
   call->stamp_name = request->stamp_name;
   call->not_run_name = request->not_run_name;
   call->accept_unframed = request->accept_unframed;
-  call->connection
-      = ab_pools_take (upstream->pools, request->target,
-                       request->max_connections, idle_bound (request));
+  call->connection = ab_pools_take (
+      upstream->pools, request->target, request->max_connections,
+      idle_bound (request), is_connection_exclusive (call));
   if (!call->connection)
     {
       end_unsent (call, AB_ATTEMPT_FULL);
@@ -629,6 +635,12 @@
     }
   call->starting = false;
   return call;
+fail:
+  if (call->timer)
+    event_free (call->timer);
+  ab_buf_free (&call->echo_value);
+  free (call);
+  return NULL;
 }
 
 struct ab_attempt
--- a/src/upstream_task.h
+++ b/src/upstream_task.h
@@ -49,11 +49,12 @@
      bound.  */
   uint64_t idle_ms;
   uint64_t connect_ms; /* Timeout until the first byte is sent; 0: none.  */
-  /* A response must have the header ECHO_NAME with the value ECHO_VALUE:
-     otherwise it may belong to another request and counts as malformed.  A
-     null name or an empty value: not checked.  */
+  /* A response must have the header ECHO_NAME with the value ECHO_VALUE, which
+     is copied: otherwise it may belong to another request and counts as
+     malformed.  A request with an empty value has a connection of its own, as
+     nothing else assigns a response to it.  Null: targets echo nothing.  */
   const char *echo_name;
-  const char *echo_value;
+  struct ab_chunk echo_value;
   /* Name of the header that a success (2xx) must have, otherwise it counts as
      malformed.  Null: not checked.  */
   const char *stamp_name;
