Route table: memory in proportion to the routes

Cause: add_host allocated for each host a list with room for all routes of the configuration, so that a table took 141 MB; two tables are in memory while a bundle is replaced, and requests in progress keep older ones.

Evidence: memory_grows_with_routes on the code before: 500 routes took 2,762,256 bytes (433,932 allowed). finds_hosts_with_ports failed too: a host with a port was stored with it and never found, and all IPv6 addresses were one host.

Change: one list of routes in order of host and prefix, searched for each slash of the path; texts and shares of their own length; services in order of their names, as reading splits compared the names of all services for each share.

--- a/src/fleet_api_task.c
+++ b/src/fleet_api_task.c
@@ -347,12 +347,8 @@
 {
   update_table (api);
   /* Announcements may arrive before the first bundle.  */
-  if (!api->table)
-    return true;
-  for (size_t i = 0; i < ab_route_table_service_count (api->table); i++)
-    if (strcmp (ab_route_table_service (api->table, i)->name, name) == 0)
-      return true;
-  return false;
+  return !api->table
+         || ab_route_table_find_service (api->table, ab_chunk_str (name));
 }
 
 static bool
--- a/src/gateway_reply_task.c
+++ b/src/gateway_reply_task.c
@@ -57,7 +57,7 @@
       ab_log_chunk ("id", ab_buf_chunk (&flow->id)),
       ab_log_int ("status", status), ab_log_str ("code", code),
       ab_log_str ("verdict", ab_verdict_name (flow->verdict)),
-      ab_log_str ("route", flow->route->name),
+      ab_log_chunk ("route", flow->route->name),
       ab_log_str ("service", flow->service->name),
       ab_log_str ("team", flow->team ? flow->team->name : ""),
       ab_log_str ("target", flow->grant.target),
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -3,8 +3,6 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <strings.h>
-#include <uthash.h>
 
 #include "error.h"
 
@@ -21,15 +19,6 @@
         .header_time_ms = 10000,
         .idle_time_ms = 60000 };
 
-/* The routes of one host, longest prefix first.  */
-struct host_routes
-{
-  char host[AB_ROUTE_HOST_BYTES];
-  const struct ab_fleet_route **routes;
-  size_t count;
-  UT_hash_handle hh;
-};
-
 struct ab_route_table
 {
   unsigned references;
@@ -37,10 +26,14 @@
   uint64_t base;
   struct ab_caller_limits limits;
   struct ab_fleet_service *services;
+  /* The services in order of their names.  */
+  const struct ab_fleet_service **services_by_name;
   size_t service_count;
   struct ab_fleet_route *routes;
+  /* The routes in order of their hosts and prefixes.  */
+  const struct ab_fleet_route **routes_by_path;
   size_t route_count;
-  struct host_routes *hosts;
+  size_t longest_prefix;       /* Length in bytes.  */
   struct ab_team_table *teams; /* Null: callers need no key.  */
 };
 
@@ -76,21 +69,76 @@
   return 0;
 }
 
+/* Sets *TEXT to the member KEY of OBJECT, a text that fits into SIZE bytes
+   with a null byte.  It lives as long as OBJECT.  */
 static int
-read_text (const json_t *object, const char *key, char *dst, size_t size,
-           char *error)
+read_text (const json_t *object, const char *key, size_t size,
+           struct ab_chunk *text, char *error)
 {
   const json_t *item = json_object_get (object, key);
 
-  if (!json_is_string (item) || json_string_length (item) == 0
-      || !ab_chunk_copy (
-          ab_chunk (json_string_value (item), json_string_length (item)), dst,
-          size))
+  *text = ab_chunk (json_string_value (item), json_string_length (item));
+  if (!json_is_string (item) || text->len == 0 || text->len >= size)
     return fail (error, "'%s' must be a string of 1 to %zu bytes", key,
                  size - 1);
   return 0;
 }
 
+/* Likewise, a copy that the caller frees with free_text.  */
+static int
+copy_text (const json_t *object, const char *key, size_t size,
+           struct ab_chunk *text, char *error)
+{
+  struct ab_chunk found;
+  int rc = read_text (object, key, size, &found, error);
+
+  if (rc < 0)
+    return rc;
+  text->data = strndup (found.data, found.len);
+  text->len = text->data ? found.len : 0;
+  return text->data ? 0 : AB_ERR_MEMORY;
+}
+
+static void
+free_text (struct ab_chunk *text)
+{
+  free ((char *)text->data);
+}
+
+static int
+compare_texts (struct ab_chunk a, struct ab_chunk b)
+{
+  size_t shorter = a.len < b.len ? a.len : b.len;
+  int order = shorter > 0 ? memcmp (a.data, b.data, shorter) : 0;
+
+  return order != 0 ? order : (a.len > b.len) - (a.len < b.len);
+}
+
+static int
+compare_services (const void *a, const void *b)
+{
+  const struct ab_fleet_service *const *left = a;
+  const struct ab_fleet_service *const *right = b;
+  int order = strcmp ((*left)->name, (*right)->name);
+
+  /* Of several with the same name, the first one in the list counts.  */
+  return order != 0 ? order : (*left > *right) - (*left < *right);
+}
+
+static int
+index_services (struct ab_route_table *table)
+{
+  table->services_by_name = calloc (table->service_count + 1,
+                                    sizeof (const struct ab_fleet_service *));
+  if (!table->services_by_name)
+    return AB_ERR_MEMORY;
+  for (size_t i = 0; i < table->service_count; i++)
+    table->services_by_name[i] = &table->services[i];
+  qsort (table->services_by_name, table->service_count,
+         sizeof (const struct ab_fleet_service *), compare_services);
+  return 0;
+}
+
 static int
 read_services (struct ab_route_table *table, const json_t *list, char *error)
 {
@@ -107,30 +155,19 @@
     {
       const json_t *item = json_array_get (list, i);
       struct ab_fleet_service *service = &table->services[i];
-      rc = read_text (item, "name", service->name, sizeof service->name,
-                      error);
+      struct ab_chunk name;
+      rc = read_text (item, "name", sizeof service->name, &name, error);
+      if (rc == 0)
+        ab_chunk_copy_bounded (name, service->name, sizeof service->name);
       if (rc == 0 && json_object_get (item, "probe_path"))
-        rc = read_text (item, "probe_path", service->probe_path,
-                        sizeof service->probe_path, error);
+        rc = copy_text (item, "probe_path", AB_ROUTE_PATH_BYTES,
+                        &service->probe_path, error);
       if (rc == 0)
         rc = read_number (item, "connections", false, 0, &service->connections,
                           error);
       table->service_count = i + 1;
     }
-  return rc;
-}
-
-static int
-find_service (const struct ab_route_table *table, const char *name,
-              size_t *index, char *error)
-{
-  for (size_t i = 0; i < table->service_count; i++)
-    if (strcmp (table->services[i].name, name) == 0)
-      {
-        *index = i;
-        return 0;
-      }
-  return fail (error, "the service '%s' is not in 'services'", name);
+  return rc < 0 ? rc : index_services (table);
 }
 
 static int
@@ -138,13 +175,17 @@
            const json_t *item, uint64_t weight, char *error)
 {
   struct ab_route_share *share = &route->shares[route->share_count];
-  char name[AB_NAME_BYTES];
-  int rc = read_text (item, "service", name, sizeof name, error);
+  const struct ab_fleet_service *service;
+  struct ab_chunk name;
+  int rc = read_text (item, "service", AB_NAME_BYTES, &name, error);
 
-  if (rc == 0)
-    rc = find_service (table, name, &share->service, error);
   if (rc < 0)
     return rc;
+  service = ab_route_table_find_service (table, name);
+  if (!service)
+    return fail (error, "the service '%.*s' is not in 'services'",
+                 AB_CHUNK_ARGS (name));
+  share->service = (size_t)(service - table->services);
   share->weight = weight;
   route->weight_sum += weight;
   route->share_count++;
@@ -161,6 +202,9 @@
   if (!json_is_array (list) || count == 0 || count > AB_ROUTE_SHARES_MAX)
     return fail (error, "'split' must be a list of 1 to %d services",
                  AB_ROUTE_SHARES_MAX);
+  route->shares = calloc (count, sizeof *route->shares);
+  if (!route->shares)
+    return AB_ERR_MEMORY;
   for (size_t i = 0; i < count && rc == 0; i++)
     {
       const json_t *item = json_array_get (list, i);
@@ -171,7 +215,7 @@
     }
   if (rc == 0 && route->weight_sum == 0)
     return fail (error, "the weights in 'split' of route '%s' add up to 0",
-                 route->name);
+                 route->name.data);
   return rc;
 }
 
@@ -195,7 +239,7 @@
   const char *kind = json_string_value (json_object_get (item, "kind"));
 
   if (!kind)
-    return fail (error, "route '%s' has no 'kind'", route->name);
+    return fail (error, "route '%s' has no 'kind'", route->name.data);
   for (size_t i = 0; i < ROUTE_KINDS; i++)
     if (strcmp (kind, route_kinds[i].name) == 0)
       {
@@ -206,7 +250,7 @@
   return fail (error,
                "the kind '%s' of route '%s' is not idempotent, download or "
                "once",
-               kind, route->name);
+               kind, route->name.data);
 }
 
 static int
@@ -225,23 +269,22 @@
     return fail (error,
                  "'objective_ms' of route '%s' is far above its "
                  "'timeout_ms'",
-                 route->name);
+                 route->name.data);
   return 0;
 }
 
 static int
 read_prefix (struct ab_fleet_route *route, const json_t *item, char *error)
 {
-  size_t len;
+  const struct ab_chunk *prefix = &route->prefix;
   int rc
-      = read_text (item, "prefix", route->prefix, sizeof route->prefix, error);
+      = copy_text (item, "prefix", AB_ROUTE_PATH_BYTES, &route->prefix, error);
 
   if (rc < 0)
     return rc;
-  len = strlen (route->prefix);
-  if (route->prefix[0] != '/' || route->prefix[len - 1] != '/')
+  if (prefix->data[0] != '/' || prefix->data[prefix->len - 1] != '/')
     return fail (error, "the prefix '%s' must begin and end with a slash",
-                 route->prefix);
+                 prefix->data);
   return 0;
 }
 
@@ -252,7 +295,7 @@
 
   if (no_key && !json_is_boolean (no_key) && !json_is_null (no_key))
     return fail (error, "'no_key' of route '%s' must be true or false",
-                 route->name);
+                 route->name.data);
   route->no_key = json_is_true (no_key);
   return 0;
 }
@@ -262,7 +305,7 @@
             const json_t *item, char *error)
 {
   const json_t *split = json_object_get (item, "split");
-  int rc = read_text (item, "name", route->name, sizeof route->name, error);
+  int rc = copy_text (item, "name", AB_NAME_BYTES, &route->name, error);
 
   route->attempts = 1;
   if (rc == 0)
@@ -283,35 +326,59 @@
     route->attempts = ATTEMPTS_MAX;
   if (split && !json_is_null (split))
     return read_split (table, route, split, error);
-  return add_share (table, route, item, 1, error);
+  route->shares = calloc (1, sizeof *route->shares);
+  return route->shares ? add_share (table, route, item, 1, error)
+                       : AB_ERR_MEMORY;
 }
 
-static void
-to_lower_case (char *text)
+/* Returns the length of HOST without its port.  */
+static size_t
+host_name_len (struct ab_chunk host)
+{
+  /* An IPv6 address is in brackets.  */
+  bool bracketed = host.len > 0 && host.data[0] == '[';
+  const char *end = host.len > 0
+                        ? memchr (host.data, bracketed ? ']' : ':', host.len)
+                        : NULL;
+
+  return end ? (size_t)(end - host.data) + bracketed : host.len;
+}
+
+/* Writes HOST to NAME in lower case and without its port.  Returns false when
+   it is too long.  */
+static bool
+normalise_host (struct ab_chunk host, char name[AB_ROUTE_HOST_BYTES])
 {
-  for (; *text; text++)
-    if (*text >= 'A' && *text <= 'Z')
-      *text = (char)(*text - 'A' + 'a');
+  host.len = host_name_len (host);
+  if (!ab_chunk_copy (host, name, AB_ROUTE_HOST_BYTES))
+    return false;
+  for (; *name; name++)
+    if (*name >= 'A' && *name <= 'Z')
+      *name = (char)(*name - 'A' + 'a');
+  return true;
 }
 
 static int
 read_host (struct ab_route_table *table, const json_t *item, char *error)
 {
   const json_t *list = json_object_get (item, "prefixes");
-  char host[AB_ROUTE_HOST_BYTES];
-  int rc = read_text (item, "host", host, sizeof host, error);
+  char name[AB_ROUTE_HOST_BYTES] = "";
+  struct ab_chunk host;
+  int rc = read_text (item, "host", AB_ROUTE_HOST_BYTES, &host, error);
 
   if (rc < 0)
     return rc;
-  to_lower_case (host);
   if (!json_is_array (list))
-    return fail (error, "host '%s' must have a list 'prefixes'", host);
+    return fail (error, "host '%s' must have a list 'prefixes'", host.data);
+  normalise_host (host, name);
   for (size_t i = 0; i < json_array_size (list) && rc == 0; i++)
     {
-      struct ab_fleet_route *route = &table->routes[table->route_count];
-      memcpy (route->host, host, sizeof host);
+      struct ab_fleet_route *route = &table->routes[table->route_count++];
+      route->host.data = strdup (name);
+      if (!route->host.data)
+        return AB_ERR_MEMORY;
+      route->host.len = strlen (name);
       rc = read_route (table, route, json_array_get (list, i), error);
-      table->route_count++;
     }
   return rc;
 }
@@ -362,84 +429,39 @@
   return rc;
 }
 
-static struct host_routes *
-find_host (const struct ab_route_table *table, struct ab_chunk host)
-{
-  struct host_routes *found = NULL;
-  char name[AB_ROUTE_HOST_BYTES];
-  const char *port = memchr (host.data, ':', host.len);
-
-  if (port)
-    host.len = (size_t)(port - host.data);
-  if (!ab_chunk_copy (host, name, sizeof name))
-    return NULL;
-  to_lower_case (name);
-  HASH_FIND_STR (table->hosts, name, found);
-  return found;
-}
-
 static int
-compare_prefix_length (const void *a, const void *b)
+compare_paths (const void *a, const void *b)
 {
   const struct ab_fleet_route *const *left = a;
   const struct ab_fleet_route *const *right = b;
-  size_t left_len = strlen ((*left)->prefix);
-  size_t right_len = strlen ((*right)->prefix);
+  int order = compare_texts ((*left)->host, (*right)->host);
 
-  if (left_len != right_len)
-    return left_len < right_len ? 1 : -1;
-  return strcmp ((*left)->prefix, (*right)->prefix);
-}
-
-static struct host_routes *
-add_host (struct ab_route_table *table, const char *name)
-{
-  struct host_routes *host = calloc (1, sizeof *host);
-
-  if (!host)
-    return NULL;
-  host->routes
-      = calloc (table->route_count, sizeof (const struct ab_fleet_route *));
-  if (!host->routes)
-    {
-      free (host);
-      return NULL;
-    }
-  ab_chunk_copy_bounded (ab_chunk_str (name), host->host, sizeof host->host);
-  HASH_ADD_STR (table->hosts, host, host);
-  return host;
-}
-
-static int
-index_route (struct ab_route_table *table, const struct ab_fleet_route *route)
-{
-  struct host_routes *host = find_host (table, ab_chunk_str (route->host));
-
-  if (!host)
-    host = add_host (table, route->host);
-  if (!host)
-    return AB_ERR_MEMORY;
-  host->routes[host->count++] = route;
-  return 0;
+  return order != 0 ? order
+                    : compare_texts ((*left)->prefix, (*right)->prefix);
 }
 
 static int
 index_routes (struct ab_route_table *table, char *error)
 {
-  int rc = 0;
+  const struct ab_fleet_route **list = calloc (
+      table->route_count + 1, sizeof (const struct ab_fleet_route *));
 
-  for (size_t i = 0; i < table->route_count && rc == 0; i++)
-    rc = index_route (table, &table->routes[i]);
-  for (struct host_routes *h = table->hosts; h && rc == 0; h = h->hh.next)
+  if (!list)
+    return AB_ERR_MEMORY;
+  table->routes_by_path = list;
+  for (size_t i = 0; i < table->route_count; i++)
     {
-      qsort (h->routes, h->count, sizeof (const struct ab_fleet_route *),
-             compare_prefix_length);
-      for (size_t i = 1; i < h->count; i++)
-        if (strcmp (h->routes[i]->prefix, h->routes[i - 1]->prefix) == 0)
-          return fail (error, "host '%s' has the prefix '%s' twice", h->host,
-                       h->routes[i]->prefix);
+      list[i] = &table->routes[i];
+      if (list[i]->prefix.len > table->longest_prefix)
+        table->longest_prefix = list[i]->prefix.len;
     }
-  return rc;
+  qsort (list, table->route_count, sizeof (const struct ab_fleet_route *),
+         compare_paths);
+  for (size_t i = 1; i < table->route_count; i++)
+    if (compare_paths (&list[i - 1], &list[i]) == 0)
+      return fail (error, "host '%s' has the prefix '%s' twice",
+                   list[i]->host.data, list[i]->prefix.data);
+  return 0;
 }
 
 static int
@@ -522,21 +544,21 @@
 void
 ab_route_table_unref (struct ab_route_table *table)
 {
-  struct host_routes *host;
-  struct host_routes *next;
-
   if (!table || --table->references > 0)
     return;
-  host = table->hosts;
-  HASH_CLEAR (hh, table->hosts);
-  for (; host; host = next)
+  for (size_t i = 0; i < table->route_count; i++)
     {
-      next = host->hh.next;
-      free (host->routes);
-      free (host);
+      free_text (&table->routes[i].name);
+      free_text (&table->routes[i].host);
+      free_text (&table->routes[i].prefix);
+      free (table->routes[i].shares);
     }
+  for (size_t i = 0; i < table->service_count; i++)
+    free_text (&table->services[i].probe_path);
   ab_team_table_free (table->teams);
+  free (table->services_by_name);
   free (table->services);
+  free (table->routes_by_path);
   free (table->routes);
   free (table);
 }
@@ -577,18 +599,72 @@
   return &table->services[index];
 }
 
+const struct ab_fleet_service *
+ab_route_table_find_service (const struct ab_route_table *table,
+                             struct ab_chunk name)
+{
+  const struct ab_fleet_service *const *list = table->services_by_name;
+  size_t low = 0;
+  size_t high = table->service_count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+      if (compare_texts (ab_chunk_str (list[middle]->name), name) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low < table->service_count
+                 && ab_chunk_equal (ab_chunk_str (list[low]->name), name)
+             ? list[low]
+             : NULL;
+}
+
+/* Returns the first route, by host and prefix, that is not before HOST and
+   PREFIX, or null.  */
+static const struct ab_fleet_route *
+first_route_from (const struct ab_route_table *table, struct ab_chunk host,
+                  struct ab_chunk prefix)
+{
+  const struct ab_fleet_route wanted = { .host = host, .prefix = prefix };
+  const struct ab_fleet_route *key = &wanted;
+  size_t low = 0;
+  size_t high = table->route_count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+      if (compare_paths (&table->routes_by_path[middle], &key) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low < table->route_count ? table->routes_by_path[low] : NULL;
+}
+
 const struct ab_fleet_route *
 ab_route_table_find (const struct ab_route_table *table, struct ab_chunk host,
                      struct ab_chunk path)
 {
-  const struct host_routes *routes = find_host (table, host);
+  char name[AB_ROUTE_HOST_BYTES];
+  struct ab_chunk prefix = path;
 
-  for (size_t i = 0; routes && i < routes->count; i++)
+  if (!normalise_host (host, name))
+    return NULL;
+  host = ab_chunk_str (name);
+  if (prefix.len > table->longest_prefix)
+    prefix.len = table->longest_prefix;
+  /* Every prefix ends with a slash.  */
+  for (; prefix.len > 0; prefix.len--)
     {
-      size_t len = strlen (routes->routes[i]->prefix);
-      if (path.len >= len
-          && memcmp (path.data, routes->routes[i]->prefix, len) == 0)
-        return routes->routes[i];
+      const struct ab_fleet_route *route;
+      if (prefix.data[prefix.len - 1] != '/')
+        continue;
+      route = first_route_from (table, host, prefix);
+      if (route && ab_chunk_equal (route->host, host)
+          && ab_chunk_equal (route->prefix, prefix))
+        return route;
     }
   return NULL;
 }
@@ -597,7 +673,14 @@
 ab_route_table_has_host (const struct ab_route_table *table,
                          struct ab_chunk host)
 {
-  return find_host (table, host) != NULL;
+  char name[AB_ROUTE_HOST_BYTES];
+  const struct ab_fleet_route *route;
+
+  if (!normalise_host (host, name))
+    return false;
+  host = ab_chunk_str (name);
+  route = first_route_from (table, host, ab_chunk (NULL, 0));
+  return route && ab_chunk_equal (route->host, host);
 }
 
 bool
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -1,8 +1,9 @@
 /* Routes, services, limits and teams of a fleet's bundle.
 
    The text is a JSON object; docs/fleet.md describes it.  A table is immutable
-   once parsed and is shared by reference count.  Durations are in
-   milliseconds.  No I/O.  */
+   once parsed and is shared by reference count.  Requests keep the table that
+   they began with, so that several may be in memory: a table takes memory in
+   proportion to its text.  Durations are in milliseconds.  No I/O.  */
 
 #ifndef AB_ROUTE_TABLE_H
 #define AB_ROUTE_TABLE_H
@@ -31,11 +32,12 @@
   uint64_t weight;
 };
 
+/* Texts are followed by a null byte.  */
 struct ab_fleet_route
 {
-  char name[AB_NAME_BYTES];
-  char host[AB_ROUTE_HOST_BYTES];
-  char prefix[AB_ROUTE_PATH_BYTES];
+  struct ab_chunk name;
+  struct ab_chunk host; /* In lower case, without a port.  */
+  struct ab_chunk prefix;
   bool idempotent;
   /* Responses are large: targets in the gateway's failure domain are
      preferred.  */
@@ -45,7 +47,7 @@
   uint64_t objective_ms; /* Latency objective.  */
   uint64_t attempts;     /* Maximum number of targets that one request is sent
                             to.  */
-  struct ab_route_share shares[AB_ROUTE_SHARES_MAX];
+  struct ab_route_share *shares;
   size_t share_count;
   uint64_t weight_sum;
   bool no_key; /* Requests need no key of a team.  */
@@ -54,7 +56,7 @@
 struct ab_fleet_service
 {
   char name[AB_NAME_BYTES];
-  char probe_path[AB_ROUTE_PATH_BYTES];
+  struct ab_chunk probe_path; /* Empty: none.  */
   /* Limit of a target's connections from all hosts together.  */
   uint64_t connections;
 };
@@ -87,6 +89,10 @@
 size_t ab_route_table_service_count (const struct ab_route_table *table);
 const struct ab_fleet_service *
 ab_route_table_service (const struct ab_route_table *table, size_t index);
+/* Returns the service NAME, or null.  */
+const struct ab_fleet_service *
+ab_route_table_find_service (const struct ab_route_table *table,
+                             struct ab_chunk name);
 
 /* Returns the route of HOST with the longest prefix of PATH, or null.  The
    port and the case of HOST are ignored.  */
--- a/tests/test_route_table.c
+++ b/tests/test_route_table.c
@@ -1,7 +1,10 @@
 /* Routes, services and limits of a fleet's bundle.  */
 
-#include "route_table.h"
+#include <malloc.h>
+
+#include "buf.h"
 #include "error.h"
+#include "route_table.h"
 #include "suite_lib.h"
 
 #define SERVICES                                                              \
@@ -55,10 +58,10 @@
   route = ab_route_table_find (table, AB_CHUNK ("shop.EXAMPLE:80"),
                                AB_CHUNK ("/x/y/z"));
   ck_assert_ptr_nonnull (route);
-  ck_assert_str_eq (route->prefix, "/x/y/");
+  ck_assert_str_eq (route->prefix.data, "/x/y/");
   route = ab_route_table_find (table, AB_CHUNK ("shop.example"),
                                AB_CHUNK ("/x/yy"));
-  ck_assert_str_eq (route->prefix, "/x/");
+  ck_assert_str_eq (route->prefix.data, "/x/");
   ck_assert_ptr_null (
       ab_route_table_find (table, AB_CHUNK ("shop.example"), AB_CHUNK ("/x")));
   ck_assert_ptr_null (ab_route_table_find (table, AB_CHUNK ("other.example"),
@@ -240,6 +243,75 @@
 }
 END_TEST
 
-SUITE_MAIN ("route_table", 10, finds_longest_prefix, splits_by_weight,
+#define PREFIX_LEN 100
+
+/* Returns the bytes of heap that a table of COUNT routes takes, each with a
+   host of its own.  */
+static size_t
+heap_of_routes (int count)
+{
+  struct ab_buf text = AB_BUF_INIT;
+  struct ab_route_table *table;
+  size_t before;
+  size_t taken;
+
+  ab_buf_append_str (&text, "{\"version\":7,\"base_version\":5," SERVICES
+                            "," LIMITS ",\"hosts\":[");
+  for (int i = 0; i < count; i++)
+    ab_buf_printf (&text,
+                   "%s{\"host\":\"host-%d.example\",\"prefixes\":["
+                   "{\"name\":\"r%d\",\"prefix\":\"/%0*d/\",\"kind\":"
+                   "\"once\",\"timeout_ms\":1000,\"service\":\"a\"}]}",
+                   i ? "," : "", i, i, PREFIX_LEN, i);
+  ab_buf_append_str (&text, "]}");
+  before = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
+  table = parse (text.data);
+  taken = mallinfo2 ().uordblks + mallinfo2 ().hblkhd - before;
+  ck_assert_uint_eq (ab_route_table_route_count (table), count);
+  ck_assert_uint_lt (taken, 4 * text.len);
+  ab_route_table_unref (table);
+  ab_buf_free (&text);
+  return taken;
+}
+
+/* Guards against a table whose memory grows with the product of its routes and
+   hosts.  */
+START_TEST (memory_grows_with_routes)
+{
+  size_t least = heap_of_routes (500);
+
+  for (int factor = 2; factor <= 8; factor *= 2)
+    ck_assert_uint_lt (heap_of_routes (500 * factor),
+                       least * (size_t)factor * 5 / 4);
+}
+END_TEST
+
+/* Guards against routes that are never found because their host is written
+   with a port, and against IPv6 addresses that are taken for each other.  */
+START_TEST (finds_hosts_with_ports)
+{
+  struct ab_route_table *table = parse (
+      "{\"version\":7,\"base_version\":5," SERVICES "," LIMITS
+      ",\"hosts\":[{\"host\":\"a.example:80\",\"prefixes\":[" ROUTE (
+          "/x/", "\"service\":\"a\"") "]},"
+                                      "{\"host\":\"[2001:db8::1]\","
+                                      "\"prefixes\":[" ROUTE (
+                                          "/x/", "\"service\":\"b\"") "]}]"
+                                                                      "}");
+
+  ck_assert_ptr_nonnull (
+      ab_route_table_find (table, AB_CHUNK ("A.example"), AB_CHUNK ("/x/1")));
+  ck_assert_ptr_nonnull (ab_route_table_find (
+      table, AB_CHUNK ("[2001:db8::1]:8080"), AB_CHUNK ("/x/1")));
+  ck_assert_ptr_null (ab_route_table_find (table, AB_CHUNK ("[2001:db8::2]"),
+                                           AB_CHUNK ("/x/1")));
+  ck_assert (ab_route_table_has_host (table, AB_CHUNK ("a.example:443")));
+  ck_assert (!ab_route_table_has_host (table, AB_CHUNK ("a.exampl")));
+  ab_route_table_unref (table);
+}
+END_TEST
+
+SUITE_MAIN ("route_table", 10, memory_grows_with_routes,
+            finds_hosts_with_ports, finds_longest_prefix, splits_by_weight,
             accepts_all_kinds, rejects_invalid, accepts_unusual_but_valid,
             finds_teams_by_key, rejects_invalid_teams, reasons_hold_no_key)
