Headers: linear work for those of a single connection

Cause: ab_http_hop_by_hop walked through all headers for each header, and through the list of each Connection header, to see whether it names the header: the square of the lines.

Change: the names are collected and sorted once a message and found by binary search, in responses and in requests of gateways and of entry hosts. The digest of a body goes on from its last place instead of seeking it from the start. A gateway without memory for a response's headers answers 502 instead of leaving headers out.

--- a/src/gateway_attempt_task.c
+++ b/src/gateway_attempt_task.c
@@ -339,7 +339,8 @@
 /* Returns whether the header NAME with VALUE is forwarded to a target
    unchanged.  */
 static bool
-is_forwarded (const struct ab_gateway_flow *flow, const char *name,
+is_forwarded (const struct ab_gateway_flow *flow,
+              const struct ab_http_options *options, const char *name,
               const char *value)
 {
   const struct ab_header_names *names = &flow->env->settings->headers;
@@ -349,23 +350,29 @@
          && strcasecmp (name, "Content-Length") != 0
          && strcasecmp (name, "Expect") != 0
          && ab_gateway_team_forwards (flow, name, value)
-         && !ab_http_hop_by_hop (evhttp_request_get_input_headers (flow->req),
-                                 name);
+         && !ab_http_hop_by_hop (options, name);
 }
 
 static int
 print_headers (struct ab_gateway_flow *flow, struct ab_buf *lines)
 {
   const struct ab_header_names *names = &flow->env->settings->headers;
+  const struct evkeyvalq *headers
+      = evhttp_request_get_input_headers (flow->req);
   const struct evkeyval *item;
+  struct ab_http_options options;
+  int rc = ab_http_options_read (headers, &options);
 
-  TAILQ_FOREACH (item, evhttp_request_get_input_headers (flow->req), next)
-  if (is_forwarded (flow, item->key, item->value))
+  if (rc < 0)
+    return rc;
+  TAILQ_FOREACH (item, headers, next)
+  if (is_forwarded (flow, &options, item->key, item->value))
     ab_buf_printf (lines, "%s: %s\r\n", item->key, item->value);
   ab_buf_printf (lines, "%s: %llu\r\n%s: %s\r\n", names->deadline,
                  (unsigned long long)ab_gateway_flow_time_left (flow),
                  names->incarnation, flow->grant.target);
   ab_gateway_team_print (flow, lines);
+  ab_http_options_free (&options);
   return lines->error;
 }
 
--- a/src/gateway_reply_task.c
+++ b/src/gateway_reply_task.c
@@ -196,8 +196,15 @@
   if (!flow->kept_body)
     return;
   flow->kept_status = result->attempt.status;
-  ab_http_print_response_headers (result->headers, false, &flow->kept_headers);
-  evbuffer_add_buffer (flow->kept_body, result->body);
+  if (ab_http_print_response_headers (result->headers, false,
+                                      &flow->kept_headers)
+          < 0
+      || evbuffer_add_buffer (flow->kept_body, result->body) < 0)
+    {
+      evbuffer_free (flow->kept_body);
+      flow->kept_body = NULL;
+      ab_buf_clear (&flow->kept_headers);
+    }
 }
 
 /* Returns whether callers take STATUS as the statement that their request has
@@ -215,6 +222,7 @@
 {
   struct ab_buf lines = AB_BUF_INIT;
   bool head = evhttp_request_get_command (flow->req) == EVHTTP_REQ_HEAD;
+  int rc;
 
   /* The target does not say that it rejected the request, so it may have run;
      a caller would send it again.  */
@@ -223,9 +231,13 @@
       ab_gateway_reply_error (flow, HTTP_BADGATEWAY, "target-status", 0);
       return;
     }
-  ab_http_print_response_headers (result->headers, head, &lines);
-  ab_http_add_header_lines (ab_buf_chunk (&lines),
-                            evhttp_request_get_output_headers (flow->req));
+  rc = ab_http_print_response_headers (result->headers, head, &lines);
+  if (rc == 0)
+    rc = ab_http_add_header_lines (
+        ab_buf_chunk (&lines), evhttp_request_get_output_headers (flow->req));
   ab_buf_free (&lines);
-  send_reply (flow, result->attempt.status, "response", result->body);
+  if (rc < 0)
+    ab_gateway_reply_error (flow, HTTP_BADGATEWAY, "memory", 0);
+  else
+    send_reply (flow, result->attempt.status, "response", result->body);
 }
--- a/src/http_rules.c
+++ b/src/http_rules.c
@@ -2,6 +2,7 @@
 
 #include <ctype.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <strings.h>
 #include <sys/queue.h>
 
@@ -47,36 +48,97 @@
   return false;
 }
 
+/* Returns the next item of *LIST and moves *LIST behind it; empty at the end
+   of the list.  */
+static struct ab_chunk
+next_item (const char **list)
+{
+  struct ab_chunk item;
+
+  *list += strspn (*list, ", \t");
+  item = ab_chunk (*list, strcspn (*list, ", \t"));
+  *list += item.len;
+  return item;
+}
+
 bool
 ab_http_list_has (const char *list, const char *name)
 {
   size_t len = strlen (name);
+  struct ab_chunk item;
 
-  while (list && *list)
-    {
-      size_t item;
-
-      list += strspn (list, ", \t");
-      item = strcspn (list, ", \t");
-      if (item == len && strncasecmp (list, name, len) == 0)
-        return true;
-      list += item;
-    }
+  while (list && (item = next_item (&list)).len > 0)
+    if (item.len == len && strncasecmp (item.data, name, len) == 0)
+      return true;
   return false;
 }
 
-bool
-ab_http_hop_by_hop (const struct evkeyvalq *headers, const char *name)
+static int
+compare_names (const void *a, const void *b)
+{
+  const struct ab_chunk *left = a;
+  const struct ab_chunk *right = b;
+
+  if (left->len != right->len)
+    return left->len < right->len ? -1 : 1;
+  return strncasecmp (left->data, right->data, left->len);
+}
+
+/* Stores the items of all Connection headers in NAMES, unless that is null,
+   and returns their number.  */
+static size_t
+list_options (const struct evkeyvalq *headers, struct ab_chunk *names)
 {
   const struct evkeyval *header;
+  size_t count = 0;
 
-  if (is_listed (hop_by_hop, COUNT (hop_by_hop), name))
-    return true;
   TAILQ_FOREACH (header, headers, next)
-  if (strcasecmp (header->key, "Connection") == 0
-      && ab_http_list_has (header->value, name))
-    return true;
-  return false;
+  {
+    const char *list = header->value;
+    struct ab_chunk item;
+
+    if (strcasecmp (header->key, "Connection") != 0)
+      continue;
+    for (; (item = next_item (&list)).len > 0; count++)
+      if (names)
+        names[count] = item;
+  }
+  return count;
+}
+
+int
+ab_http_options_read (const struct evkeyvalq *headers,
+                      struct ab_http_options *options)
+{
+  size_t count = list_options (headers, NULL);
+
+  *options = (struct ab_http_options){ .count = 0 };
+  if (count == 0)
+    return 0;
+  options->names = calloc (count, sizeof *options->names);
+  if (!options->names)
+    return AB_ERR_MEMORY;
+  options->count = list_options (headers, options->names);
+  qsort (options->names, count, sizeof *options->names, compare_names);
+  return 0;
+}
+
+void
+ab_http_options_free (struct ab_http_options *options)
+{
+  free (options->names);
+  *options = (struct ab_http_options){ .count = 0 };
+}
+
+bool
+ab_http_hop_by_hop (const struct ab_http_options *options, const char *name)
+{
+  const struct ab_chunk wanted = ab_chunk_str (name);
+
+  return is_listed (hop_by_hop, COUNT (hop_by_hop), name)
+         || (options->count > 0
+             && bsearch (&wanted, options->names, options->count,
+                         sizeof *options->names, compare_names));
 }
 
 int
@@ -159,17 +221,22 @@
                               struct evkeyvalq *to)
 {
   const struct evkeyval *header;
+  struct ab_http_options options;
+  int rc = ab_http_options_read (from, &options);
 
+  if (rc < 0)
+    return rc;
   TAILQ_FOREACH (header, from, next)
   {
-    if (ab_http_hop_by_hop (from, header->key)
+    if (ab_http_hop_by_hop (&options, header->key)
         || is_almond_header (header->key)
         || is_listed (not_forwarded, COUNT (not_forwarded), header->key))
       continue;
     if (evhttp_add_header (to, header->key, header->value) < 0)
-      return AB_ERR_INVALID;
+      rc = AB_ERR_INVALID;
   }
-  return 0;
+  ab_http_options_free (&options);
+  return rc;
 }
 
 int
@@ -177,16 +244,21 @@
                                 struct ab_buf *lines)
 {
   const struct evkeyval *header;
+  struct ab_http_options options;
+  int rc = ab_http_options_read (from, &options);
 
+  if (rc < 0)
+    return rc;
   TAILQ_FOREACH (header, from, next)
   {
-    if (ab_http_hop_by_hop (from, header->key)
+    if (ab_http_hop_by_hop (&options, header->key)
         || is_almond_header (header->key)
         || is_listed (not_returned, COUNT (not_returned), header->key)
         || (!keep_length && strcasecmp (header->key, "Content-Length") == 0))
       continue;
     ab_buf_printf (lines, "%s: %s\r\n", header->key, header->value);
   }
+  ab_http_options_free (&options);
   return lines->error;
 }
 
--- a/src/http_rules.h
+++ b/src/http_rules.h
@@ -37,14 +37,29 @@
    item NAME, ignoring case.  evhttp supports only lists of one item.  */
 bool ab_http_list_has (const char *list, const char *name);
 
+/* The names that the Connection headers of a message list, in an order that
+   allows fast lookups.  They live as long as the message.  */
+struct ab_http_options
+{
+  struct ab_chunk *names;
+  size_t count;
+};
+
+/* Reads the Connection headers in HEADERS into OPTIONS, which the caller frees
+   with ab_http_options_free.  Returns 0 or AB_ERR_MEMORY.  */
+int ab_http_options_read (const struct evkeyvalq *headers,
+                          struct ab_http_options *options);
+void ab_http_options_free (struct ab_http_options *options);
+
 /* Returns whether the header NAME applies to a single connection, either by
-   definition or because the Connection header in HEADERS names it.  */
-bool ab_http_hop_by_hop (const struct evkeyvalq *headers, const char *name);
+   definition or because OPTIONS list it.  */
+bool ab_http_hop_by_hop (const struct ab_http_options *options,
+                         const char *name);
 
 /* Copies the headers of a caller's request that are forwarded to a target: all
    but hop-by-hop headers, those that the proxy sets itself, the caller's
-   credential, and names that start with "Almond-".  Returns 0 or
-   AB_ERR_INVALID.  */
+   credential, and names that start with "Almond-".  Returns 0, AB_ERR_INVALID
+   or AB_ERR_MEMORY.  */
 int ab_http_copy_request_headers (const struct evkeyvalq *from,
                                   struct evkeyvalq *to);
 
--- a/src/request_content.c
+++ b/src/request_content.c
@@ -61,10 +61,12 @@
   ab_digest_add (&stream, ab_chunk (&body_bytes, sizeof body_bytes));
   /* The body is read in place: it may be large, and parts of it may be
      referenced by a connection to a target.  */
-  while (read < len
-         && evbuffer_ptr_set (body, &at, read, EVBUFFER_PTR_SET) == 0)
+  if (evbuffer_ptr_set (body, &at, 0, EVBUFFER_PTR_SET) < 0)
+    len = 0;
+  while (read < len)
     {
       int count = evbuffer_peek (body, -1, &at, pieces, PIECES_MAX);
+      size_t begin = read;
       for (int i = 0; i < count && i < PIECES_MAX; i++)
         {
           size_t part = pieces[i].iov_len < len - read ? pieces[i].iov_len
@@ -72,7 +74,8 @@
           ab_digest_add (&stream, ab_chunk (pieces[i].iov_base, part));
           read += part;
         }
-      if (count <= 0)
+      if (count <= 0
+          || evbuffer_ptr_set (body, &at, read - begin, EVBUFFER_PTR_ADD) < 0)
         break;
     }
   content = ab_digest_end (&stream);
