Scheduler: hosts with broken paths close no targets for others

Cause: two hosts that cannot connect to a target within 4 s closed it for all hosts, also while it responded to the others; so did requests of such hosts that hung. 27 of 139 gateways without a path to 100 and then 221 servers did that again and again.

Evidence: the report of refusals (slots_refused) now says what the slots are doing.

Change: a target that responds to others is not closed because hosts cannot reach it. A host that could not reach two such targets lately is taken for cut off: what it misses counts for its own path only. 32 broken paths are kept for a target instead of 8.

Result: test_scheduler_paths fails before (159 of 240 requests served in a window, 168 asked; 164 with hanging requests) and passes (212 to 227; 170 to 203). All scheduler tests pass.

--- a/src/schedule_serve_task.c
+++ b/src/schedule_serve_task.c
@@ -129,12 +129,33 @@
   *ab_counter (task->daemon->counters, name) += count;
 }
 
+#define CLOSED_BYTES 256
+
+/* Writes to TEXT how many slots of ejected targets are closed by each
+   outcome, as in "unreachable:4,timeout:2".  */
+static void
+print_closed (const struct ab_sched_census *census, char text[CLOSED_BYTES])
+{
+  size_t len = 0;
+
+  text[0] = '\0';
+  for (size_t i = 0; i < AB_TARGET_EVENTS && len < CLOSED_BYTES; i++)
+    if (census->closed[i] > 0)
+      len += (size_t)snprintf (text + len, CLOSED_BYTES - len, "%s%s:%llu",
+                               len ? "," : "",
+                               ab_target_event_name ((enum ab_target_event)i),
+                               (unsigned long long)census->closed[i]);
+}
+
 static void
 on_refused (void *ctx, const char *service, const char *shard,
             const struct ab_sched_refusals *refusals)
 {
   struct ab_schedule_task *task = ctx;
+  const struct ab_sched_census *census = &refusals->census;
+  char closed[CLOSED_BYTES];
 
+  print_closed (census, closed);
   count_refused (task, "full", refusals->full);
   count_refused (task, "rate-limit", refusals->rate_limited);
   count_refused (task, "none", refusals->no_target);
@@ -151,7 +172,15 @@
           ab_log_int ("team_refused", (int64_t)refusals->team_refused),
           ab_log_real ("share", refusals->share),
           ab_log_real ("share_of_all", refusals->share_of_all),
-          ab_log_int ("waiting", (int64_t)refusals->waiting));
+          ab_log_int ("waiting", (int64_t)refusals->waiting),
+          ab_log_int ("slots", (int64_t)census->slots),
+          ab_log_int ("taken", (int64_t)census->taken),
+          ab_log_int ("free_proven", (int64_t)census->free[AB_TARGET_HEALTHY]),
+          ab_log_int ("free_new", (int64_t)census->free[AB_TARGET_UNTESTED]),
+          ab_log_int ("free_trial", (int64_t)census->free[AB_TARGET_SUSPECT]),
+          ab_log_int ("busy", (int64_t)census->busy),
+          ab_log_int ("withheld", (int64_t)census->withheld),
+          ab_log_str ("closed", closed));
 }
 
 static const struct ab_scheduler_ops scheduler_ops
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -535,6 +535,41 @@
     ab_sched_remove_target (s, target);
 }
 
+/* Returns whether EVENT is a response of the target itself.  */
+static bool
+is_response (enum ab_target_event event)
+{
+  return event == AB_TARGET_OK || event == AB_TARGET_ERROR
+         || event == AB_TARGET_SHED;
+}
+
+/* Returns whether EVENT, with which REQUEST ended, says something of the path
+   from its host to TARGET and not of TARGET, and records that.  */
+static bool
+is_path_failure (struct ab_sched_target *target,
+                 const struct ab_sched_request *request,
+                 enum ab_target_event event, uint64_t now_ms)
+{
+  uint64_t host
+      = ab_rendezvous_hash (ab_chunk_str (request->slot_request.host));
+  bool responds_to_others = target->answered_ms > request->granted_ms;
+  size_t broken;
+
+  if (event != AB_TARGET_UNREACHABLE && event != AB_TARGET_TIMEOUT
+      && event != AB_TARGET_LOST)
+    return false;
+  if (event == AB_TARGET_UNREACHABLE && responds_to_others)
+    ab_sched_record_cut_host (target->service, host, now_ms);
+  if (event != AB_TARGET_UNREACHABLE
+      && !ab_sched_host_is_cut (target->service, host, now_ms))
+    return false;
+  broken = ab_sched_record_broken_path (target, host, now_ms);
+  /* Several hosts that cannot connect indicate a target that is down, unless
+     it responds to others or they are cut off from other targets too.  */
+  return broken < PATH_HOSTS_DOWN || responds_to_others
+         || ab_sched_host_is_cut (target->service, host, now_ms);
+}
+
 static void
 record_outcome (struct ab_sched_target *target,
                 const struct ab_sched_request *request,
@@ -546,18 +581,15 @@
       = !request->is_trial && event != AB_TARGET_UNUSED
         && (event == AB_TARGET_OK || !request->slot_request.idempotent
             || request->slot_request.is_retry);
-  uint64_t host
-      = ab_rendezvous_hash (ab_chunk_str (request->slot_request.host));
 
   /* Failures of trial requests are expected, and idempotent first attempts are
      retried elsewhere, so neither counts towards the failure rate.  */
   if (is_counted)
     ab_sched_failure_window_record (&service->failure_window,
                                     event != AB_TARGET_OK, now_ms);
-  /* A single host that cannot connect indicates a broken path; several
-     indicate a target that is down.  */
-  if (event == AB_TARGET_UNREACHABLE
-      && ab_sched_record_broken_path (target, host, now_ms) < PATH_HOSTS_DOWN)
+  if (is_response (event))
+    target->answered_ms = now_ms;
+  if (is_path_failure (target, request, event, now_ms))
     return;
   if (event == AB_TARGET_OK)
     service->latency_ms
@@ -636,7 +668,11 @@
   if (!request->overdue && (double)age_ms > typical_ms * OVERDUE_FACTOR)
     {
       request->overdue = true;
-      ab_target_health_record_overdue (health, now_ms);
+      if (!ab_sched_host_is_cut (
+              request->service,
+              ab_rendezvous_hash (ab_chunk_str (request->slot_request.host)),
+              now_ms))
+        ab_target_health_record_overdue (health, now_ms);
     }
   if ((double)age_ms > stalled_ms
       && request->target->last_ended_ms <= request->granted_ms)
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -144,6 +144,19 @@
   uint64_t free_slots;
 };
 
+/* What the slots of a service in one shard do, as this host knows.  The slots
+   of targets that accept requests are taken, free by the state of their
+   targets, busy, closed or withheld.  */
+struct ab_sched_census
+{
+  uint64_t slots;
+  uint64_t taken; /* Requests in flight, at most the slots.  */
+  uint64_t free[AB_TARGET_EJECTED]; /* By state of the target.  */
+  uint64_t busy; /* Of targets that have just shed a request.  */
+  uint64_t closed[AB_TARGET_EVENTS]; /* Of ejected targets, by outcome.  */
+  uint64_t withheld; /* Left to other hosts that place requests, or cold.  */
+};
+
 /* Why requests of a rank got no slot in the last second or more.  */
 struct ab_sched_refusals
 {
@@ -161,6 +174,7 @@
   double share;
   double share_of_all;
   uint64_t waiting; /* Requests queued for the service.  */
+  struct ab_sched_census census;
 };
 
 struct ab_scheduler_ops
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -21,7 +21,8 @@
 #include "scheduler.h"
 #include "scheduler_shares.h"
 
-#define AB_SCHED_PATHS_MAX 8
+#define AB_SCHED_PATHS_MAX 32
+#define AB_SCHED_CUT_HOSTS_MAX 64
 /* A host whose pause is not recorded rejects grants of the target itself.  */
 #define AB_SCHED_PAUSES_MAX 64
 #define AB_SCHED_BUCKETS 32
@@ -42,6 +43,14 @@
   uint64_t until_ms;
 };
 
+/* A host that could not reach some targets which responded to others.  */
+struct ab_sched_cut_host
+{
+  uint64_t host; /* Rendezvous hash of the host's address.  */
+  uint64_t until_ms;
+  unsigned paths; /* Targets that it could not reach since.  */
+};
+
 struct ab_sched_target
 {
   struct ab_fleet_target fleet_target;
@@ -58,11 +67,13 @@
   uint64_t cold_until_ms;
   uint64_t last_ended_ms;   /* When a request last ended.  */
   uint64_t last_granted_ms; /* When a slot was last granted.  */
+  uint64_t answered_ms;     /* When it last responded to any host.  */
   /* Whether this incarnation was granted a request.  */
   bool used;
   /* Whether this incarnation says that it leaves.  */
   bool leaving;
   struct ab_sched_path broken_paths[AB_SCHED_PATHS_MAX];
+  uint64_t broken_until_ms; /* End of the last of them.  */
   /* Hosts from which it wants no requests for some time.  */
   struct ab_sched_path pauses[AB_SCHED_PAUSES_MAX];
   uint64_t paused_until_ms; /* End of the last of them.  */
@@ -186,6 +197,7 @@
   /* When queued requests were last checked for whether they can be served.  */
   uint64_t last_checked_ms;
   struct ab_sched_order_tests order_tests;
+  struct ab_sched_cut_host cut_hosts[AB_SCHED_CUT_HOSTS_MAX];
   struct ab_sched_bucket buckets[AB_SCHED_BUCKETS];
   uint64_t reserved_retries; /* Of queued requests.  */
   struct ab_sched_role role;
@@ -235,6 +247,14 @@
 size_t ab_sched_record_broken_path (struct ab_sched_target *target,
                                     uint64_t host, uint64_t now_ms);
 
+/* Records that HOST could not reach a target which responded to others.  */
+void ab_sched_record_cut_host (struct ab_sched_service *service, uint64_t host,
+                               uint64_t now_ms);
+/* Returns whether HOST recently could not reach several targets which
+   responded to others, so that what it misses says little about targets.  */
+bool ab_sched_host_is_cut (const struct ab_sched_service *service,
+                           uint64_t host, uint64_t now_ms);
+
 /* Functions of scheduler_failure_window.c.  */
 
 void ab_sched_failure_window_record (struct ab_sched_failure_window *window,
@@ -387,6 +407,8 @@
 
 /* Functions of scheduler_report.c.  */
 
+struct ab_sched_census
+ab_sched_take_census (const struct ab_sched_service *service, uint64_t now_ms);
 /* Reports refusals to the caller of the scheduler, if it is time.  */
 void ab_sched_report_refusals (const struct ab_scheduler *scheduler,
                                struct ab_sched_service *service,
--- a/src/scheduler_report.c
+++ b/src/scheduler_report.c
@@ -1,8 +1,47 @@
+#include <utlist.h>
+
 #include "scheduler_internal.h"
 
 /* Interval of the reports of refusals.  */
 #define REPORT_MS 1000
 
+static void
+count_slots (struct ab_sched_census *census,
+             const struct ab_sched_target *target, uint64_t now_ms)
+{
+  const struct ab_target_health *health = &target->health;
+  enum ab_target_health_state state = ab_target_health_state (health, now_ms);
+  uint64_t slots = target->fleet_target.slots;
+  uint64_t usable = ab_sched_target_slots (target, now_ms);
+  uint64_t taken = target->in_flight < slots ? target->in_flight : slots;
+  uint64_t left = slots - taken;
+  uint64_t room = usable > taken ? usable - taken : 0;
+
+  census->slots += slots;
+  census->taken += taken;
+  if (state == AB_TARGET_EJECTED)
+    census->closed[health->ejected_by] += left;
+  else if (now_ms < health->busy_until_ms)
+    census->busy += left;
+  else
+    {
+      census->free[state] += room;
+      census->withheld += left - room;
+    }
+}
+
+struct ab_sched_census
+ab_sched_take_census (const struct ab_sched_service *service, uint64_t now_ms)
+{
+  struct ab_sched_census census = { 0 };
+  const struct ab_sched_target *target;
+
+  DL_FOREACH (service->targets, target)
+  if (ab_sched_target_accepts (target))
+    count_slots (&census, target, now_ms);
+  return census;
+}
+
 void
 ab_sched_report_refusals (const struct ab_scheduler *s,
                           struct ab_sched_service *service, uint64_t now_ms)
@@ -21,6 +60,7 @@
   while (ab_sched_shares_take_refusals (&service->shares, &refusals, now_ms))
     {
       refusals.waiting = service->waiting_count;
+      refusals.census = ab_sched_take_census (service, now_ms);
       s->ops->refused (s->ctx, name, shard + 1, &refusals);
     }
 }
--- a/src/scheduler_targets.c
+++ b/src/scheduler_targets.c
@@ -9,6 +9,8 @@
 #define LATENCY_DEFAULT_MS 200
 /* How long a path from a host to a target counts as broken.  */
 #define BROKEN_PATH_MS 4000
+/* A host with this many broken paths is cut off from a part of the targets. */
+#define CUT_PATHS 2
 
 struct ab_sched_service *
 ab_sched_get_service (struct ab_scheduler *s, const char *name,
@@ -75,6 +77,7 @@
 {
   memset (&target->health, 0, sizeof target->health);
   memset (target->broken_paths, 0, sizeof target->broken_paths);
+  target->broken_until_ms = 0;
   memset (target->pauses, 0, sizeof target->pauses);
   target->paused_until_ms = 0;
   target->leaving = false;
@@ -136,6 +139,8 @@
 ab_sched_path_broken (const struct ab_sched_target *target, uint64_t host,
                       uint64_t now_ms)
 {
+  if (now_ms >= target->broken_until_ms)
+    return false;
   for (size_t i = 0; i < AB_SCHED_PATHS_MAX; i++)
     if (target->broken_paths[i].host == host
         && now_ms < target->broken_paths[i].until_ms)
@@ -197,6 +202,7 @@
 {
   size_t count = 0;
 
+  target->broken_until_ms = now_ms + BROKEN_PATH_MS;
   *path_entry (target->broken_paths, AB_SCHED_PATHS_MAX, host)
       = (struct ab_sched_path){ .host = host,
                                 .until_ms = now_ms + BROKEN_PATH_MS };
@@ -205,6 +211,33 @@
   return count;
 }
 
+void
+ab_sched_record_cut_host (struct ab_sched_service *service, uint64_t host,
+                          uint64_t now_ms)
+{
+  struct ab_sched_cut_host *entry = &service->cut_hosts[0];
+
+  for (size_t i = 0; i < AB_SCHED_CUT_HOSTS_MAX && entry->host != host; i++)
+    if (service->cut_hosts[i].host == host
+        || service->cut_hosts[i].until_ms < entry->until_ms)
+      entry = &service->cut_hosts[i];
+  if (entry->host != host || now_ms >= entry->until_ms)
+    *entry = (struct ab_sched_cut_host){ .host = host };
+  entry->until_ms = now_ms + BROKEN_PATH_MS;
+  entry->paths++;
+}
+
+bool
+ab_sched_host_is_cut (const struct ab_sched_service *service, uint64_t host,
+                      uint64_t now_ms)
+{
+  for (size_t i = 0; i < AB_SCHED_CUT_HOSTS_MAX; i++)
+    if (service->cut_hosts[i].host == host)
+      return now_ms < service->cut_hosts[i].until_ms
+             && service->cut_hosts[i].paths >= CUT_PATHS;
+  return false;
+}
+
 uint64_t
 ab_sched_target_slots (const struct ab_sched_target *target, uint64_t now_ms)
 {
--- a/src/target_health.c
+++ b/src/target_health.c
@@ -81,10 +81,13 @@
 }
 
 static void
-eject (struct ab_target_health *health, uint64_t ejection_ms, uint64_t now_ms)
+eject (struct ab_target_health *health, enum ab_target_event event,
+       uint64_t ejection_ms, uint64_t now_ms)
 {
-  if (now_ms + ejection_ms > health->ejected_until_ms)
-    health->ejected_until_ms = now_ms + ejection_ms;
+  if (now_ms + ejection_ms <= health->ejected_until_ms)
+    return;
+  health->ejected_until_ms = now_ms + ejection_ms;
+  health->ejected_by = event;
 }
 
 static uint64_t
@@ -99,13 +102,14 @@
 }
 
 static void
-record_failure (struct ab_target_health *health, double ratio, uint64_t now_ms)
+record_failure (struct ab_target_health *health, enum ab_target_event event,
+                double ratio, uint64_t now_ms)
 {
   apply_evidence (health, ratio, now_ms);
   health->failures++;
   health->failed_ms = now_ms;
   if (health->gray_probability > EJECTION_RISK)
-    eject (health, ejection_ms (health), now_ms);
+    eject (health, event, ejection_ms (health), now_ms);
 }
 
 static void
@@ -140,8 +144,8 @@
   if (++health->consecutive_sheds < SHEDS_MAX)
     return;
   health->consecutive_sheds = 0;
-  record_failure (health, RATIO_LOST, now_ms);
-  eject (health, ejection_ms (health), now_ms);
+  record_failure (health, AB_TARGET_SHED, RATIO_LOST, now_ms);
+  eject (health, AB_TARGET_SHED, ejection_ms (health), now_ms);
 }
 
 void
@@ -158,25 +162,26 @@
       record_success (health, latency_ms, now_ms);
       break;
     case AB_TARGET_ERROR:
-      record_failure (health, quick ? RATIO_QUICK_FAILURE : RATIO_SLOW_FAILURE,
+      record_failure (health, event,
+                      quick ? RATIO_QUICK_FAILURE : RATIO_SLOW_FAILURE,
                       now_ms);
       break;
     case AB_TARGET_LOST:
-      record_failure (health, RATIO_LOST, now_ms);
+      record_failure (health, event, RATIO_LOST, now_ms);
       break;
     case AB_TARGET_TIMEOUT:
       record_latency (health, latency_ms);
-      record_failure (health, RATIO_TIMEOUT, now_ms);
-      eject (health, EJECTION_MS, now_ms);
+      record_failure (health, event, RATIO_TIMEOUT, now_ms);
+      eject (health, event, EJECTION_MS, now_ms);
       break;
     case AB_TARGET_REFUSED:
     case AB_TARGET_UNREACHABLE:
-      record_failure (health, RATIO_TIMEOUT, now_ms);
-      eject (health, EJECTION_REFUSED_MS, now_ms);
+      record_failure (health, event, RATIO_TIMEOUT, now_ms);
+      eject (health, event, EJECTION_REFUSED_MS, now_ms);
       break;
     case AB_TARGET_REPLACED:
-      record_failure (health, RATIO_TIMEOUT, now_ms);
-      eject (health, EJECTION_REPLACED_MS, now_ms);
+      record_failure (health, event, RATIO_TIMEOUT, now_ms);
+      eject (health, event, EJECTION_REPLACED_MS, now_ms);
       break;
     case AB_TARGET_SHED:
       record_shed (health, now_ms);
@@ -184,6 +189,7 @@
     case AB_TARGET_UNUSED:
     case AB_TARGET_LEAVING:
     case AB_TARGET_PAUSED:
+    case AB_TARGET_EVENTS:
       break;
     }
 }
@@ -217,8 +223,8 @@
                                  uint64_t now_ms)
 {
   if (now_ms >= health->ejected_until_ms)
-    record_failure (health, RATIO_SLOW_FAILURE, now_ms);
-  eject (health, EJECTION_STALLED_MS, now_ms);
+    record_failure (health, AB_TARGET_TIMEOUT, RATIO_SLOW_FAILURE, now_ms);
+  eject (health, AB_TARGET_TIMEOUT, EJECTION_STALLED_MS, now_ms);
 }
 
 enum ab_target_health_state
--- a/src/target_health.h
+++ b/src/target_health.h
@@ -39,7 +39,8 @@
   /* Notices, which come before the end of a request: the target takes no
      requests any more, or none from the requesting host for some time.  */
   AB_TARGET_LEAVING,
-  AB_TARGET_PAUSED
+  AB_TARGET_PAUSED,
+  AB_TARGET_EVENTS /* Number of events.  */
 };
 
 struct ab_target_health
@@ -54,6 +55,7 @@
   unsigned consecutive_sheds;
   double shed_rate; /* Moving average of shed responses, 0 to 1.  */
   uint64_t ejected_until_ms;
+  enum ab_target_event ejected_by; /* Outcome that set EJECTED_UNTIL_MS.  */
   uint64_t busy_until_ms; /* After a shed response: all slots are in use.  */
   double latency_ms;      /* Moving average; 0: none yet.  */
 };
