Teams' tokens: few messages to control hosts that do not answer

Cause: control hosts that had lost time after many gateways were killed got the messages of all teams of all gateways again and again: a gateway asks the next control host after 150 ms, and after three of them begins anew, for each team by itself. A host that had not answered was only asked last, and the table that says so was overwritten by one host's entries. The leader handled frames for seconds without its timers (entry_host_lost of silent hosts came 7 s late), so that no answer was in time and each one caused further messages.

Change: a control host that did not answer, or answered four times in a row that it cannot tell, gets one message of one team in 500 ms, in 200 ms if no other is left, until it answers.

--- a/src/team_tokens_task.c
+++ b/src/team_tokens_task.c
@@ -19,9 +19,16 @@
    used: its tokens belong to an earlier time.  */
 #define LATE_MS 200
 #define CONTROLS_MAX 3
-/* A control host that did not answer is asked last for this time.  */
-#define SILENT_MS 500
-#define SILENT_HOSTS 8
+/* A control host that does not answer, or cannot tell, gets one message of one
+   team in this time until it answers: with messages of all teams it could not
+   catch up when it is overloaded.  */
+#define TEST_MS 500
+/* The same while no other control host is left to ask.  */
+#define LAST_TEST_MS 200
+/* Answers in a row that a control host cannot tell, after which it is tested.
+   It may also not know a single team.  */
+#define UNKNOWN_MAX 4
+#define FAILING_HOSTS 8
 /* A refusal is remembered for up to this time: it bounds the messages of a
    team above its limit, and leases and returned tokens may change it.  */
 #define DENIAL_MAX_MS 250
@@ -64,11 +71,12 @@
   UT_hash_handle by_id; /* In ASKED while a message is under way.  */
 };
 
-/* A control host that did not answer.  */
-struct silent_host
+/* A control host whose latest answers are missing or cannot tell.  */
+struct failing_host
 {
-  char address[AB_ADDRESS_BYTES];
-  uint64_t until_ms;
+  char address[AB_ADDRESS_BYTES]; /* Empty: none.  */
+  unsigned failures;              /* UNKNOWN_MAX or more: it is tested.  */
+  uint64_t tested_ms;             /* Latest failure or test.  */
 };
 
 struct ab_team_tokens
@@ -78,8 +86,7 @@
   struct team *teams;
   struct team *asked;
   struct event *sweep_timer;
-  struct silent_host silent[SILENT_HOSTS];
-  size_t next_silent;
+  struct failing_host failing[FAILING_HOSTS];
   uint64_t next_id;
 };
 
@@ -97,27 +104,49 @@
 
 /* Control hosts.  */
 
-static bool
-is_silent (const struct ab_team_tokens *tokens, const char *address,
-           uint64_t now)
+/* Returns the record of the control host ADDRESS, or null.  */
+static struct failing_host *
+find_failing (struct ab_team_tokens *tokens, const char *address)
 {
-  for (size_t i = 0; i < SILENT_HOSTS; i++)
-    if (now < tokens->silent[i].until_ms
-        && strcmp (tokens->silent[i].address, address) == 0)
-      return true;
-  return false;
+  for (size_t i = 0; i < FAILING_HOSTS; i++)
+    if (strcmp (tokens->failing[i].address, address) == 0)
+      return &tokens->failing[i];
+  return NULL;
 }
 
+/* Records that the control host ADDRESS did not answer, or could not tell.  A
+   record that is older than all others is replaced.  */
 static void
-set_silent (struct ab_team_tokens *tokens, const char *address, uint64_t now)
+record_failure (struct ab_team_tokens *tokens, const char *address,
+                unsigned failures, uint64_t now)
 {
-  struct silent_host *host
-      = &tokens->silent[tokens->next_silent++ % SILENT_HOSTS];
+  struct failing_host *host = find_failing (tokens, address);
+  struct failing_host *oldest = &tokens->failing[0];
 
-  ab_chunk_copy_bounded (ab_chunk_str (address), host->address,
-                         sizeof host->address);
-  host->until_ms = now + SILENT_MS;
-  AB_LOG (AB_LOG_WARN, "team_tokens_silent", ab_log_str ("control", address));
+  for (size_t i = 1; i < FAILING_HOSTS; i++)
+    if (tokens->failing[i].tested_ms < oldest->tested_ms)
+      oldest = &tokens->failing[i];
+  if (!host)
+    {
+      host = oldest;
+      *host = (struct failing_host){ .failures = 0 };
+      ab_chunk_copy_bounded (ab_chunk_str (address), host->address,
+                             sizeof host->address);
+    }
+  if (host->failures < UNKNOWN_MAX && host->failures + failures >= UNKNOWN_MAX)
+    AB_LOG (AB_LOG_WARN, "team_tokens_silent",
+            ab_log_str ("control", address));
+  host->failures += failures;
+  host->tested_ms = now;
+}
+
+static void
+record_answer (struct ab_team_tokens *tokens, const char *address)
+{
+  struct failing_host *host = find_failing (tokens, address);
+
+  if (host)
+    *host = (struct failing_host){ .failures = 0 };
 }
 
 static bool
@@ -133,8 +162,8 @@
 static const char *
 next_control (const struct team *team, uint64_t now)
 {
-  const struct ab_team_tokens *tokens = team->tokens;
-  const char *fallback = NULL;
+  struct ab_team_tokens *tokens = team->tokens;
+  struct failing_host *last = NULL;
   const char *address;
 
   if (team->tried_count == CONTROLS_MAX)
@@ -142,14 +171,23 @@
   for (size_t i = 0;
        (address = ab_fleet_view_control_at (tokens->view, i)) != NULL; i++)
     {
+      struct failing_host *host = find_failing (tokens, address);
       if (was_tried (team, address))
         continue;
-      if (!is_silent (tokens, address, now))
+      if (!host || host->failures < UNKNOWN_MAX)
         return address;
-      if (!fallback)
-        fallback = address;
+      if (now >= host->tested_ms + TEST_MS)
+        {
+          host->tested_ms = now;
+          return address;
+        }
+      if (!last || host->tested_ms < last->tested_ms)
+        last = host;
     }
-  return fallback;
+  if (!last || now < last->tested_ms + LAST_TEST_MS)
+    return NULL;
+  last->tested_ms = now;
+  return last->address;
 }
 
 /* Calls.  */
@@ -323,7 +361,8 @@
         arm_timer (team, now);
       return;
     }
-  set_silent (team->tokens, team->tried[team->tried_count - 1], now);
+  record_failure (team->tokens, team->tried[team->tried_count - 1],
+                  UNKNOWN_MAX, now);
   ask_next (team, now);
 }
 
@@ -364,9 +403,11 @@
   ab_chunk_copy_bounded (frame->sender, token.control, sizeof token.control);
   if (reply.status == AB_TEAM_UNKNOWN)
     {
+      record_failure (tokens, token.control, 1, now);
       ask_next (team, now);
       return;
     }
+  record_answer (tokens, token.control);
   forget_message (team);
   evtimer_del (team->timer);
   team->tried_count = 0;
--- a/tests/fleet_team_limit.c
+++ b/tests/fleet_team_limit.c
@@ -4,6 +4,9 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "clock.h"
 #include "fleet_lib.h"
@@ -156,5 +159,93 @@
 }
 END_TEST
 
+#define CALLERS 40
+#define FROZEN_MS 3000
+#define LAST_TEST_MS 200
+#define BACK_MS 4000
+
+/* Returns the messages with which gateway 1 asked for tokens.  */
+static unsigned long
+count_messages (const struct gf_fleet *fleet)
+{
+  char address[64];
+  char *text = NULL;
+  const char *line;
+  unsigned long count = 0;
+
+  gf_print_gateway (fleet, 1, GF_METRICS_PORT, address, sizeof address);
+  ck_assert_int_eq (fleet_http (address, "GET", "/metrics", NULL, NULL, &text),
+                    200);
+  line = strstr (text, "\nab_team_tokens_messages_total ");
+  if (line)
+    sscanf (line, " ab_team_tokens_messages_total %lu", &count);
+  free (text);
+  return count;
+}
+
+/* Writes a list of CALLERS teams, each with a key and a limit.  */
+static void
+print_teams (char *text, size_t size)
+{
+  size_t len = 0;
+
+  for (int i = 0; i < CALLERS; i++)
+    len += (size_t)snprintf (text + len, size - len,
+                             "%s{\"name\":\"t%d\",\"keys\":[\"key-%d\"],"
+                             "\"rate_per_s\":20,\"burst\":5}",
+                             i ? "," : "[", i, i);
+  snprintf (text + len, size - len, "]");
+}
+
+/* Guards against messages of all teams to control hosts that do not answer:
+   overloaded ones could not catch up.  */
+START_TEST (silent_control_hosts_get_few_messages)
+{
+  static char teams[3000];
+  struct gf_fleet fleet;
+  pid_t callers[CALLERS];
+  unsigned long before;
+  unsigned long sent;
+  uint64_t back_ms;
+
+  print_teams (teams, sizeof teams);
+  gf_start_sized (&fleet, "gf_team_silent", 3, 0, 160);
+  fleet.teams = teams;
+  ck_assert_int_eq (gf_put_bundle (&fleet, 1, 4, 2, ""), 200);
+  gf_start_gateway (&fleet, 1);
+  gf_start_target (&fleet, 1, GF_HEALTHY);
+  ck_assert (gf_wait_status (&fleet, 1, "/open/1", 200, READY_MS));
+  for (int i = 1; i <= 3; i++)
+    kill (fleet.control_pids[i], SIGSTOP);
+  before = count_messages (&fleet);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      char key[64];
+      snprintf (key, sizeof key, "Almond-Key: key-%d\n", i);
+      callers[i] = fork ();
+      ck_assert_int_ge (callers[i], 0);
+      if (callers[i] == 0)
+        {
+          gf_get_with (&fleet, 1, "/look/1", "x", key);
+          _exit (0);
+        }
+    }
+  for (int i = 0; i < CALLERS; i++)
+    ck_assert_int_eq (waitpid (callers[i], NULL, 0), callers[i]);
+  sent = count_messages (&fleet) - before;
+  /* One of each team to each host, which is not known to be silent then, and
+     the tests of the hosts.  */
+  ck_assert_msg (sent <= 3 * CALLERS + 3 * (FROZEN_MS / LAST_TEST_MS + 1),
+                 "%lu messages to silent control hosts", sent);
+  for (int i = 1; i <= 3; i++)
+    kill (fleet.control_pids[i], SIGCONT);
+  back_ms = now_ms () + BACK_MS;
+  while (gf_get_with (&fleet, 1, "/look/1", "x", "Almond-Key: key-1\n") != 200)
+    ck_assert_uint_lt (now_ms (), back_ms);
+  gf_stop (&fleet);
+}
+END_TEST
+
 SUITE_MAIN ("fleet_team_limit", TEST_S, bound_holds_while_control_hosts_fail,
-            team_below_its_limit_is_served)
+            team_below_its_limit_is_served,
+            silent_control_hosts_get_few_messages)
