Scheduler: broken paths beside the state of targets

No behaviour changes, but that a request whose target was moved to another shard meanwhile counts for the service that granted it. The scheduler tests pass, and make lint.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -16,9 +16,6 @@
 #define STALLED_MIN_MS 900
 /* A grant without an outcome is released this long after its deadline.  */
 #define GRANT_SLACK_MS 1500
-/* A target that this many hosts recently could not reach counts as down for
-   all of them.  */
-#define PATH_HOSTS_DOWN 2
 /* Shortest retry delay that is sent with a rejection.  */
 #define RETRY_AFTER_MIN_MS 50
 #define QUEUE_MAX 4096
@@ -543,33 +540,6 @@
          || event == AB_TARGET_SHED;
 }
 
-/* Returns whether EVENT, with which REQUEST ended, says something of the path
-   from its host to TARGET and not of TARGET, and records that.  */
-static bool
-is_path_failure (struct ab_sched_target *target,
-                 const struct ab_sched_request *request,
-                 enum ab_target_event event, uint64_t now_ms)
-{
-  uint64_t host
-      = ab_rendezvous_hash (ab_chunk_str (request->slot_request.host));
-  bool responds_to_others = target->answered_ms > request->granted_ms;
-  size_t broken;
-
-  if (event != AB_TARGET_UNREACHABLE && event != AB_TARGET_TIMEOUT
-      && event != AB_TARGET_LOST)
-    return false;
-  if (event == AB_TARGET_UNREACHABLE && responds_to_others)
-    ab_sched_record_cut_host (target->service, host, now_ms);
-  if (event != AB_TARGET_UNREACHABLE
-      && !ab_sched_host_is_cut (target->service, host, now_ms))
-    return false;
-  broken = ab_sched_record_broken_path (target, host, now_ms);
-  /* Several hosts that cannot connect indicate a target that is down, unless
-     it responds to others or they are cut off from other targets too.  */
-  return broken < PATH_HOSTS_DOWN || responds_to_others
-         || ab_sched_host_is_cut (target->service, host, now_ms);
-}
-
 static void
 record_outcome (struct ab_sched_target *target,
                 const struct ab_sched_request *request,
@@ -589,7 +559,7 @@
                                     event != AB_TARGET_OK, now_ms);
   if (is_response (event))
     target->answered_ms = now_ms;
-  if (is_path_failure (target, request, event, now_ms))
+  if (ab_sched_record_path_failure (target, request, event, now_ms))
     return;
   if (event == AB_TARGET_OK)
     service->latency_ms
@@ -668,10 +638,7 @@
   if (!request->overdue && (double)age_ms > typical_ms * OVERDUE_FACTOR)
     {
       request->overdue = true;
-      if (!ab_sched_host_is_cut (
-              request->service,
-              ab_rendezvous_hash (ab_chunk_str (request->slot_request.host)),
-              now_ms))
+      if (!ab_sched_host_is_cut (request, now_ms))
         ab_target_health_record_overdue (health, now_ms);
     }
   if ((double)age_ms > stalled_ms
--- a/src/scheduler_internal.h
+++ b/src/scheduler_internal.h
@@ -242,18 +242,18 @@
                                  uint64_t host, uint64_t now_ms);
 bool ab_sched_path_broken (const struct ab_sched_target *target, uint64_t host,
                            uint64_t now_ms);
-/* Records that HOST could not reach TARGET.  Returns how many hosts recently
-   could not.  */
-size_t ab_sched_record_broken_path (struct ab_sched_target *target,
-                                    uint64_t host, uint64_t now_ms);
 
-/* Records that HOST could not reach a target which responded to others.  */
-void ab_sched_record_cut_host (struct ab_sched_service *service, uint64_t host,
-                               uint64_t now_ms);
-/* Returns whether HOST recently could not reach several targets which
-   responded to others, so that what it misses says little about targets.  */
-bool ab_sched_host_is_cut (const struct ab_sched_service *service,
-                           uint64_t host, uint64_t now_ms);
+/* Returns whether the host of REQUEST recently could not reach several targets
+   which responded to others, so that what it misses says little about
+   targets.  */
+bool ab_sched_host_is_cut (const struct ab_sched_request *request,
+                           uint64_t now_ms);
+/* Returns whether EVENT, with which REQUEST ended, says something of the path
+   from its host to TARGET and not of TARGET, and records that.  */
+bool ab_sched_record_path_failure (struct ab_sched_target *target,
+                                   const struct ab_sched_request *request,
+                                   enum ab_target_event event,
+                                   uint64_t now_ms);
 
 /* Functions of scheduler_failure_window.c.  */
 
--- a/src/scheduler_targets.c
+++ b/src/scheduler_targets.c
@@ -11,6 +11,9 @@
 #define BROKEN_PATH_MS 4000
 /* A host with this many broken paths is cut off from a part of the targets. */
 #define CUT_PATHS 2
+/* A target that this many hosts recently could not reach counts as down for
+   all of them.  */
+#define PATH_HOSTS_DOWN 2
 
 struct ab_sched_service *
 ab_sched_get_service (struct ab_scheduler *s, const char *name,
@@ -196,9 +199,11 @@
   return 0;
 }
 
-size_t
-ab_sched_record_broken_path (struct ab_sched_target *target, uint64_t host,
-                             uint64_t now_ms)
+/* Records that HOST could not reach TARGET.  Returns how many hosts recently
+   could not.  */
+static size_t
+record_broken_path (struct ab_sched_target *target, uint64_t host,
+                    uint64_t now_ms)
 {
   size_t count = 0;
 
@@ -211,9 +216,10 @@
   return count;
 }
 
-void
-ab_sched_record_cut_host (struct ab_sched_service *service, uint64_t host,
-                          uint64_t now_ms)
+/* Records that HOST could not reach a target which responded to others.  */
+static void
+record_cut_host (struct ab_sched_service *service, uint64_t host,
+                 uint64_t now_ms)
 {
   struct ab_sched_cut_host *entry = &service->cut_hosts[0];
 
@@ -227,17 +233,48 @@
   entry->paths++;
 }
 
+static uint64_t
+host_of (const struct ab_sched_request *request)
+{
+  return ab_rendezvous_hash (ab_chunk_str (request->slot_request.host));
+}
+
 bool
-ab_sched_host_is_cut (const struct ab_sched_service *service, uint64_t host,
-                      uint64_t now_ms)
+ab_sched_host_is_cut (const struct ab_sched_request *request, uint64_t now_ms)
 {
+  const struct ab_sched_cut_host *hosts = request->service->cut_hosts;
+  uint64_t host = host_of (request);
+
   for (size_t i = 0; i < AB_SCHED_CUT_HOSTS_MAX; i++)
-    if (service->cut_hosts[i].host == host)
-      return now_ms < service->cut_hosts[i].until_ms
-             && service->cut_hosts[i].paths >= CUT_PATHS;
+    if (hosts[i].host == host)
+      return now_ms < hosts[i].until_ms && hosts[i].paths >= CUT_PATHS;
   return false;
 }
 
+bool
+ab_sched_record_path_failure (struct ab_sched_target *target,
+                              const struct ab_sched_request *request,
+                              enum ab_target_event event, uint64_t now_ms)
+{
+  uint64_t host = host_of (request);
+  bool responds_to_others = target->answered_ms > request->granted_ms;
+  size_t broken;
+
+  if (event != AB_TARGET_UNREACHABLE && event != AB_TARGET_TIMEOUT
+      && event != AB_TARGET_LOST)
+    return false;
+  if (event == AB_TARGET_UNREACHABLE && responds_to_others)
+    record_cut_host (request->service, host, now_ms);
+  if (event != AB_TARGET_UNREACHABLE
+      && !ab_sched_host_is_cut (request, now_ms))
+    return false;
+  broken = record_broken_path (target, host, now_ms);
+  /* Several hosts that cannot connect indicate a target that is down, unless
+     it responds to others or they are cut off from other targets too.  */
+  return broken < PATH_HOSTS_DOWN || responds_to_others
+         || ab_sched_host_is_cut (request, now_ms);
+}
+
 uint64_t
 ab_sched_target_slots (const struct ab_sched_target *target, uint64_t now_ms)
 {
