--- a/src/route_table.c
+++ b/src/route_table.c
@@ -587,12 +587,6 @@
   return table->route_count;
 }
 
-size_t
-ab_route_table_service_count (const struct ab_route_table *table)
-{
-  return table->service_count;
-}
-
 const struct ab_fleet_service *
 ab_route_table_service (const struct ab_route_table *table, size_t index)
 {
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -86,7 +86,6 @@
 ab_route_table_limits (const struct ab_route_table *table);
 
 size_t ab_route_table_route_count (const struct ab_route_table *table);
-size_t ab_route_table_service_count (const struct ab_route_table *table);
 const struct ab_fleet_service *
 ab_route_table_service (const struct ab_route_table *table, size_t index);
 /* Returns the service NAME, or null.  */
