--- a/review/rig-3/case11.c
+++ b/review/rig-3/case11.c
@@ -38,8 +38,7 @@
 static void
 replace_pair (int first, int successor)
 {
-  rig_kill_control (first, true);
-  rig_kill_control (first + 1, true);
+  rig_lose_controls (first, first + 1);
   rig_sleep (SUCCESSOR_S);
   rig_start_control (successor, false);
   rig_start_control (successor + 1, false);
--- a/review/rig-3/case12.c
+++ b/review/rig-3/case12.c
@@ -38,8 +38,7 @@
   acked = rig_now ();
   if (rig_trouble ())
     {
-      rig_kill_control (1, true);
-      rig_kill_control (2, true);
+      rig_lose_controls (1, 2);
       rig_sleep (DOWN_S);
       rig_start_control (1, false);
       rig_start_control (2, false);
--- a/review/rig-3/case13.c
+++ b/review/rig-3/case13.c
@@ -43,7 +43,7 @@
   rig_start_control (3, true);
   rig_sleep (FIRST_UP_S);
   if (rig_trouble ())
-    rig_kill_control (3, true);
+    rig_lose_controls (3, 3);
   rig_sleep (OTHERS_S);
   for (int i = 1; i <= CONTROLS; i++)
     if (i != 3)
--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -316,15 +316,20 @@
 }
 
 void
-rig_kill_control (int n, bool disk_lost)
+rig_lose_controls (int first, int last)
 {
   char data[512];
 
-  kill_process (&rig.controls[n]);
-  snprintf (data, sizeof data, "%s/control-%d", rig.folder, n);
-  if (disk_lost)
-    remove_folder (data);
-  rig_record ("control host %d killed%s", n, disk_lost ? ", disk lost" : "");
+  for (int n = first; n <= last; n++)
+    if (rig.controls[n] > 0)
+      kill (rig.controls[n], SIGKILL);
+  for (int n = first; n <= last; n++)
+    {
+      kill_process (&rig.controls[n]);
+      snprintf (data, sizeof data, "%s/control-%d", rig.folder, n);
+      remove_folder (data);
+      rig_record ("control host %d killed, disk lost", n);
+    }
 }
 
 bool
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -39,8 +39,9 @@
 /* Control hosts N from 1 on; the first three are the seeds.  */
 void rig_start_control (int n, bool first_start);
 void rig_start_gateway (int n);
-/* Kills control host N; with DISK_LOST its data folder is removed.  */
-void rig_kill_control (int n, bool disk_lost);
+/* Kills the control hosts FIRST to LAST at the same moment and removes their
+   data folders.  */
+void rig_lose_controls (int first, int last);
 bool rig_control_runs (int n);
 
 /* Returns the resident memory of gateway N in MiB.  */
