group_plan: a lost voter leaves with the arrival of its successor

Cause: a lost voter counted as a wanted voter for 15 s, by the clock of the leader, which begins anew with each election. Its successor was promoted beside it: six voters became eight, two of them dead; the next two losses left four of eight.

Change: the plan keeps one promise after each single change: when as many further disks are lost as the tolerance still leaves, the voters whose disks remain are a majority. A replaced disk is removed at once. A voter that is silent for 1.2 s is removed when a learner can take its place, or when the group could not lose all silent voters and the tolerated number of others, but never below 2 * tolerated_losses + 1 voters, so that a host that was only cut off costs no disk. At that number the learner is promoted first, above it the voter is removed first. A leader that hears no majority at that moment removes nobody for silence. A request to join that is older than the removal of its host is dropped; removed hosts stay in the directory for 15 s, as before, as they may still run.

--- a/src/group_plan.c
+++ b/src/group_plan.c
@@ -56,8 +56,9 @@
   return best;
 }
 
-/* Returns the lost voter to replace first: if there is one, one whose disk was
-   replaced; null when no voter is lost.  */
+/* Returns the lost voter to remove first: one whose disk was replaced, else
+   the one that has been silent for the longest time; null when no voter is
+   lost.  */
 static const struct ab_group_member *
 find_lost_voter (const struct ab_group_member *members, size_t count)
 {
@@ -65,7 +66,9 @@
 
   for (size_t i = 0; i < count; i++)
     if (!members[i].learner && is_lost (&members[i])
-        && (!found || members[i].disk_mismatch))
+        && (!found || (members[i].disk_mismatch && !found->disk_mismatch)
+            || (members[i].disk_mismatch == found->disk_mismatch
+                && members[i].unresponsive_ms > found->unresponsive_ms)))
       found = &members[i];
   return found;
 }
@@ -97,32 +100,91 @@
   return wanted > voters_min ? wanted : voters_min;
 }
 
+size_t
+ab_group_voters_min (size_t tolerated_losses)
+{
+  return 2 * tolerated_losses + 1;
+}
+
+struct voter_counts
+{
+  size_t all;
+  size_t lost;
+  size_t responsive;
+};
+
+static struct voter_counts
+count_voters (const struct ab_group_member *members, size_t count)
+{
+  struct voter_counts result = { 0 };
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (members[i].learner)
+        continue;
+      result.all++;
+      result.lost += is_lost (&members[i]);
+      result.responsive
+          += members[i].self
+             || (!members[i].disk_mismatch
+                 && members[i].unresponsive_ms <= AB_GROUP_RESPONSIVE_MS);
+    }
+  return result;
+}
+
+/* Whether LOST may be removed: its disk is gone, or its silence is conclusive
+   and enough voters remain to lose TOLERATED_LOSSES more.  */
+static bool
+may_remove_lost (const struct ab_group_member *lost,
+                 const struct voter_counts *voters, size_t tolerated_losses)
+{
+  return lost->disk_mismatch
+         || (voters->all > ab_group_voters_min (tolerated_losses)
+             && voters->responsive > voters->all / 2);
+}
+
+/* Whether the group keeps a majority when all silent voters are gone and
+   TOLERATED_LOSSES others are lost.  */
+static bool
+tolerates_losses (const struct voter_counts *voters, size_t tolerated_losses)
+{
+  return voters->all > 2 * (voters->lost + tolerated_losses);
+}
+
 static struct ab_group_step
 plan_voters (const struct ab_group_member *members, size_t count,
-             size_t wanted)
+             size_t wanted, size_t tolerated_losses)
 {
-  const struct ab_group_member *lost_voter = find_lost_voter (members, count);
+  const struct ab_group_member *lost = find_lost_voter (members, count);
   const struct ab_group_member *next = learner_to_promote (members, count);
-  size_t voters = 0;
+  const struct voter_counts voters = count_voters (members, count);
 
-  for (size_t i = 0; i < count; i++)
-    voters += !members[i].learner;
-  if (next && (voters < wanted || (lost_voter && voters <= wanted)))
+  if (lost && may_remove_lost (lost, &voters, tolerated_losses))
+    {
+      /* The host of a replaced disk can only return as a learner.  */
+      if (lost->disk_mismatch)
+        return make_step (AB_GROUP_REMOVE, lost->host,
+                          "its disk was replaced");
+      if (next)
+        return make_step (AB_GROUP_REMOVE, lost->host,
+                          "a learner replaces it");
+      if (voters.all > wanted)
+        return make_step (AB_GROUP_REMOVE, lost->host,
+                          "more voters than wanted");
+      if (!tolerates_losses (&voters, tolerated_losses))
+        return make_step (AB_GROUP_REMOVE, lost->host,
+                          "its vote may be lost for good");
+    }
+  if (next && (voters.all < wanted || (lost && voters.all <= wanted)))
     return make_step (AB_GROUP_PROMOTE, next->host,
-                      lost_voter ? "a voter is lost" : "voters are missing");
-  if (voters > wanted)
+                      lost ? "a voter is lost" : "voters are missing");
+  if (!lost && voters.all > wanted)
     {
-      if (!lost_voter)
-        lost_voter = surplus_voter (members, count);
-      if (lost_voter)
-        return make_step (AB_GROUP_REMOVE, lost_voter->host,
+      const struct ab_group_member *surplus = surplus_voter (members, count);
+      if (surplus)
+        return make_step (AB_GROUP_REMOVE, surplus->host,
                           "more voters than wanted");
     }
-  /* The voter's old disk is lost for good: the host can only return as a
-     learner.  */
-  if (lost_voter && lost_voter->disk_mismatch)
-    return make_step (AB_GROUP_REMOVE, lost_voter->host,
-                      "its disk was replaced");
   return make_step (AB_GROUP_NONE, "", "");
 }
 
@@ -154,10 +216,10 @@
 struct ab_group_step
 ab_group_plan (const struct ab_group_member *members, size_t member_count,
                const struct ab_group_request *requests, size_t request_count,
-               size_t voters_wanted)
+               size_t voters_wanted, size_t tolerated_losses)
 {
   struct ab_group_step result
-      = plan_voters (members, member_count, voters_wanted);
+      = plan_voters (members, member_count, voters_wanted, tolerated_losses);
 
   if (result.change == AB_GROUP_NONE)
     result = plan_learners (members, member_count);
--- a/src/group_plan.h
+++ b/src/group_plan.h
@@ -5,7 +5,24 @@
    a voter once it has caught up with the log.  All hosts vote, up to a bound,
    so that only the side of a partition with more than half of the control
    hosts can decide; with fewer voters, a side with few hosts could hold most
-   votes.  One change is made at a time.  No I/O.  */
+   votes.  One change is made at a time.  No I/O.
+
+   The plan keeps this promise after each single change: when as many further
+   disks are lost as the tolerance still leaves, the voters whose disks remain
+   are a majority.  A lost host counts against the tolerance only until its
+   successor has caught up; its vote must be gone by then.  So
+
+   - a replaced disk is removed at once, as it cannot vote any more;
+   - a silent voter is removed before a learner takes its place as long as
+     enough voters for the tolerance remain, and after that otherwise;
+   - without a learner, a silent voter is removed when the group could not lose
+     all silent voters and as many others as are tolerated.  Its successor may
+     have come first.
+
+   A silent voter may also be cut off or frozen, with its disk intact.  It is
+   never removed below the number of voters that the tolerance needs, so that
+   disks of others may be lost while it is away.  When it is back it asks to
+   join and becomes a learner, then a voter.  */
 
 #ifndef AB_GROUP_PLAN_H
 #define AB_GROUP_PLAN_H
@@ -16,9 +33,11 @@
 
 #include "raft.h"
 
-/* A voter that has not replied for this long is replaced by a learner.  */
+/* A voter that has not replied for this long may be removed.  */
 #define AB_GROUP_VOTER_TIMEOUT_MS 1200
-/* A learner that replied within this time may be promoted.  */
+/* A learner that replied within this time may be promoted.  No voter is
+   removed for its silence unless a majority replied within this time: a leader
+   that was suspended itself has heard nobody for long.  */
 #define AB_GROUP_RESPONSIVE_MS 600
 /* After this long without a reply, a learner is removed and a voter is no
    longer counted by ab_group_voters_wanted.  */
@@ -73,12 +92,17 @@
 size_t ab_group_voters_wanted (const struct ab_group_member *members,
                                size_t count, size_t voters_min);
 
-/* Returns the next change, or AB_GROUP_NONE.  The REQUESTS to join are
+/* Returns the number of voters that the group needs to lose
+   TOLERATED_LOSSES of them and still have a majority.  */
+size_t ab_group_voters_min (size_t tolerated_losses);
+
+/* Returns the next change, or AB_GROUP_NONE, for a group of which
+   TOLERATED_LOSSES hosts may be lost at a time.  The REQUESTS to join are
    considered last.  */
 struct ab_group_step ab_group_plan (const struct ab_group_member *members,
                                     size_t member_count,
                                     const struct ab_group_request *requests,
-                                    size_t request_count,
-                                    size_t voters_wanted);
+                                    size_t request_count, size_t voters_wanted,
+                                    size_t tolerated_losses);
 
 #endif
--- a/src/group_task.c
+++ b/src/group_task.c
@@ -38,8 +38,11 @@
   /* Empty until a hello message arrives.  */
   char failure_domain[AB_NAME_BYTES];
   uint8_t disk_id[AB_DISK_ID_BYTES];
-  /* Arrival of the host's last hello message; 0 means none.  */
+  /* Arrival of the host's last hello message; 0 means none since it was
+     removed from the group.  */
   uint64_t hello_ms;
+  /* When the host was last seen among the members; 0 means never.  */
+  uint64_t member_ms;
 };
 
 struct ab_group_task
@@ -125,13 +128,17 @@
 }
 
 static void
-add_member_hosts (struct ab_group_task *task)
+add_member_hosts (struct ab_group_task *task, uint64_t now)
 {
   const struct ab_raft_member *members;
   size_t count = ab_raft_members (task->raft, &members);
 
   for (size_t i = 0; i < count; i++)
-    add_host (task, ab_chunk_str (members[i].host));
+    {
+      struct host *host = add_host (task, ab_chunk_str (members[i].host));
+      if (host)
+        host->member_ms = now;
+    }
 }
 
 /* Callbacks of the consensus core.  */
@@ -386,6 +393,7 @@
             uint64_t now)
 {
   struct ab_raft_member member = { .learner = true };
+  struct host *host = find_host (task, step->host);
 
   switch (step->change)
     {
@@ -398,6 +406,10 @@
     case AB_GROUP_PROMOTE:
       return ab_raft_promote (task->raft, now, step->host);
     case AB_GROUP_REMOVE:
+      /* Only a hello message that arrives from now on is a request to join
+         again.  */
+      if (host)
+        host->hello_ms = 0;
       return ab_raft_remove (task->raft, now, step->host);
     case AB_GROUP_NONE:
       break;
@@ -412,10 +424,12 @@
   struct ab_group_member members[AB_RAFT_MEMBERS_MAX];
   struct ab_group_request requests[AB_GROUP_HOSTS_MAX];
   size_t count = describe_members (task, now, members);
-  size_t voters_min = 2 * (size_t)task->settings->tolerated_losses + 1;
+  size_t tolerated_losses = (size_t)task->settings->tolerated_losses;
+  size_t voters_wanted = ab_group_voters_wanted (
+      members, count, ab_group_voters_min (tolerated_losses));
   struct ab_group_step step = ab_group_plan (
       members, count, requests, describe_requests (task, now, requests),
-      ab_group_voters_wanted (members, count, voters_min));
+      voters_wanted, tolerated_losses);
   int rc;
 
   if (step.change == AB_GROUP_NONE)
@@ -439,7 +453,7 @@
 
   (void)fd;
   (void)events;
-  add_member_hosts (task);
+  add_member_hosts (task, now);
   send_due_hellos (task, now);
   ab_raft_status (task->raft, &status);
   if (status.leader)
@@ -595,18 +609,6 @@
   return ab_raft_members (task->raft, members);
 }
 
-static bool
-is_member (const struct ab_group_task *task, const char *address)
-{
-  const struct ab_raft_member *members;
-  size_t count = ab_raft_members (task->raft, &members);
-
-  for (size_t i = 0; i < count; i++)
-    if (strcmp (members[i].host, address) == 0)
-      return true;
-  return false;
-}
-
 size_t
 ab_group_hosts (const struct ab_group_task *task,
                 const char *hosts[AB_GROUP_HOSTS_MAX])
@@ -620,8 +622,9 @@
       const struct host *host = &task->hosts[i];
       bool in_contact
           = host->hello_ms && now - host->hello_ms < NON_MEMBER_TIMEOUT_MS;
-      if (strcmp (host->address, hosts[0]) != 0
-          && (in_contact || is_member (task, host->address)))
+      bool was_member = host->member_ms
+                        && now - host->member_ms < AB_GROUP_REMOVAL_TIMEOUT_MS;
+      if (strcmp (host->address, hosts[0]) != 0 && (in_contact || was_member))
         hosts[count++] = host->address;
     }
   return count;
--- a/src/group_task.h
+++ b/src/group_task.h
@@ -56,8 +56,10 @@
                       struct ab_raft_status *status);
 size_t ab_group_members (const struct ab_group_task *task,
                          const struct ab_raft_member **members);
-/* Sets HOSTS to the peer listener addresses of this host, the members, and the
-   control hosts that sent a join request recently.  Returns their number.  */
+/* Sets HOSTS to the peer listener addresses of this host, the members, those
+   that were removed within AB_GROUP_REMOVAL_TIMEOUT_MS and may still run, and
+   the control hosts that sent a join request recently.  Returns their
+   number.  */
 size_t ab_group_hosts (const struct ab_group_task *task,
                        const char *hosts[AB_GROUP_HOSTS_MAX]);
 /* Returns the failure domain of a control host; empty when it is not
--- a/tests/gateway_fleet_lib.c
+++ b/tests/gateway_fleet_lib.c
@@ -126,12 +126,15 @@
 print_common (const struct gf_fleet *fleet, struct ab_buf *text,
               const char *role, int number)
 {
+  int first_seed = fleet->first_seed ? fleet->first_seed : 1;
+
   ab_buf_printf (text, "host: %s%d\nrole: %s\n", role, number, role);
   print_regions (fleet, text, number);
   ab_buf_printf (text, "control_port: %d\nseeds: [", CONTROL_PEER_PORT);
-  for (int i = 1; i <= SEEDS; i++)
-    ab_buf_printf (text, "%s127.%d.%d.%d:%d", i > 1 ? ", " : "",
-                   fleet->block[0], fleet->block[1], i, ADMIN_PORT);
+  for (int i = 0; i < SEEDS; i++)
+    ab_buf_printf (text, "%s127.%d.%d.%d:%d", i > 0 ? ", " : "",
+                   fleet->block[0], fleet->block[1], first_seed + i,
+                   ADMIN_PORT);
   ab_buf_append_str (text, "]\n");
 }
 
@@ -206,6 +209,8 @@
                  "first_start: %s\nteam_limit_slack: %d\n",
                  admin, peers, bind, metrics, folder,
                  first_start ? "true" : "false", GF_TEAM_SLACK);
+  if (fleet->tolerated)
+    ab_buf_printf (&text, "tolerated_losses: %d\n", fleet->tolerated);
   spawn (fleet, "control", number, &text, &fleet->control_pids[number]);
 }
 
@@ -360,9 +365,8 @@
   cut_peer (fleet, fleet->controls + number - 1, cut);
 }
 
-/* Prepares the folder and the addresses of FLEET.  */
-static void
-begin_fleet (struct gf_fleet *fleet, const char *name)
+void
+gf_prepare (struct gf_fleet *fleet, const char *name)
 {
   int pid = getpid ();
 
@@ -393,7 +397,7 @@
 void
 gf_start (struct gf_fleet *fleet, const char *name, int controls, int gateways)
 {
-  begin_fleet (fleet, name);
+  gf_prepare (fleet, name);
   start_hosts (fleet, controls, gateways);
 }
 
@@ -401,7 +405,7 @@
 gf_start_sized (struct gf_fleet *fleet, const char *name, int controls,
                 int gateways, int memory_mb)
 {
-  begin_fleet (fleet, name);
+  gf_prepare (fleet, name);
   fleet->memory_mb = memory_mb;
   start_hosts (fleet, controls, gateways);
 }
@@ -410,7 +414,7 @@
 gf_start_wide (struct gf_fleet *fleet, const char *name, int controls,
                int regions, int services, int proxied_gateways)
 {
-  begin_fleet (fleet, name);
+  gf_prepare (fleet, name);
   fleet->regions = regions;
   fleet->services = services;
   if (proxied_gateways > 0)
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -13,7 +13,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define GF_CONTROLS_MAX 9
+#define GF_CONTROLS_MAX 12
 #define GF_GATEWAYS_MAX 110
 #define GF_TARGETS_MAX 50
 #define GF_PROXIED_MAX 6
@@ -54,6 +54,10 @@
   pid_t peer_proxy_pid; /* Proxy between the hosts; 0 if none.  */
   int proxied_gateways; /* It is in front of all control hosts and of this
                            many gateways.  */
+  int tolerated;     /* tolerated_losses of control hosts started from now on;
+                        0: the default.  */
+  int first_seed;    /* Number of the first of the control hosts that are the
+                        seeds of processes started from now on; 0: 1.  */
   int stop_ms;       /* stop_time of gateways started from now on; 0: 4 s.  */
   int regions;       /* 2: even gateways and targets are in a second region,
                         from their next start on.  3: processes are divided
@@ -78,6 +82,8 @@
   char address[64];      /* Result of the last gf_admin or gf_callers.  */
 };
 
+/* Prepares the folder and the addresses of FLEET and starts no process.  */
+void gf_prepare (struct gf_fleet *fleet, const char *name);
 /* Like gf_start, with memory_mb set from the start.  */
 void gf_start_sized (struct gf_fleet *fleet, const char *name, int controls,
                      int gateways, int memory_mb);
--- a/tests/test_group_plan.c
+++ b/tests/test_group_plan.c
@@ -30,9 +30,11 @@
   ck_assert_str_eq (step->host, host);
 }
 
+#define TOLERATED 1
+
 #define PLAN(members, requests, wanted)                                       \
   ab_group_plan (members, sizeof (members) / sizeof *(members), requests,     \
-                 sizeof (requests) / sizeof *(requests), wanted)
+                 sizeof (requests) / sizeof *(requests), wanted, TOLERATED)
 
 /* Guards against having no learner that can replace a lost voter.  */
 START_TEST (adds_requesting_hosts)
@@ -86,7 +88,7 @@
   members[2].disk_mismatch = true;
   step = PLAN (members, requests, 3);
   assert_step (&step, AB_GROUP_REMOVE, "c");
-  step = ab_group_plan (members, 2, requests, 1, 3);
+  step = ab_group_plan (members, 2, requests, 1, 3, TOLERATED);
   assert_step (&step, AB_GROUP_ADD, "c");
 }
 END_TEST
@@ -108,10 +110,10 @@
   members[4].disk_mismatch = true;
   step = PLAN (members, none, 3);
   assert_step (&step, AB_GROUP_REMOVE, "e");
-  step = ab_group_plan (members, 4, none, 1, 3);
+  step = ab_group_plan (members, 4, none, 1, 3, TOLERATED);
   assert_step (&step, AB_GROUP_NONE, "");
   members[2].caught_up = true;
-  step = ab_group_plan (members, 4, none, 1, 3);
+  step = ab_group_plan (members, 4, none, 1, 3, TOLERATED);
   assert_step (&step, AB_GROUP_PROMOTE, "c");
 }
 END_TEST
@@ -169,6 +171,73 @@
 }
 END_TEST
 
+/* Guards against removing voters because the leader itself was suspended and
+   has heard nobody since.  */
+START_TEST (suspended_leader_removes_nobody)
+{
+  struct ab_group_member members[]
+      = { member ("a", "1", false), member ("b", "2", false),
+          member ("c", "3", false), member ("d", "1", false) };
+  struct ab_group_request none[1] = { request ("a", 0) };
+  struct ab_group_step step;
+
+  members[0].self = true;
+  for (int i = 1; i < 4; i++)
+    members[i].unresponsive_ms = 10 * AB_GROUP_VOTER_TIMEOUT_MS;
+  step = PLAN (members, none, 4);
+  assert_step (&step, AB_GROUP_NONE, "");
+  members[1].unresponsive_ms = 0;
+  members[2].unresponsive_ms = 0;
+  step = PLAN (members, none, 4);
+  assert_step (&step, AB_GROUP_REMOVE, "d");
+}
+END_TEST
+
+/* Guards against a group that shrinks, because hosts are cut off for a short
+   time, further than the tolerated losses need.  */
+START_TEST (cut_removes_few)
+{
+  struct ab_group_member members[6];
+  struct ab_group_request none[1] = { request ("a", 0) };
+  struct ab_group_step step;
+
+  for (int i = 0; i < 6; i++)
+    {
+      const char name[] = { (char)('a' + i), '\0' };
+      members[i] = member (name, "1", false);
+    }
+  members[0].self = true;
+  members[5].unresponsive_ms = AB_GROUP_VOTER_TIMEOUT_MS + 1;
+  step = ab_group_plan (members, 6, none, 1, 6, 1);
+  assert_step (&step, AB_GROUP_NONE, "");
+  step = ab_group_plan (members, 6, none, 1, 6, 2);
+  assert_step (&step, AB_GROUP_REMOVE, "f");
+  members[4].unresponsive_ms = AB_GROUP_VOTER_TIMEOUT_MS + 1;
+  step = ab_group_plan (members, 5, none, 1, 6, 2);
+  assert_step (&step, AB_GROUP_NONE, "");
+}
+END_TEST
+
+/* Guards against a replaced voter that stays because its successor is lost
+   too: a replaced disk never votes again, so nothing is gained by waiting.  */
+START_TEST (replaced_disk_goes_first)
+{
+  struct ab_group_member members[]
+      = { member ("a", "1", false), member ("b", "2", false),
+          member ("c", "3", false), member ("d", "1", true) };
+  struct ab_group_request none[1] = { request ("a", 0) };
+  struct ab_group_step step;
+
+  members[0].self = true;
+  members[1].unresponsive_ms = AB_GROUP_VOTER_TIMEOUT_MS + 1;
+  members[2].disk_mismatch = true;
+  step = PLAN (members, none, 3);
+  assert_step (&step, AB_GROUP_REMOVE, "c");
+}
+END_TEST
+
 SUITE_MAIN ("group_plan", 10, all_hosts_vote, adds_requesting_hosts,
             replaces_unresponsive_voter, removes_an_emptied_disk,
-            promotes_only_ready_learners, removes_unresponsive_learners)
+            promotes_only_ready_learners, removes_unresponsive_learners,
+            suspended_leader_removes_nobody, cut_removes_few,
+            replaced_disk_goes_first)
