group_task: a new group takes its first command with enough voters

Cause: the group forms from the three seeds and accepted commands at once. With three voters a command is on two disks, which may both be lost.

Change: the first command needs 2 * tolerated_losses + 1 voters (all voters when there are fewer than three seeds, as these are then all control hosts). Until then orders are answered 503 and group_not_formed names the numbers. Later commands need no check: the plan of the members keeps that many voters but for disks that are known to be lost.

Remains: two of three seeds that lose their disks between the first election and the fifth vote keep the group from forming; nothing was accepted by then.

--- a/src/fleet_settings.h
+++ b/src/fleet_settings.h
@@ -11,6 +11,9 @@
 
 #define AB_HEADER_NAME_BYTES 64
 #define AB_DOMAINS_MAX 256
+/* Seeds of a fleet that has as many control hosts or more; a shorter list
+   names all its control hosts.  */
+#define AB_FLEET_SEEDS 3
 
 enum ab_fleet_role
 {
--- a/src/group_task.c
+++ b/src/group_task.c
@@ -23,6 +23,8 @@
 #define HELLO_MEMBER_INTERVAL_MS 5000
 /* Time without contact after which the leader counts as lost.  */
 #define LEADER_TIMEOUT_MS 1500
+/* Least time between two log lines about refused commands.  */
+#define UNFORMED_LOG_MS 2000
 /* Log entries or bytes after which a snapshot is written.  */
 #define SNAPSHOT_ENTRIES 2000
 #define SNAPSHOT_BYTES (4ULL * 1024 * 1024)
@@ -58,6 +60,10 @@
   size_t host_count;
   /* Time when this host last sent hello messages.  */
   uint64_t hello_ms;
+  bool has_commands; /* A command was committed.  */
+  /* When a command was last logged as refused because the group is not formed;
+     0 means never.  */
+  uint64_t unformed_ms;
 };
 
 static uint64_t
@@ -157,6 +163,7 @@
 {
   struct ab_group_task *task = ctx;
 
+  task->has_commands = true;
   return task->ops->apply (task->ctx, index, term, data);
 }
 
@@ -173,6 +180,7 @@
 {
   struct ab_group_task *task = ctx;
 
+  task->has_commands = true;
   return task->ops->load (task->ctx, data);
 }
 
@@ -574,12 +582,55 @@
   free (task);
 }
 
+/* Returns the number of voters that the first command needs.  With fewer than
+   AB_FLEET_SEEDS seeds there are no more control hosts than seeds.  */
+static size_t
+first_voters (const struct ab_group_task *task)
+{
+  size_t needed
+      = ab_group_voters_min ((size_t)task->settings->tolerated_losses);
+  size_t seeds = task->settings->seed_count;
+
+  return seeds < AB_FLEET_SEEDS && seeds < needed ? seeds : needed;
+}
+
+/* Whether a command that is accepted now survives the tolerated losses.  After
+   the first one the plan of the members sees to that.  */
+static bool
+is_formed (struct ab_group_task *task, uint64_t now)
+{
+  const struct ab_raft_member *members;
+  size_t count = ab_raft_members (task->raft, &members);
+  size_t voters = 0;
+
+  for (size_t i = 0; i < count; i++)
+    voters += !members[i].learner;
+  if (task->has_commands || voters >= first_voters (task))
+    return true;
+  if (!task->unformed_ms || now - task->unformed_ms >= UNFORMED_LOG_MS)
+    {
+      AB_LOG (AB_LOG_WARN, "group_not_formed",
+              ab_log_int ("voters", (int64_t)voters),
+              ab_log_int ("needed", (int64_t)first_voters (task)));
+      task->unformed_ms = now;
+    }
+  return false;
+}
+
 int
 ab_group_propose (struct ab_group_task *task, struct ab_chunk data,
                   uint64_t *index)
 {
-  int rc = ab_raft_propose (task->raft, now_ms (), data, index);
+  uint64_t now = now_ms ();
+  struct ab_raft_status status;
+  int rc;
 
+  ab_raft_status (task->raft, &status);
+  if (!status.leader)
+    return AB_ERR_NOT_LEADER;
+  if (!is_formed (task, now))
+    return AB_ERR_UNAVAILABLE;
+  rc = ab_raft_propose (task->raft, now, data, index);
   if (rc == 0)
     ab_raft_task_flush (task->raft_task);
   return rc;
--- a/src/group_task.h
+++ b/src/group_task.h
@@ -44,7 +44,9 @@
                        char error[AB_CONF_ERROR_BYTES]);
 void ab_group_task_free (struct ab_group_task *task);
 
-/* Appends a command, at the leader.  AB_ERR_NOT_LEADER, AB_ERR_FULL,
+/* Appends a command, at the leader.  A new group takes no command before it
+   has the voters that it needs to keep it when tolerated_losses disks are
+   lost. AB_ERR_NOT_LEADER, AB_ERR_UNAVAILABLE in such a group, AB_ERR_FULL,
    AB_ERR_TOO_LARGE.  */
 int ab_group_propose (struct ab_group_task *task, struct ab_chunk data,
                       uint64_t *index);
