raft_election: a first member that lost its disk may vote

Six control hosts reached each other but never had a leader.

Cause: the disks of the first members are recorded by the first leader, so that the first election needs all votes. A host that lost its disk starts without the list of the first members and never voted.

The election needs all votes, and a majority of them from members that are not blank, or a candidate that has never voted.

Why it is safe: each leader needed the vote of each first member, so no leader existed before the vote of a candidate that has never voted. Otherwise a committed entry is on a majority of the first disks; that majority shares a member with the one that is not blank, which refuses a candidate without the entry and votes once a term.

--- a/src/raft.c
+++ b/src/raft.c
@@ -86,6 +86,8 @@
   if (rc < 0)
     return ab_raft_fail (raft, rc);
   raft->hard_state = state;
+  if (voted_for[0] && strcmp (voted_for, raft->host) != 0)
+    raft->has_voted = true;
   return 0;
 }
 
@@ -154,6 +156,7 @@
   if (initial->member_count > AB_RAFT_MEMBERS_MAX)
     return AB_ERR_TOO_LARGE;
   raft->hard_state = initial->hard_state;
+  raft->has_voted = initial->hard_state.term > 0;
   raft->snapshot_index = initial->snapshot_index;
   raft->snapshot_term = initial->snapshot_term;
   raft->commit = initial->snapshot_index;
--- a/src/raft.h
+++ b/src/raft.h
@@ -7,11 +7,13 @@
 
    The first election of a group needs the votes of all its members, because
    their disks are not known yet and a member whose disk was emptied in the
-   meantime could vote twice.  The first leader records the disk ids in the
-   configuration; from then on a majority is enough.  A member that runs on
-   another disk than the recorded one neither votes nor counts towards a quorum
-   until it is removed and added again.  A learner added with a zero disk id is
-   recorded with the disk id in its first reply.
+   meantime could vote twice.  Fewer than half of them may have lost their
+   disks, or all others if the candidate has never voted.  The first leader
+   records the disk ids in the configuration; from then on a majority is
+   enough.  A member that runs on another disk than the recorded one neither
+   votes nor counts towards a quorum until it is removed and added again.  A
+   learner added with a zero disk id is recorded with the disk id in its first
+   reply.
 
    Pre-vote keeps an isolated member from disturbing the group when it returns;
    a leader that has had no contact with a majority for one election timeout
--- a/src/raft_election.c
+++ b/src/raft_election.c
@@ -44,13 +44,17 @@
 
 /* Whether the granted votes win the election.  While the disk of any voter is
    unknown, a disk could be emptied and vote again without being noticed.  An
-   election then needs every voter, and so includes those whose disks were not
-   emptied; this prevents two leaders in one term.  */
+   election then needs every voter, and a majority of them with the disks that
+   they first had.  Two such majorities share a voter that votes once a term
+   and knows each entry that was committed; this prevents two leaders in one
+   term and a leader without these entries.  A candidate that has never voted
+   needs no such majority: there was no leader without its vote.  */
 static bool
 election_won (const struct ab_raft *raft)
 {
   size_t voters = 0;
   size_t granted = 0;
+  size_t blank = 0;
 
   for (size_t i = 0; i < raft->members.count; i++)
     {
@@ -62,9 +66,11 @@
       peer = ab_raft_find_peer ((struct ab_raft *)raft, member->host);
       if (peer ? peer->granted : ab_raft_self_can_vote (raft))
         granted++;
+      blank += peer && peer->granted && peer->blank;
     }
   if (!ab_raft_disks_all_known (raft))
-    return granted == voters;
+    return granted == voters
+           && (granted - blank > voters / 2 || !raft->has_voted);
   return granted > voters / 2;
 }
 
@@ -141,12 +147,21 @@
          && now_ms - raft->leader_heard_ms < raft->election_ms;
 }
 
+/* Whether this member has never been part of a group, on this disk.  */
+static bool
+is_blank (const struct ab_raft *raft)
+{
+  return raft->members.count == 0 && raft->snapshot_index == 0
+         && ab_raft_log_last_index (&raft->log) == 0;
+}
+
 /* Whether this member's disk is the one in the candidate's configuration.
    This member's own log may be behind: it may still show a promoted member as
    a learner, or name a replaced disk of the candidate.  Rejecting the
    candidate for that could leave the group without a leader for good.  The
    candidate's log and configuration decide, and it counts only votes of
-   recorded disks.  */
+   recorded disks.  A blank member may help a group whose disks are not
+   recorded yet to its first leader.  */
 static bool
 disk_may_vote (struct ab_raft *raft, const struct ab_raft_msg *msg)
 {
@@ -155,6 +170,8 @@
   if (ab_raft_disk_known (msg->receiver_disk_id))
     return memcmp (msg->receiver_disk_id, raft->disk_id, AB_DISK_ID_BYTES)
            == 0;
+  if (is_blank (raft))
+    return true;
   self = ab_raft_find_member (&raft->members, raft->host);
   return self && !raft->disk_replaced
          && (!ab_raft_disk_known (self->disk_id)
@@ -194,8 +211,9 @@
 handle_pre_vote (struct ab_raft *raft, uint64_t now_ms, const char *from,
                  const struct ab_raft_msg *msg)
 {
-  struct ab_raft_msg reply
-      = { .type = AB_RAFT_MSG_PRE_VOTE_REPLY, .term = raft->hard_state.term };
+  struct ab_raft_msg reply = { .type = AB_RAFT_MSG_PRE_VOTE_REPLY,
+                               .term = raft->hard_state.term,
+                               .blank = is_blank (raft) };
 
   reply.ok = msg->term > raft->hard_state.term && log_up_to_date (raft, msg);
   if (reply.ok)
@@ -210,7 +228,8 @@
 ab_raft_handle_vote (struct ab_raft *raft, uint64_t now_ms, const char *from,
                      const struct ab_raft_msg *msg)
 {
-  struct ab_raft_msg reply = { .type = AB_RAFT_MSG_VOTE_REPLY };
+  struct ab_raft_msg reply
+      = { .type = AB_RAFT_MSG_VOTE_REPLY, .blank = is_blank (raft) };
   bool free_to_vote;
 
   if (has_leader_contact (raft, now_ms) || !disk_may_vote (raft, msg))
@@ -258,6 +277,7 @@
       && memcmp (peer->disk_id, msg->disk_id, AB_DISK_ID_BYTES) != 0)
     return;
   memcpy (peer->vote_disk_id, msg->disk_id, AB_DISK_ID_BYTES);
+  peer->blank = msg->blank;
   peer->granted = true;
   check_election (raft, now_ms);
 }
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -58,6 +58,7 @@
   /* Disk id in the member's last granted vote.  */
   uint8_t vote_disk_id[AB_DISK_ID_BYTES];
   bool granted; /* It granted its vote in the current election.  */
+  bool blank;   /* It had neither members nor a log when it did.  */
   bool paused;  /* No entries are sent until a reply or a heartbeat.  */
   /* The last reply came from another disk than the recorded one.  */
   bool disk_mismatch;
@@ -118,6 +119,9 @@
   uint64_t no_campaign_until_ms;
   /* The leader's configuration has another disk for this host.  */
   bool disk_replaced;
+  /* This member may have helped a leader to its election, or led itself,
+     perhaps before it was restarted.  */
+  bool has_voted;
 
   struct ab_raft_log log;
   uint64_t snapshot_index;
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -48,6 +48,7 @@
   int rc;
 
   raft->role = AB_RAFT_LEADER;
+  raft->has_voted = true;
   memcpy (raft->leader_host, raft->host, sizeof raft->leader_host);
   for (size_t i = 0; i < raft->peer_count; i++)
     reset_peer (raft, &raft->peers[i], now_ms);
--- a/src/raft_msg.c
+++ b/src/raft_msg.c
@@ -4,6 +4,8 @@
 
 #include "error.h"
 
+#define FLAG_BLANK 1
+
 void
 ab_raft_members_pack (struct ab_buf *out, const struct ab_raft_member *members,
                       size_t count)
@@ -85,7 +87,7 @@
       ab_pack_bytes (out, msg->entries[i].data);
     }
   ab_raft_members_pack (out, msg->members, msg->member_count);
-  ab_pack_u64 (out, 0); /* Reserved for flags.  */
+  ab_pack_u64 (out, msg->blank ? FLAG_BLANK : 0);
   return out->error;
 }
 
@@ -149,6 +151,7 @@
   if (!msg->members)
     return AB_ERR_MEMORY;
   msg->member_count = read_members (reader, msg->members);
+  msg->blank = ab_reader_u64 (reader) & FLAG_BLANK;
   if (type >= AB_RAFT_MSG_TYPE_COUNT)
     return AB_ERR_CORRUPT;
   msg->type = (enum ab_raft_msg_type)type;
--- a/src/raft_msg.h
+++ b/src/raft_msg.h
@@ -52,6 +52,9 @@
      stored.  */
   bool ok;
   bool full; /* The receiver's disk is full.  */
+  /* Vote replies: the sender has neither members nor a log.  If it was one of
+     the first members, it has lost its disk.  */
+  bool blank;
   /* Reply to a rejected append: the receiver's term at INDEX (0 when its log
      is shorter) and the first index of that term.  */
   uint64_t hint_index;
--- a/tests/fleet_first_start.c
+++ b/tests/fleet_first_start.c
@@ -88,6 +88,33 @@
 }
 END_TEST
 
+/* Guards against a group that never forms because one seed or two lost their
+   disks, and with them the list of the first members, before the first
+   election.  */
+START_TEST (seed_disks_lost_before_first_leader)
+{
+  struct gf_fleet fleet;
+  int lost = _i + 1;
+
+  gf_prepare (&fleet, "gf_seeds_lost");
+  fleet.tolerated = lost;
+  for (int i = 1; i <= lost; i++)
+    gf_start_control (&fleet, i, true);
+  fleet_sleep_ms (100);
+  for (int i = 1; i <= lost; i++)
+    lose_disk (&fleet, i);
+  for (int i = lost + 1; i <= 6; i++)
+    gf_start_control (&fleet, i, true);
+  fleet_sleep_ms (DOWN_MS);
+  for (int i = 1; i <= lost; i++)
+    gf_start_control (&fleet, i, false);
+  ck_assert (put_bundle (&fleet, 1, RECOVER_MS));
+  for (int i = 1; i <= 6; i++)
+    ck_assert (gf_wait_bundle (&fleet, i, 1, READY_MS));
+  gf_stop (&fleet);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -99,6 +126,7 @@
   tcase_set_timeout (tcase, TEST_S);
   tcase_add_test (tcase, disks_lost_after_first_change);
   tcase_add_test (tcase, few_voters_accept_nothing);
+  tcase_add_loop_test (tcase, seed_disks_lost_before_first_leader, 0, 2);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
--- a/tests/raft_fake_lib.c
+++ b/tests/raft_fake_lib.c
@@ -232,7 +232,8 @@
     return;
   member->restart_at_ms = 0;
   rc = ab_storage_open_with (&member->disk->files, group->segment_bytes, "d",
-                             group->first, (size_t)group->count,
+                             group->first,
+                             member->is_late ? 0 : (size_t)group->count,
                              &member->storage, &content, error);
   if (rc < 0)
     {
--- a/tests/raft_fake_lib.h
+++ b/tests/raft_fake_lib.h
@@ -37,6 +37,7 @@
   uint8_t disk_id[AB_DISK_ID_BYTES];
   struct fake_state state;
   uint64_t snapshot_index;
+  bool is_late; /* An empty disk starts without the first members.  */
   uint64_t frozen_until_ms;
   /* Time of the next restart; 0 means none is planned.  */
   uint64_t restart_at_ms;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -338,6 +338,91 @@
 }
 END_TEST
 
+/* Guards against a group that never gets its first leader because a member
+   lost its disk and does not know the first members any more, and against two
+   leaders in one term because such a member voted twice.  */
+START_TEST (lost_in_first_election)
+{
+  struct fake_group *group = fake_group_new (3, 2000 + (uint64_t)_i);
+  uint64_t steps = ab_rng_below (&group->rng, 220);
+  int lost = (int)ab_rng_below (&group->rng, 3);
+
+  group->delay_ms = 150;
+  group->members[lost].is_late = true;
+  for (uint64_t i = 0; i < steps; i++)
+    fake_step (group);
+  for (int round = 0; round < 4; round++)
+    {
+      fake_crash (group, lost);
+      fake_empty_disk (group, lost);
+      fake_start (group, lost);
+      fake_cut (group, (int)ab_rng_below (&group->rng, 3),
+                (int)ab_rng_below (&group->rng, 3), true);
+      fake_run (group, 700);
+    }
+  fake_heal (group);
+  ck_assert_int_ge (fake_run_until_leader (group, 10000), 0);
+  ck_assert (fake_run_until_converged (group, 20000));
+  finish (group);
+}
+END_TEST
+
+/* Guards against a group that never gets its first leader because all members
+   but one lost their disks before any vote.  */
+START_TEST (others_lost_before_first_election)
+{
+  struct fake_group *group = fake_group_new (3, 4000 + (uint64_t)_i);
+  int kept = _i % 3;
+
+  for (int i = 0; i < _i % 5; i++)
+    fake_step (group);
+  ck_assert_uint_eq (group->members[kept].raft->hard_state.term, 0);
+  for (int i = 0; i < 3; i++)
+    if (i != kept)
+      {
+        group->members[i].is_late = true;
+        fake_crash (group, i);
+        fake_empty_disk (group, i);
+        fake_start (group, i);
+      }
+  ck_assert_int_eq (fake_run_until_leader (group, 10000), kept);
+  ck_assert (fake_run_until_converged (group, 20000));
+  finish (group);
+}
+END_TEST
+
+/* Guards against a member that missed the first entries and is elected anew by
+   members that lost their disks.  */
+START_TEST (lost_majority_elects_nobody)
+{
+  int leader;
+  struct fake_group *group = fake_group_new (3, 3000 + (uint64_t)_i);
+  int lagging;
+
+  group->delay_ms = 5;
+  while ((leader = fake_leader (group)) < 0)
+    fake_step (group);
+  lagging = (leader + 1) % 3;
+  fake_isolate (group, lagging, true);
+  fake_run (group, 3000);
+  ck_assert_uint_eq (
+      ab_raft_log_last_index (&group->members[lagging].raft->log), 0);
+  ck_assert_uint_gt (group->committed_count, 0);
+  for (int i = 0; i < 3; i++)
+    if (i != lagging)
+      {
+        group->members[i].is_late = true;
+        fake_crash (group, i);
+        fake_empty_disk (group, i);
+        fake_start (group, i);
+      }
+  fake_heal (group);
+  fake_run (group, 10000);
+  ck_assert_int_lt (fake_leader (group), 0);
+  finish (group);
+}
+END_TEST
+
 /* Cuts all links of member I except those with member KEPT.  */
 static void
 isolate_except (struct fake_group *group, int i, int kept)
@@ -624,6 +709,9 @@
   tcase_add_test (tcase, emptied_disk_does_not_count);
   tcase_add_loop_test (tcase, emptied_in_first_election, 0,
                        FIRST_ELECTION_SEEDS);
+  tcase_add_loop_test (tcase, lost_in_first_election, 0, FIRST_ELECTION_SEEDS);
+  tcase_add_loop_test (tcase, others_lost_before_first_election, 0, 15);
+  tcase_add_loop_test (tcase, lost_majority_elects_nobody, 0, 20);
   tcase_add_test (tcase, earlier_term_is_not_counted);
   tcase_add_test (tcase, large_snapshot);
   tcase_add_test (tcase, bounded_restart);
