caller_conns: idle connections make room for new callers

Cause: at the bound on connections the listener was disabled until a connection ended by itself, for idle ones after the idle time of 15 s.

Change: at the bound a thirty-second part of the connections is closed: idle ones, first those that never had a request, then those idle for longest.

--- a/src/caller_conns_task.c
+++ b/src/caller_conns_task.c
@@ -28,6 +28,11 @@
 #define DISCARDS_MAX 64 /* Reads of a sweep from one connection.  */
 /* Smaller requests are not rejected for the memory of all together.  */
 #define LARGE_REQUEST_BYTES 65536
+/* At the bound on connections, this part of them is closed at a time, so that
+   idle ones are not sorted for each new one.  */
+#define ROOM_DIVISOR 32
+/* Least time between two log lines about connections closed for others.  */
+#define ROOM_LOG_MS 1000
 /* Above the bound, requests are checked whenever they have grown by this.  */
 #define EXCESS_CHECK_BYTES (1024 * 1024)
 
@@ -38,6 +43,7 @@
   struct ab_bounded_conn *bounded;
   bool tls;
   bool busy;
+  bool had_request;      /* A whole request has arrived on it.  */
   uint64_t receiving_ms; /* First byte of the next request; 0: none.  */
   uint64_t received_ms;  /* Latest byte of that request.  */
   uint64_t rejected_ms;  /* Rejection by this module; 0: not rejected.  */
@@ -62,8 +68,11 @@
   bool full;             /* At the bound on connections: accepts none.  */
   uint64_t *gauge;
   uint64_t *held_gauge;
+  uint64_t room_log_ms; /* Latest log line about connections closed for
+                           others; 0: none.  */
   uint64_t *slow;
   uint64_t *too_much;
+  uint64_t *displaced;
 };
 
 static uint64_t
@@ -298,6 +307,71 @@
     end_conn (conn);
 }
 
+static bool
+is_idle (const struct conn *conn)
+{
+  return !conn->busy && conn->receiving_ms == 0 && conn->rejected_ms == 0
+         && !is_released (conn)
+         && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0;
+}
+
+/* Orders connections by who makes room first: those without a request so far,
+   then those that have been idle for longer.  */
+static int
+compare_idle (const void *a, const void *b)
+{
+  const struct conn *x = *(struct conn *const *)a;
+  const struct conn *y = *(struct conn *const *)b;
+
+  if (x->had_request != y->had_request)
+    return x->had_request ? 1 : -1;
+  return (x->idle_ms > y->idle_ms) - (x->idle_ms < y->idle_ms);
+}
+
+/* At the bound on connections, ends idle ones so that new callers are
+   accepted. Callers that open connections and send nothing would otherwise
+   keep all others out for the idle time.  */
+static void
+make_room (struct ab_caller_conns *conns, uint64_t now)
+{
+  size_t bound = conns->daemon->settings->http.connections;
+  size_t target = bound - bound / ROOM_DIVISOR - 1;
+  size_t count = HASH_COUNT (conns->conns);
+  size_t idle_count = 0;
+  uint64_t ended = 0;
+  struct conn **idle;
+  struct conn *conn;
+
+  if (count < bound)
+    return;
+  idle = malloc (count * sizeof *idle);
+  if (!idle)
+    return;
+  for (conn = conns->conns; conn; conn = conn->hh.next)
+    if (is_idle (conn))
+      idle[idle_count++] = conn;
+  qsort (idle, idle_count, sizeof *idle, compare_idle);
+  for (size_t i = 0; i < idle_count && HASH_COUNT (conns->conns) > target; i++)
+    {
+      if (has_unread_bytes (idle[i]))
+        continue;
+      end_conn (idle[i]);
+      ended++;
+      if (is_released (idle[i]))
+        free_conn (conns, idle[i]);
+    }
+  free (idle);
+  *conns->displaced += ended;
+  if (ended > 0
+      && (!conns->room_log_ms || now - conns->room_log_ms >= ROOM_LOG_MS))
+    {
+      AB_LOG (AB_LOG_WARN, "caller_connections_displaced",
+              ab_log_int ("connections", (int64_t)count),
+              ab_log_int ("ended", (int64_t)ended));
+      conns->room_log_ms = now;
+    }
+}
+
 static void
 update_listener (struct ab_caller_conns *conns)
 {
@@ -341,6 +415,7 @@
     free_conn (conns, conn);
   else
     check_conn (conns, conn, stalled_ms, now);
+  make_room (conns, now);
   update_listener (conns);
 }
 
@@ -418,6 +493,8 @@
   result->held_gauge = ab_counter (daemon->counters, "ab_requests_bytes");
   result->too_much
       = ab_counter (daemon->counters, "ab_requests_too_large_total");
+  result->displaced
+      = ab_counter (daemon->counters, "ab_caller_displaced_total");
   result->sweep = event_new (daemon->base, -1, EV_PERSIST, on_sweep, result);
   if (!result->sweep || event_add (result->sweep, &tv) < 0)
     {
@@ -473,6 +550,7 @@
   if (!conn)
     return;
   conn->busy = true;
+  conn->had_request = true;
   conn->receiving_ms = 0;
   evhttp_connection_set_closecb (evhttp_request_get_connection (req),
                                  on_released, conn);
--- a/src/caller_conns_task.h
+++ b/src/caller_conns_task.h
@@ -1,5 +1,6 @@
 /* Connections from callers: limits their number, closes idle ones, and rejects
-   callers that take too long to send a request.
+   callers that take too long to send a request.  At the limit, idle
+   connections are closed for new ones, first those that never had a request.
 
    evhttp neither counts its connections nor bounds the time in which a
    complete request must arrive, so the bufferevent of each connection is
