http_rules: refuse requests whose end is not clear

Cause: evhttp reads no body of a HEAD request and takes a name with a space for another header; it read the body as the next request of the connection. The check of the framing looked at well-formed length headers only.

Change: a request with a malformed header, or a HEAD request with a body, gets 400 and its connection is closed, at gateways and at entry hosts.

--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -215,14 +215,9 @@
 static int
 check_framing (struct ab_gateway_flow *flow)
 {
-  enum ab_framing framing;
-  uint64_t length;
-
   flow->close = ab_http_list_has (ab_gateway_flow_header (flow, "Connection"),
                                   "close");
-  if (ab_http_framing (evhttp_request_get_input_headers (flow->req), &framing,
-                       &length)
-      == 0)
+  if (ab_http_request_framing (flow->req) == 0)
     return 0;
   flow->close = true;
   return reject (flow, 400, "framing", 0);
--- a/src/http_rules.h
+++ b/src/http_rules.h
@@ -33,6 +33,13 @@
 /* Returns whether ab_http_header_valid holds for each of HEADERS.  */
 bool ab_http_headers_valid (const struct evkeyvalq *headers);
 
+/* Returns 0, or AB_ERR_INVALID when it is not clear where the request REQ
+   ends: its framing is invalid, a header is malformed, or it is a HEAD request
+   with a body.  Its connection must then be closed, as what follows on it may
+   be a part of the request.  Source: RFC 9112, sections 5.1 and 6.3; RFC 9110,
+   section 9.3.2.  */
+int ab_http_request_framing (struct evhttp_request *req);
+
 /* Returns whether the comma-separated LIST, which may be null, contains the
    item NAME, ignoring case.  evhttp supports only lists of one item.  */
 bool ab_http_list_has (const char *list, const char *name);
--- a/src/request_parse_task.c
+++ b/src/request_parse_task.c
@@ -230,19 +230,14 @@
 int
 ab_flow_parse (struct ab_flow *flow, struct ab_reply_error *error)
 {
-  enum ab_framing framing;
-  uint64_t length;
-
   set_request_id (flow);
   flow->close_connection
       = ab_http_list_has (header (flow, "Connection"), "close");
-  if (ab_http_framing (evhttp_request_get_input_headers (flow->req), &framing,
-                       &length)
-      < 0)
+  if (ab_http_request_framing (flow->req) < 0)
     {
       flow->close_connection = true;
       return reject (error, 400, "framing",
-                     "Content-Length and Transfer-Encoding conflict");
+                     "the end of the request is not clear");
     }
   flow->bundle
       = ab_bundle_ref (ab_bundle_task_current (flow->env->daemon->bundle));
