http_rules: serve HEAD requests with a body and close their connections

They are served now; the body is dropped and the connection closed after the response, so that nothing reads it as a request.

--- a/src/caller_conns_task.c
+++ b/src/caller_conns_task.c
@@ -315,13 +315,18 @@
          && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0;
 }
 
+struct idle_conn
+{
+  struct conn *conn;
+};
+
 /* Orders connections by who makes room first: those without a request so far,
    then those that have been idle for longer.  */
 static int
 compare_idle (const void *a, const void *b)
 {
-  const struct conn *x = *(struct conn *const *)a;
-  const struct conn *y = *(struct conn *const *)b;
+  const struct conn *x = ((const struct idle_conn *)a)->conn;
+  const struct conn *y = ((const struct idle_conn *)b)->conn;
 
   if (x->had_request != y->had_request)
     return x->had_request ? 1 : -1;
@@ -339,26 +344,26 @@
   size_t count = HASH_COUNT (conns->conns);
   size_t idle_count = 0;
   uint64_t ended = 0;
-  struct conn **idle;
+  struct idle_conn *idle;
   struct conn *conn;
 
-  if (count < bound)
+  if (count == 0 || count < bound)
     return;
   idle = malloc (count * sizeof *idle);
   if (!idle)
     return;
   for (conn = conns->conns; conn; conn = conn->hh.next)
     if (is_idle (conn))
-      idle[idle_count++] = conn;
+      idle[idle_count++].conn = conn;
   qsort (idle, idle_count, sizeof *idle, compare_idle);
   for (size_t i = 0; i < idle_count && HASH_COUNT (conns->conns) > target; i++)
     {
-      if (has_unread_bytes (idle[i]))
+      if (has_unread_bytes (idle[i].conn))
         continue;
-      end_conn (idle[i]);
+      end_conn (idle[i].conn);
       ended++;
-      if (is_released (idle[i]))
-        free_conn (conns, idle[i]);
+      if (is_released (idle[i].conn))
+        free_conn (conns, idle[i].conn);
     }
   free (idle);
   *conns->displaced += ended;
--- a/src/gateway_flow_task.c
+++ b/src/gateway_flow_task.c
@@ -215,9 +215,13 @@
 static int
 check_framing (struct ab_gateway_flow *flow)
 {
-  flow->close = ab_http_list_has (ab_gateway_flow_header (flow, "Connection"),
-                                  "close");
-  if (ab_http_request_framing (flow->req) == 0)
+  bool unread_body;
+  int rc = ab_http_request_framing (flow->req, &unread_body);
+
+  flow->close = unread_body
+                || ab_http_list_has (
+                    ab_gateway_flow_header (flow, "Connection"), "close");
+  if (rc == 0)
     return 0;
   flow->close = true;
   return reject (flow, 400, "framing", 0);
--- a/src/http_rules.c
+++ b/src/http_rules.c
@@ -211,21 +211,21 @@
 }
 
 int
-ab_http_request_framing (struct evhttp_request *req)
+ab_http_request_framing (struct evhttp_request *req, bool *unread_body)
 {
   const struct evkeyvalq *headers = evhttp_request_get_input_headers (req);
   enum ab_framing framing;
   uint64_t length;
   int rc = ab_http_framing (headers, &framing, &length);
 
+  *unread_body = false;
   if (rc < 0)
     return rc;
-  /* evhttp takes "Content-Length :" for a header of another name, and reads no
-     body of a HEAD request: it would read the body as the next request.  */
-  if (!ab_http_headers_valid (headers)
-      || (evhttp_request_get_command (req) == EVHTTP_REQ_HEAD
-          && (framing == AB_FRAMING_CHUNKED || length > 0)))
+  /* evhttp takes "Content-Length :" for a header of another name.  */
+  if (!ab_http_headers_valid (headers))
     return AB_ERR_INVALID;
+  *unread_body = evhttp_request_get_command (req) == EVHTTP_REQ_HEAD
+                 && (framing == AB_FRAMING_CHUNKED || length > 0);
   return 0;
 }
 
--- a/src/request_parse_task.c
+++ b/src/request_parse_task.c
@@ -230,10 +230,13 @@
 int
 ab_flow_parse (struct ab_flow *flow, struct ab_reply_error *error)
 {
+  bool unread_body;
+  int framing = ab_http_request_framing (flow->req, &unread_body);
+
   set_request_id (flow);
   flow->close_connection
-      = ab_http_list_has (header (flow, "Connection"), "close");
-  if (ab_http_request_framing (flow->req) < 0)
+      = unread_body || ab_http_list_has (header (flow, "Connection"), "close");
+  if (framing < 0)
     {
       flow->close_connection = true;
       return reject (error, 400, "framing",
