side listeners: bound the heads and bodies of requests that need none

Cause: the listeners for addresses, readiness and metrics had no bound on a request, and evhttp has none of its own.

Change: heads of at most 16 KiB and bodies of at most 4 KiB there.

--- a/src/conn_bounds_task.h
+++ b/src/conn_bounds_task.h
@@ -44,6 +44,15 @@
 int ab_conn_bounds_listen (struct ab_conn_bounds *bounds, struct evhttp *http,
                            const char *address);
 
+/* Largest head and body of a request to a listener whose requests need no
+   body.  */
+#define AB_SIDE_HEAD_BYTES 16384
+#define AB_SIDE_BODY_BYTES 4096
+
+/* Makes HTTP, a listener whose requests need no body, refuse longer ones and
+   close their connections; evhttp has no bounds of its own.  */
+void ab_conn_bounds_limit_requests (struct evhttp *http);
+
 /* Returns whether evhttp has dropped the connection of BEV, which clears its
    callbacks.  */
 bool ab_conn_is_released (struct bufferevent *bev);
--- a/src/fleet_run.c
+++ b/src/fleet_run.c
@@ -185,6 +185,7 @@
   runner->metrics = evhttp_new (runner->daemon.base);
   if (!runner->metrics)
     return AB_ERR_MEMORY;
+  ab_conn_bounds_limit_requests (runner->metrics);
   evhttp_set_gencb (runner->metrics, on_metrics, runner);
   if (ab_conn_bounds_listen (runner->daemon.conn_bounds, runner->metrics,
                              address)
--- a/src/gateway_task.c
+++ b/src/gateway_task.c
@@ -275,6 +275,7 @@
   *http = evhttp_new (gateway->daemon->base);
   if (!*http)
     return AB_ERR_MEMORY;
+  ab_conn_bounds_limit_requests (*http);
   evhttp_set_gencb (*http, handle, gateway);
   if (ab_conn_bounds_listen (gateway->daemon->conn_bounds, *http, address)
       == 0)
--- a/src/side_listener_task.c
+++ b/src/side_listener_task.c
@@ -179,6 +179,13 @@
   return conn->bev;
 }
 
+void
+ab_conn_bounds_limit_requests (struct evhttp *http)
+{
+  evhttp_set_max_headers_size (http, AB_SIDE_HEAD_BYTES);
+  evhttp_set_max_body_size (http, AB_SIDE_BODY_BYTES);
+}
+
 int
 ab_conn_bounds_listen (struct ab_conn_bounds *bounds, struct evhttp *http,
                        const char *address)
--- a/tests/fleet_large_requests.c
+++ b/tests/fleet_large_requests.c
@@ -109,4 +109,46 @@
 }
 END_TEST
 
-SUITE_MAIN ("fleet_large_requests", TEST_S, large_requests_share_a_bound)
+/* Guards against a gateway that exceeds its memory limit through bodies sent
+   to listeners that need none, chunked or with a length, and unfinished.  */
+START_TEST (bodies_at_side_listeners)
+{
+  static const int ports[]
+      = { GF_ADDRESSES_PORT, GF_READY_PORT, GF_METRICS_PORT };
+  static const char *const framings[]
+      = { "Content-Length: 41943040\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n2800000\r\n" };
+  static const char piece[PIECE_BYTES];
+  long bound_kb = gf_memory_bound_kb ();
+  int fds[3 * 2 * 2];
+  int count = 0;
+  struct gf_fleet fleet;
+
+  gf_start_sized (&fleet, "gf_side_bodies", 3, 1, (int)(bound_kb / 1024));
+  gf_start_target (&fleet, 1, GF_HEALTHY);
+  ck_assert (gf_wait_status (&fleet, 1, "/shop/1", 200, READY_MS));
+  for (int i = 0; i < 12; i++)
+    {
+      char address[64];
+      char head[256];
+      gf_print_gateway (&fleet, 1, ports[i / 4], address, sizeof address);
+      fds[count] = raw_connect (address);
+      ck_assert_int_ge (fds[count], 0);
+      snprintf (head, sizeof head, "POST / HTTP/1.1\r\nHost: x.example\r\n%s",
+                framings[i % 2]);
+      raw_send_str (fds[count], head);
+      for (int sent = 0; sent < BODY_BYTES - MIB; sent += PIECE_BYTES)
+        if (!raw_send (fds[count], piece, sizeof piece))
+          break;
+      count++;
+    }
+  ck_assert_int_lt (gf_peak_memory_kb (fleet.gateway_pids[1]), bound_kb);
+  ck_assert (gf_wait_status (&fleet, 1, "/shop/1", 200, READY_MS));
+  for (int i = 0; i < count; i++)
+    close (fds[i]);
+  gf_stop (&fleet);
+}
+END_TEST
+
+SUITE_MAIN ("fleet_large_requests", TEST_S, large_requests_share_a_bound,
+            bodies_at_side_listeners)
