--- a/src/caller_conns_task.c
+++ b/src/caller_conns_task.c
@@ -334,7 +334,7 @@
 }
 
 /* At the bound on connections, ends idle ones so that new callers are
-   accepted. Callers that open connections and send nothing would otherwise
+   accepted.  Callers that open connections and send nothing would otherwise
    keep all others out for the idle time.  */
 static void
 make_room (struct ab_caller_conns *conns, uint64_t now)
--- a/src/http_rules.c
+++ b/src/http_rules.c
@@ -210,10 +210,24 @@
   return true;
 }
 
+/* Whether NAME is malformed and starts with that of a header that tells the
+   length of a body, as "Content-Length ".  */
+static bool
+is_odd_length_header (const char *name)
+{
+  static const char *const names[] = { "Content-Length", "Transfer-Encoding" };
+
+  for (size_t i = 0; i < COUNT (names); i++)
+    if (strncasecmp (name, names[i], strlen (names[i])) == 0)
+      return !is_token (name);
+  return false;
+}
+
 int
 ab_http_request_framing (struct evhttp_request *req, bool *unread_body)
 {
   const struct evkeyvalq *headers = evhttp_request_get_input_headers (req);
+  const struct evkeyval *header;
   enum ab_framing framing;
   uint64_t length;
   int rc = ab_http_framing (headers, &framing, &length);
@@ -222,7 +236,8 @@
   if (rc < 0)
     return rc;
   /* evhttp takes "Content-Length :" for a header of another name.  */
-  if (!ab_http_headers_valid (headers))
+  TAILQ_FOREACH (header, headers, next)
+  if (is_odd_length_header (header->key))
     return AB_ERR_INVALID;
   *unread_body = evhttp_request_get_command (req) == EVHTTP_REQ_HEAD
                  && (framing == AB_FRAMING_CHUNKED || length > 0);
--- a/src/http_rules.h
+++ b/src/http_rules.h
@@ -34,11 +34,11 @@
 bool ab_http_headers_valid (const struct evkeyvalq *headers);
 
 /* Returns 0, or AB_ERR_INVALID when it is not clear where the request REQ
-   ends: its framing is invalid or a header is malformed.  Sets *UNREAD_BODY
-   when evhttp has not read its body, as of HEAD requests.  In both cases the
-   connection must be closed after the response: what follows on it would be
-   read as the next request.  Source: RFC 9112, sections 5.1 and 6.3; RFC 9110,
-   section 9.3.2.  */
+   ends: its framing is invalid or the name of a length header malformed.  Sets
+   *UNREAD_BODY when evhttp has not read its body, as of HEAD requests.  In
+   both cases the connection must be closed after the response: what follows on
+   it would be read as the next request.  Source: RFC 9112, sections 5.1
+   and 6.3; RFC 9110, section 9.3.2.  */
 int ab_http_request_framing (struct evhttp_request *req, bool *unread_body);
 
 /* Returns whether the comma-separated LIST, which may be null, contains the
