--- a/tests/fleet_callers.c
+++ b/tests/fleet_callers.c
@@ -5,13 +5,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
 #include "conf.h"
 #include "fleet_test_lib.h"
+#include "suite_lib.h"
 
 #define IDLE_CONNECTIONS 10000
 #define SLOW_CONNECTIONS 200
@@ -35,17 +35,6 @@
   return fd;
 }
 
-static void
-raise_descriptor_limit (void)
-{
-  struct rlimit limit;
-
-  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, &limit), 0);
-  ck_assert_uint_ge (limit.rlim_max, IDLE_CONNECTIONS + SPARE_DESCRIPTORS);
-  limit.rlim_cur = limit.rlim_max;
-  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
-}
-
 /* Guards against idle connections and unfinished headers that keep other
    callers from being served.  */
 START_TEST (idle_and_slow_connections)
@@ -55,7 +44,7 @@
   struct fleet *fleet;
   const char *entry;
 
-  raise_descriptor_limit ();
+  suite_raise_descriptor_limit (IDLE_CONNECTIONS + SPARE_DESCRIPTORS);
   fleet = test_fleet_start ("fleet_callers_idle", 1, 2, false);
   entry = fleet_callers (fleet, test_entry_host (fleet, 1));
   for (int i = 0; i < IDLE_CONNECTIONS; i++)
--- a/tests/fleet_idle_callers.c
+++ b/tests/fleet_idle_callers.c
@@ -3,7 +3,6 @@
 
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include "clock.h"
@@ -21,17 +20,6 @@
 #define KEPT 10
 #define ANSWER_MS 2000
 
-static void
-raise_descriptor_limit (void)
-{
-  struct rlimit limit;
-
-  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, &limit), 0);
-  ck_assert_uint_ge (limit.rlim_max, CROWD + SPARE_DESCRIPTORS);
-  limit.rlim_cur = limit.rlim_max;
-  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
-}
-
 static bool
 ask (int fd, int number)
 {
@@ -57,7 +45,7 @@
   char gateway[64];
   int served = 0;
 
-  raise_descriptor_limit ();
+  suite_raise_descriptor_limit (CROWD + SPARE_DESCRIPTORS);
   gf_start (&fleet, "gf_idle", 3, 1);
   gf_start_target (&fleet, 1, GF_HEALTHY);
   gf_start_target (&fleet, 2, GF_HEALTHY);
--- a/tests/suite_lib.c
+++ b/tests/suite_lib.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 int
 suite_main (const char *name, const TTest *const *tests, size_t count,
@@ -23,3 +24,14 @@
   srunner_free (runner);
   return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
+
+void
+suite_raise_descriptor_limit (size_t least)
+{
+  struct rlimit limit;
+
+  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  ck_assert_uint_ge (limit.rlim_max, least);
+  limit.rlim_cur = limit.rlim_max;
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
+}
--- a/tests/suite_lib.h
+++ b/tests/suite_lib.h
@@ -12,6 +12,10 @@
 int suite_main (const char *name, const TTest *const *tests, size_t count,
                 double timeout_s);
 
+/* Raises the limit on open descriptors to the largest allowed.  Fails the test
+   if that is below LEAST.  */
+void suite_raise_descriptor_limit (size_t least);
+
 /* Defines a main that runs the listed tests with suite_main.  */
 #define SUITE_MAIN(name, timeout_s, ...)                                      \
   int main (void)                                                             \
--- a/tests/test_group_plan.c
+++ b/tests/test_group_plan.c
@@ -13,6 +13,19 @@
   return m;
 }
 
+/* Sets MEMBERS to COUNT members called "a", "b" and so on, of which the first
+   is the leader and the first VOTERS vote.  */
+static void
+letter_members (struct ab_group_member *members, int count, int voters)
+{
+  for (int i = 0; i < count; i++)
+    {
+      const char name[] = { (char)('a' + i), '\0' };
+      members[i] = member (name, "1", i >= voters);
+    }
+  members[0].self = true;
+}
+
 static struct ab_group_request
 request (const char *host, uint64_t age_ms)
 {
@@ -146,12 +159,7 @@
   struct ab_group_step step;
   size_t promoted = 3;
 
-  for (int i = 0; i < 9; i++)
-    {
-      const char name[] = { (char)('a' + i), '\0' };
-      members[i] = member (name, "1", i >= 3);
-    }
-  members[0].self = true;
+  letter_members (members, 9, 3);
   for (;;)
     {
       size_t wanted = ab_group_voters_wanted (members, 9, 5);
@@ -201,12 +209,7 @@
   struct ab_group_request none[1] = { request ("a", 0) };
   struct ab_group_step step;
 
-  for (int i = 0; i < 6; i++)
-    {
-      const char name[] = { (char)('a' + i), '\0' };
-      members[i] = member (name, "1", false);
-    }
-  members[0].self = true;
+  letter_members (members, 6, 6);
   members[5].unresponsive_ms = AB_GROUP_VOTER_TIMEOUT_MS + 1;
   step = ab_group_plan (members, 6, none, 1, 6, 1);
   assert_step (&step, AB_GROUP_NONE, "");
