--- a/tests/fleet_full_disk.c
+++ b/tests/fleet_full_disk.c
@@ -40,44 +40,6 @@
       prlimit (fleet->control_pids[control], RLIMIT_FSIZE, &limit, NULL), 0);
 }
 
-static json_t *
-read_state (struct gf_fleet *fleet, int control)
-{
-  char *text = NULL;
-  json_t *state = NULL;
-
-  if (fleet_http (gf_admin (fleet, control), "GET", "/v1/state", NULL, NULL,
-                  &text)
-      == 200)
-    state = json_loads (text, 0, NULL);
-  free (text);
-  return state;
-}
-
-static bool
-is_leader (struct gf_fleet *fleet, int control)
-{
-  json_t *state = read_state (fleet, control);
-  bool leader = json_is_true (
-      json_object_get (json_object_get (state, "group"), "leader"));
-
-  json_decref (state);
-  return leader;
-}
-
-static int
-find_leader (struct gf_fleet *fleet)
-{
-  for (int waited = 0; waited < READY_MS; waited += 50)
-    {
-      for (int i = 1; i <= CONTROLS; i++)
-        if (is_leader (fleet, i))
-          return i;
-      fleet_sleep_ms (50);
-    }
-  ck_abort_msg ("no leader");
-}
-
 /* Sends bundle VERSION on BASE to all control hosts in turn until one accepts
    it, and returns how long that took.  */
 static uint64_t
@@ -103,12 +65,12 @@
   uint64_t took;
 
   gf_start (&fleet, "gf_full1", CONTROLS, 0);
-  leader = find_leader (&fleet);
+  leader = gf_find_leader (&fleet, READY_MS);
   set_full (&fleet, leader, true);
   took = put_bundle (&fleet, 3, 2);
   fprintf (stderr, "accepted after %llu ms\n", (unsigned long long)took);
   ck_assert_uint_le (took, ACK_MS);
-  ck_assert (!is_leader (&fleet, leader));
+  ck_assert (!gf_is_leader (&fleet, leader));
   took = put_bundle (&fleet, 4, 3);
   ck_assert_uint_le (took, ACK_MS);
   set_full (&fleet, leader, false);
@@ -124,7 +86,7 @@
 
   for (int waited = 0; waited < CATCH_UP_MS && seen != version; waited += 50)
     {
-      json_t *state = read_state (fleet, control);
+      json_t *state = gf_read_state (fleet, control);
       seen = json_integer_value (json_object_get (state, "bundle_version"));
       json_decref (state);
       fleet_sleep_ms (50);
@@ -179,7 +141,7 @@
   follower = 0;
   for (int i = 1; i <= CONTROLS; i++)
     {
-      json_t *state = read_state (&fleet, i);
+      json_t *state = gf_read_state (&fleet, i);
       if (json_array_size (json_object_get (state, "watchers")) > 0)
         follower = i;
       json_decref (state);
--- a/tests/fleet_replaced_hosts.c
+++ b/tests/fleet_replaced_hosts.c
@@ -2,7 +2,6 @@
    at other addresses, as often and as soon after one another as is tolerated.
  */
 
-#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -29,36 +28,6 @@
   return ab_clock_monotonic_ms (ab_clock_system ());
 }
 
-static bool
-leads (struct gf_fleet *fleet, int control)
-{
-  char *text = NULL;
-  json_t *state = NULL;
-  bool result;
-
-  if (fleet->control_pids[control]
-      && fleet_http (gf_admin (fleet, control), "GET", "/v1/state", NULL, NULL,
-                     &text)
-             == 200)
-    state = json_loads (text, 0, NULL);
-  free (text);
-  result = json_is_true (
-      json_object_get (json_object_get (state, "group"), "leader"));
-  json_decref (state);
-  return result;
-}
-
-static int
-find_leader (struct gf_fleet *fleet)
-{
-  for (uint64_t end = now_ms () + READY_MS; now_ms () < end;
-       fleet_sleep_ms (50))
-    for (int i = 1; i <= GF_CONTROLS_MAX; i++)
-      if (leads (fleet, i))
-        return i;
-  ck_abort_msg ("no leader");
-}
-
 /* Sends bundle VERSION to all running control hosts in turn until one accepts
    it within the stated bound.  */
 static void
@@ -96,7 +65,7 @@
   fleet->tolerated = tolerated;
   for (int i = 1; i <= controls; i++)
     gf_start_control (fleet, i, true);
-  find_leader (fleet);
+  gf_find_leader (fleet, READY_MS);
   for (uint64_t end = now_ms () + READY_MS;
        gf_put_bundle (fleet, 1, 2, 0, "") != 200; fleet_sleep_ms (50))
     ck_assert_uint_lt (now_ms (), end);
@@ -142,7 +111,7 @@
   start_group (&fleet, "gf_leaders", 3, 1);
   for (int i = 0; i < 4; i++)
     {
-      remove_control (&fleet, find_leader (&fleet));
+      remove_control (&fleet, gf_find_leader (&fleet, READY_MS));
       fleet_sleep_ms (SUCCESSOR_MS);
       /* The host before last and two that may be gone.  */
       fleet.first_seed = next > 5 ? next - 3 : 0;
--- a/tests/gateway_fleet_lib.h
+++ b/tests/gateway_fleet_lib.h
@@ -8,6 +8,7 @@
 #ifndef GATEWAY_FLEET_LIB_H
 #define GATEWAY_FLEET_LIB_H
 
+#include <jansson.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -209,6 +210,14 @@
 const char *gf_admin (struct gf_fleet *fleet, int control);
 const char *gf_callers (struct gf_fleet *fleet, int gateway);
 
+/* Returns the state dump of a control host, which the caller frees; null if it
+   does not run or answer.  */
+json_t *gf_read_state (struct gf_fleet *fleet, int control);
+bool gf_is_leader (struct gf_fleet *fleet, int control);
+/* Waits until a control host leads and returns its number.  Fails the test
+   after TIMEOUT_MS.  */
+int gf_find_leader (struct gf_fleet *fleet, int timeout_ms);
+
 /* Sends CONTROL a bundle of VERSION with the base version BASE.  EXTRA is
    appended to the prefix of its second route, "/look"; the third route,
    "/large/", is for downloads.  With two services, "/pay/" is for requests to
